The project has its skeleton: clock, keys, secret, settings, events, messages

Cause: the slices need one vocabulary before they can be built side by side. Change: typed clock and keys, the deployment secret with derived keys, settings that name the faulty field, numbered events with a catalogue test, the messages of control, and four programs that check their settings.

--- /dev/null
+++ b/src/clock/clock_millis.rs
@@ -0,0 +1,49 @@
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::SpanMillis;
+
+/// An instant in milliseconds since an origin that the process chose.
+///
+/// Instants of different processes are never compared with each other.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ClockMillis(u64);
+
+impl ClockMillis {
+    /// The origin of the clock.
+    pub const ORIGIN: Self = Self(0);
+
+    /// Creates the instant `millis` after the origin.
+    #[must_use]
+    pub const fn new(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Returns the milliseconds since the origin.
+    #[must_use]
+    pub const fn millis(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the instant `span` later, at most the largest one.
+    #[must_use]
+    pub const fn after(self, span: SpanMillis) -> Self {
+        Self(self.0.saturating_add(span.millis()))
+    }
+
+    /// Returns the time since `earlier`, zero if that lies ahead.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> SpanMillis {
+        SpanMillis::new(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl fmt::Display for ClockMillis {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} ms", self.0)
+    }
+}
--- /dev/null
+++ b/src/clock/mod.rs
@@ -0,0 +1,12 @@
+//! Time in milliseconds: the one clock type that every decision uses.
+
+mod clock_millis;
+mod process_clock;
+mod span_millis;
+
+pub use clock_millis::ClockMillis;
+pub use process_clock::ProcessClock;
+pub use span_millis::SpanMillis;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/clock/span_millis.rs
@@ -0,0 +1,51 @@
+use std::{fmt, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+/// A length of time in milliseconds.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct SpanMillis(u64);
+
+impl SpanMillis {
+    /// No time at all.
+    pub const ZERO: Self = Self(0);
+
+    /// Creates a span of `millis`.
+    #[must_use]
+    pub const fn new(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Returns the span in milliseconds.
+    #[must_use]
+    pub const fn millis(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the span as the standard library's type, for timers.
+    #[must_use]
+    pub const fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+
+    /// Returns the span times `factor`, at most the largest one.
+    #[must_use]
+    pub const fn times(self, factor: u64) -> Self {
+        Self(self.0.saturating_mul(factor))
+    }
+
+    /// Returns the span less `other`, at least zero.
+    #[must_use]
+    pub const fn less(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl fmt::Display for SpanMillis {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} ms", self.0)
+    }
+}
--- /dev/null
+++ b/src/event/catalogue.rs
@@ -0,0 +1,20 @@
+use super::EventEntry;
+use crate::{
+    agent::AgentEvent, balancer::BalancerEvent, cli::CliEvent, control::ControlEvent,
+    settings::SettingsEvent,
+};
+
+/// Returns every numbered event of every slice, ordered by number.
+#[must_use]
+pub fn event_catalogue() -> Vec<EventEntry> {
+    let mut entries: Vec<EventEntry> = [
+        ControlEvent::ALL,
+        BalancerEvent::ALL,
+        AgentEvent::ALL,
+        CliEvent::ALL,
+        SettingsEvent::ALL,
+    ]
+    .concat();
+    entries.sort_by_key(|entry| entry.number);
+    entries
+}
--- /dev/null
+++ b/src/key/incarnation_id.rs
@@ -0,0 +1,69 @@
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DisplayFromStr, serde_as};
+
+/// A random number that names one run of an agent; never used twice.
+///
+/// It is written as sixteen hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct IncarnationId(u64);
+
+impl IncarnationId {
+    /// Wraps a number drawn elsewhere.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Draws a fresh incarnation from the system's random source.
+    #[must_use]
+    pub fn random() -> Self {
+        Self(rand::random())
+    }
+
+    /// Returns the whole number.
+    #[must_use]
+    pub const fn number(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the low sixteen bits, which connection IDs carry.
+    #[must_use]
+    pub const fn tag(self) -> u16 {
+        let bytes = self.0.to_le_bytes();
+        u16::from_le_bytes([bytes[0], bytes[1]])
+    }
+}
+
+impl fmt::Display for IncarnationId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
+impl std::str::FromStr for IncarnationId {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// Serialises an incarnation as text, since JSON numbers lose bits over 2^53.
+#[serde_as]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+struct IncarnationText(#[serde_as(as = "DisplayFromStr")] IncarnationId);
+
+impl Serialize for IncarnationId {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        IncarnationText(*self).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for IncarnationId {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        IncarnationText::deserialize(deserializer).map(|text| text.0)
+    }
+}
--- /dev/null
+++ b/src/key/mod.rs
@@ -0,0 +1,13 @@
+//! Small keys that name services, targets, revisions and places.
+
+mod domain_name;
+mod feed_revision;
+mod incarnation_id;
+mod service_number;
+mod target_key;
+
+pub use domain_name::DomainName;
+pub use feed_revision::FeedRevision;
+pub use incarnation_id::IncarnationId;
+pub use service_number::ServiceNumber;
+pub use target_key::TargetKey;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,17 @@
+//! Cyclamenrouter: a layer-4 load balancer whose packets carry their own route.
+//!
+//! Each duty has its folder; `docs/DESIGN.md` tells how they act together.
+
+pub mod agent;
+pub mod balancer;
+pub mod cli;
+pub mod clock;
+pub mod control;
+pub mod event;
+pub mod key;
+pub mod manifest;
+pub mod program;
+pub mod route;
+pub mod secret;
+pub mod settings;
+pub mod tunnel;
--- /dev/null
+++ b/src/program/log_setup.rs
@@ -0,0 +1,34 @@
+use std::io;
+
+use serde::{Deserialize, Serialize};
+use tracing_subscriber::EnvFilter;
+
+/// The variable that sets which log lines are written.
+const FILTER_VARIABLE: &str = "CYCLAMEN_LOG";
+/// What is written when the variable is not set.
+const DEFAULT_FILTER: &str = "info,quinn=warn,h3=warn,hyper=warn,jsonrpsee=warn";
+
+/// How log lines are written to standard error.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One line of text an event.
+    #[default]
+    Text,
+    /// One JSON object an event.
+    Json,
+}
+
+/// Starts the logs of this process; a second call changes nothing.
+pub fn start_logs(format: LogFormat) {
+    let filter =
+        EnvFilter::try_from_env(FILTER_VARIABLE).unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(io::stderr);
+    // A process that has logs already keeps them.
+    let _ = match format {
+        LogFormat::Text => builder.try_init(),
+        LogFormat::Json => builder.json().try_init(),
+    };
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,13 @@
+//! Reading and checking the JSON settings of every program.
+
+mod settings_error;
+mod settings_event;
+mod settings_file;
+
+pub use settings_error::SettingsError;
+pub use settings_file::{SettingsCheck, load_settings, parse_settings};
+
+pub(crate) use settings_event::SettingsEvent;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/settings/settings_event.rs
@@ -0,0 +1,9 @@
+use crate::event::event_codes;
+
+event_codes! {
+    /// Events of reading settings, secrets and certificates.
+    pub(crate) enum SettingsEvent {
+        SecretReloaded = 9001 => "deployment secret reloaded",
+        SecretRefused = 9002 => "changed deployment secret refused; the old one stays in force",
+    }
+}
--- /dev/null
+++ b/src/tunnel/mod.rs
@@ -0,0 +1,1 @@
+//! Frames between balancers and agents.
