Tunnel frames carry a proof, and silent paths are left for another source port

Cause: something between two ends can lose track of one address pair while new ones work; balancers and agents must notice and go round it without a budget for probes of every peer.

--- /dev/null
+++ b/src/tunnel/path_health.rs
@@ -0,0 +1,65 @@
+use crate::clock::{ClockMillis, SpanMillis};
+
+/// The least time between two probes of a path in use.
+const PROBE_INTERVAL_MILLIS: SpanMillis = SpanMillis::new(250);
+/// The time after which a probe without an echo counts as missed.
+const PROBE_TIMEOUT_MILLIS: SpanMillis = SpanMillis::new(250);
+/// The missed probes in a row after which a path counts as silent.
+const SILENT_AFTER: u8 = 3;
+
+/// Whether a path in use still answers.
+///
+/// Probes ride on frames that are sent anyway, so an idle path costs nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct PathHealth {
+    probed_at: Option<ClockMillis>,
+    waiting: Option<u16>,
+    number: u16,
+    missed: u8,
+}
+
+impl PathHealth {
+    /// Creates a path of which nothing is known.
+    pub(crate) fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the number that the next frame should ask to echo, if due.
+    pub(crate) fn next_probe(&mut self, now: ClockMillis) -> Option<u16> {
+        self.expire_probe(now);
+        let is_due = self
+            .probed_at
+            .is_none_or(|probed_at| now.since(probed_at) >= PROBE_INTERVAL_MILLIS);
+        if self.waiting.is_some() || !is_due {
+            return None;
+        }
+        self.number = self.number.wrapping_add(1);
+        self.waiting = Some(self.number);
+        self.probed_at = Some(now);
+        self.waiting
+    }
+
+    /// Takes an echo; one of an older probe still shows that the path works.
+    pub(crate) fn take_echo(&mut self, number: u16) {
+        if self.waiting == Some(number) {
+            self.waiting = None;
+        }
+        self.missed = 0;
+    }
+
+    /// Returns whether several probes in a row went unanswered.
+    pub(crate) fn is_silent(&mut self, now: ClockMillis) -> bool {
+        self.expire_probe(now);
+        self.missed >= SILENT_AFTER
+    }
+
+    fn expire_probe(&mut self, now: ClockMillis) {
+        let Some(probed_at) = self.probed_at else {
+            return;
+        };
+        if self.waiting.is_some() && now.since(probed_at) >= PROBE_TIMEOUT_MILLIS {
+            self.waiting = None;
+            self.missed = self.missed.saturating_add(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/tunnel/tests.rs
@@ -0,0 +1,102 @@
+//! Tests of tunnel frames and path health.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use proptest::prelude::*;
+
+use super::{FrameError, FrameHeader, FrameKind, PathBook};
+use crate::{
+    clock::ClockMillis,
+    key::{ServiceNumber, TargetKey},
+    route::TargetChain,
+    secret::{DeploymentSecret, KeyRing},
+};
+
+fn ring() -> KeyRing {
+    KeyRing::new(&DeploymentSecret::random(1)).expect("a good secret")
+}
+
+fn address(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), port)
+}
+
+fn sample_frame(keys: &KeyRing) -> Vec<u8> {
+    let mut chain = TargetChain::new();
+    chain.push(TargetKey::new(address(7)));
+    let header = FrameHeader::new(FrameKind::Forward, ServiceNumber::new(3), address(9))
+        .with_chain(chain)
+        .with_echo(Some(5))
+        .with_ecn(2);
+    let mut frame = Vec::new();
+    header.write(b"datagram", keys, &mut frame);
+    let (read, payload) = FrameHeader::read(&frame, keys).expect("own frame");
+    assert_eq!((read, payload), (header, b"datagram".as_slice()));
+    frame
+}
+
+#[test]
+fn a_frame_of_another_deployment_is_forged() {
+    let frame = sample_frame(&ring());
+    assert_eq!(FrameHeader::read(&frame, &ring()), Err(FrameError::Forged));
+}
+
+proptest! {
+    #[test]
+    fn any_changed_byte_is_noticed(place in 0usize..34, flip in 1u8..) {
+        let keys = ring();
+        let mut frame = sample_frame(&keys);
+        frame[place] ^= flip;
+        prop_assert!(FrameHeader::read(&frame, &keys).is_err());
+    }
+
+    #[test]
+    fn reading_any_bytes_never_panics(bytes in prop::collection::vec(any::<u8>(), 0..80)) {
+        prop_assert!(FrameHeader::read(&bytes, &ring()).is_err());
+    }
+}
+
+/// Sends a frame each 50 ms, answered by `answers(port)`, and returns the port.
+fn drive(book: &mut PathBook, from: u64, until: u64, answers: impl Fn(usize) -> bool) -> usize {
+    let mut port = 0;
+    for at in (from..until).step_by(50) {
+        let choice = book.choose(address(1), ClockMillis::new(at));
+        port = choice.port;
+        if let Some(number) = choice.echo
+            && answers(port)
+        {
+            book.take_echo(address(1), number);
+        }
+    }
+    port
+}
+
+#[test]
+fn a_path_that_answers_is_kept() {
+    let mut book = PathBook::new(2);
+    assert_eq!(drive(&mut book, 0, 60_000, |_| true), 0);
+}
+
+#[test]
+fn a_silent_path_is_left_within_a_second_and_a_half() {
+    let mut book = PathBook::new(2);
+    drive(&mut book, 0, 5_000, |_| true);
+    assert_eq!(drive(&mut book, 5_000, 6_500, |port| port == 1), 1);
+    assert_eq!(drive(&mut book, 6_500, 60_000, |port| port == 1), 1);
+    assert!(!book.is_suspect(address(1), ClockMillis::new(60_000)));
+}
+
+#[test]
+fn a_peer_that_is_silent_on_all_paths_is_suspect_for_a_while() {
+    let mut book = PathBook::new(2);
+    drive(&mut book, 0, 3_000, |_| false);
+    assert!(book.is_suspect(address(1), ClockMillis::new(3_000)));
+    assert!(!book.is_suspect(address(1), ClockMillis::new(6_000)));
+}
+
+#[test]
+fn idle_paths_are_forgotten() {
+    let mut book = PathBook::new(2);
+    drive(&mut book, 0, 100, |_| true);
+    book.forget_idle(ClockMillis::new(40_000));
+    assert_eq!(book.len(), 0);
+}
