The balancer forwards datagrams by their connection IDs and follows the feed

Cause: the thin path needs a balancer that holds no state of any flow. Change: a pure verdict for each datagram, one socket for each service port, several source ports towards agents, counters for every way a packet can go, and a watch that keeps the route table at the newest confirmed revision.

--- a/src/balancer/balancer_event.rs
+++ b/src/balancer/balancer_event.rs
@@ -4,5 +4,14 @@
     /// Events of the balancer, 2000 to 2999.
     pub(crate) enum BalancerEvent {
         Started = 2001 => "balancer started",
+        Stopped = 2002 => "balancer stopped",
+        TableChanged = 2003 => "route table changed",
+        ListenerOpened = 2004 => "service port opened",
+        ListenerClosed = 2005 => "service port closed",
+        ListenerFailed = 2006 => "service port cannot be bound; it is tried again",
+        PathLeft = 2007 => "silent path to an agent left for another source port",
+        FrameRefused = 2008 => "tunnel frame refused",
+        DatagramDropped = 2009 => "datagram dropped",
+        ReceiveFailed = 2010 => "receiving failed",
     }
 }
--- /dev/null
+++ b/src/balancer/packet_path.rs
@@ -0,0 +1,245 @@
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use arc_swap::ArcSwap;
+
+use super::{
+    BalancerEvent, DropCause, ForwardVerdict, ListenerSet, PacketCounters, decide_datagram,
+    packet_counters::PacketCount,
+};
+use crate::{
+    clock::ProcessClock,
+    event::log_event,
+    key::{ServiceNumber, TargetKey},
+    route::{RouteTable, TargetChain},
+    secret::SecretStore,
+    tunnel::{DatagramSocket, FrameHeader, FrameKind, PathBook, ReceivedDatagram},
+};
+
+/// Everything that the tasks of the packet path share.
+#[derive(Debug)]
+pub(crate) struct PacketPath {
+    clock: ProcessClock,
+    secret: SecretStore,
+    table: Arc<ArcSwap<RouteTable>>,
+    listeners: Arc<ListenerSet>,
+    tunnels: Vec<DatagramSocket>,
+    paths: Mutex<PathBook>,
+    counters: PacketCounters,
+}
+
+/// The scratch space of one task.
+#[derive(Debug, Default)]
+pub(crate) struct FrameScratch {
+    frame: Vec<u8>,
+}
+
+impl PacketPath {
+    /// Binds the tunnel's source ports and ties the path together.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a port can't be bound.
+    pub(crate) fn new(
+        secret: SecretStore,
+        table: Arc<ArcSwap<RouteTable>>,
+        listeners: Arc<ListenerSet>,
+        tunnel_ip: Ipv4Addr,
+        tunnel_ports: usize,
+    ) -> io::Result<Self> {
+        let tunnels = (0..tunnel_ports)
+            .map(|_| DatagramSocket::bind(SocketAddrV4::new(tunnel_ip, 0)))
+            .collect::<io::Result<Vec<_>>>()?;
+        Ok(Self {
+            clock: ProcessClock::new(),
+            secret,
+            table,
+            listeners,
+            paths: Mutex::new(PathBook::new(tunnels.len())),
+            tunnels,
+            counters: PacketCounters::new(),
+        })
+    }
+
+    /// Returns the tunnel's sockets.
+    pub(crate) fn tunnels(&self) -> &[DatagramSocket] {
+        &self.tunnels
+    }
+
+    /// Returns the counters.
+    pub(crate) fn counters(&self) -> &PacketCounters {
+        &self.counters
+    }
+
+    /// Returns the number of agents whose paths are watched.
+    pub(crate) fn watched_paths(&self) -> usize {
+        self.lock_paths().len()
+    }
+
+    /// Forgets the paths that carried nothing for a while.
+    pub(crate) fn forget_idle_paths(&self) {
+        self.lock_paths().forget_idle(self.clock.now());
+    }
+
+    /// Sends a caller's datagram on its way to an agent.
+    pub(crate) fn forward(
+        &self,
+        arrived_at: SocketAddrV4,
+        datagram: &ReceivedDatagram<'_>,
+        scratch: &mut FrameScratch,
+    ) {
+        let verdict = {
+            let table = self.table.load();
+            let keys = self.secret.keys();
+            decide_datagram(&table, &keys, arrived_at, datagram.payload)
+        };
+        match verdict {
+            ForwardVerdict::Known { service, target } => {
+                self.counters.add(PacketCount::Known);
+                self.send_frame(service, target, TargetChain::new(), datagram, scratch);
+            }
+            ForwardVerdict::First { service, chain } => {
+                self.counters.add(PacketCount::First);
+                self.send_first(service, chain, datagram, scratch);
+            }
+            ForwardVerdict::Drop(cause) => self.drop_datagram(cause, arrived_at, datagram),
+        }
+    }
+
+    /// Sends an agent's datagram on its way to the caller.
+    pub(crate) fn answer(
+        &self,
+        port: usize,
+        received: &ReceivedDatagram<'_>,
+        scratch: &mut FrameScratch,
+    ) {
+        let read = FrameHeader::read(received.payload, &self.secret.keys());
+        let (header, payload) = match read {
+            Ok(frame) => frame,
+            Err(error) => {
+                self.counters.add(PacketCount::BadFrame);
+                log_event!(debug, BalancerEvent::FrameRefused, source = %received.source, %error);
+                return;
+            }
+        };
+        match header.kind {
+            FrameKind::Answer => self.answer_caller(port, received.source, &header, payload, scratch),
+            FrameKind::Echo => self.take_echo(received.source, &header),
+            FrameKind::Forward | FrameKind::Peer => self.counters.add(PacketCount::BadFrame),
+        }
+    }
+
+    fn send_first(
+        &self,
+        service: ServiceNumber,
+        chain: TargetChain,
+        datagram: &ReceivedDatagram<'_>,
+        scratch: &mut FrameScratch,
+    ) {
+        let now = self.clock.now();
+        let ordered = {
+            let paths = self.lock_paths();
+            chain.with_suspects_last(|target| paths.is_suspect(target.address(), now))
+        };
+        if let Some((target, rest)) = ordered.split_first() {
+            self.send_frame(service, target, rest, datagram, scratch);
+        }
+    }
+
+    fn send_frame(
+        &self,
+        service: ServiceNumber,
+        target: TargetKey,
+        rest: TargetChain,
+        datagram: &ReceivedDatagram<'_>,
+        scratch: &mut FrameScratch,
+    ) {
+        let choice = self.lock_paths().choose(target.address(), self.clock.now());
+        if choice.moved {
+            self.counters.add(PacketCount::MovedPath);
+            log_event!(warn, BalancerEvent::PathLeft, %target, port = choice.port);
+        }
+        FrameHeader::new(FrameKind::Forward, service, datagram.source)
+            .with_chain(rest)
+            .with_echo(choice.echo)
+            .with_ecn(datagram.ecn)
+            .write(datagram.payload, &self.secret.keys(), &mut scratch.frame);
+        let tunnel = &self.tunnels[choice.port];
+        if tunnel
+            .try_send(target.address(), &scratch.frame, datagram.ecn, None)
+            .is_err()
+        {
+            self.counters.add(PacketCount::Unsent);
+        }
+    }
+
+    fn answer_caller(
+        &self,
+        port: usize,
+        agent: SocketAddrV4,
+        header: &FrameHeader,
+        payload: &[u8],
+        scratch: &mut FrameScratch,
+    ) {
+        if header.echo.is_some() {
+            self.send_echo(port, agent, header, scratch);
+        }
+        let table = self.table.load();
+        let Some(pool) = table.pool(header.service) else {
+            self.counters.add_drop(DropCause::UnknownAddress);
+            return;
+        };
+        let address = pool.route().spec.address;
+        match self.listeners.send(address, header.caller, payload, header.ecn) {
+            Ok(()) => self.counters.add(PacketCount::Answered),
+            Err(_) => self.counters.add(PacketCount::Unsent),
+        }
+    }
+
+    fn send_echo(
+        &self,
+        port: usize,
+        agent: SocketAddrV4,
+        header: &FrameHeader,
+        scratch: &mut FrameScratch,
+    ) {
+        FrameHeader::new(FrameKind::Echo, header.service, header.caller)
+            .with_echo(header.echo)
+            .write(&[], &self.secret.keys(), &mut scratch.frame);
+        if self.tunnels[port]
+            .try_send(agent, &scratch.frame, 0, None)
+            .is_err()
+        {
+            self.counters.add(PacketCount::Unsent);
+        }
+    }
+
+    fn take_echo(&self, agent: SocketAddrV4, header: &FrameHeader) {
+        if let Some(number) = header.echo {
+            self.lock_paths().take_echo(agent, number);
+        }
+    }
+
+    fn drop_datagram(
+        &self,
+        cause: DropCause,
+        arrived_at: SocketAddrV4,
+        datagram: &ReceivedDatagram<'_>,
+    ) {
+        self.counters.add_drop(cause);
+        log_event!(
+            debug,
+            BalancerEvent::DatagramDropped,
+            ?cause,
+            source = %datagram.source,
+            %arrived_at
+        );
+    }
+
+    fn lock_paths(&self) -> std::sync::MutexGuard<'_, PathBook> {
+        self.paths.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/watch/mod.rs
@@ -0,0 +1,7 @@
+//! Keeps a process's route table up to date from the feed of control.
+
+mod route_watch;
+mod watch_event;
+
+pub(crate) use route_watch::{RouteWatch, WatchState};
+pub(crate) use watch_event::WatchEvent;
