A manifest is checked rule by rule, with the place of each fault

Cause: the manifest's types accepted any value of the right shape. Change: check_manifest verifies names, addresses, ranges, sizes and the order of rules, and names the JSON place of each fault with what is allowed; ManifestText decodes with line and column; ServiceSpec tells how a request is treated, with RFC 9110's idempotent methods where no rule speaks. Equal ports on different IP numbers are allowed; shared_ports lists them for balancers that listen on one IP number. Refusing equal ports outright was ruled out, since wildcard listeners serve them.

--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -1,9 +1,27 @@
 //! The manifest: every service with its address, limits and rules.
 
+mod fault_cause;
+mod fault_list;
+mod manifest_check;
 mod manifest_document;
+mod manifest_fault;
+mod manifest_text;
+mod rule_check;
+mod rule_match;
+mod service_check;
 mod service_spec;
 mod traffic_rule;
 
+pub use fault_cause::FaultCause;
+pub use manifest_check::{MOST_SERVICES, check_manifest};
 pub use manifest_document::{Manifest, ManifestDigest};
+pub use manifest_fault::ManifestFault;
+pub use manifest_text::{MOST_MANIFEST_BYTES, ManifestError, ManifestText};
+pub use rule_check::{MOST_METHOD_CHARS, MOST_METHODS, MOST_PREFIX_CHARS};
+pub use rule_match::{RequestTreatment, is_idempotent};
+pub use service_check::{MOST_NAME_CHARS, MOST_RULES};
 pub use service_spec::{ServiceLimits, ServiceSpec};
 pub use traffic_rule::{RequestPriority, TrafficRule};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/manifest/rule_match.rs
@@ -0,0 +1,57 @@
+use super::{RequestPriority, ServiceSpec, TrafficRule};
+use crate::clock::SpanMillis;
+
+/// How one request is treated, after the rules and defaults of its service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestTreatment {
+    /// The place in the queue.
+    pub priority: RequestPriority,
+    /// The deadline if the request brings none.
+    pub deadline: SpanMillis,
+    /// Whether the request may run twice.
+    pub idempotent: bool,
+    /// Whether the request is a stream that holds no slot while open.
+    pub stream: bool,
+}
+
+impl TrafficRule {
+    /// Returns whether the rule covers a request.
+    #[must_use]
+    pub fn matches(&self, method: &str, path: &str) -> bool {
+        path.starts_with(&self.path_prefix)
+            && (self.methods.is_empty() || self.methods.iter().any(|listed| listed == method))
+    }
+}
+
+impl ServiceSpec {
+    /// Returns the first rule that covers a request.
+    #[must_use]
+    pub fn rule_for(&self, method: &str, path: &str) -> Option<&TrafficRule> {
+        self.rules.iter().find(|rule| rule.matches(method, path))
+    }
+
+    /// Returns how a request is treated, with defaults where no rule speaks.
+    #[must_use]
+    pub fn treatment_for(&self, method: &str, path: &str) -> RequestTreatment {
+        let rule = self.rule_for(method, path);
+        RequestTreatment {
+            priority: rule.map(|rule| rule.priority).unwrap_or_default(),
+            deadline: rule.and_then(|rule| rule.deadline).unwrap_or(self.deadline),
+            idempotent: rule
+                .and_then(|rule| rule.idempotent)
+                .unwrap_or_else(|| is_idempotent(method)),
+            stream: rule.is_some_and(|rule| rule.stream),
+        }
+    }
+}
+
+/// Returns whether RFC 9110 defines the method as idempotent.
+///
+/// Methods that it doesn't know are taken as not idempotent.
+#[must_use]
+pub fn is_idempotent(method: &str) -> bool {
+    matches!(
+        method,
+        "GET" | "HEAD" | "OPTIONS" | "TRACE" | "PUT" | "DELETE"
+    )
+}
