Certificates load from checked files and change without a restart

Cause: agents need a certificate and an orderly stop, and neither existed. Change: src/tls reads PEM chains and keys (key mode 600 or 400 only), refuses a pair that doesn't fit, presents it through a resolver whose content is swapped on file change or SIGHUP, and gives the TLS 1.3 settings of both HTTP/3 ends with early data off. program::StopSignal turns the first SIGTERM or SIGINT into an orderly stop and leaves at once on the second. A file watcher library was ruled out: two stat calls a second need no further dependency.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod route;
 pub mod secret;
 pub mod settings;
+pub mod tls;
 pub mod tunnel;
--- /dev/null
+++ b/src/program/tests.rs
@@ -0,0 +1,22 @@
+//! Tests of the stop that a process is asked for.
+
+use super::StopSignal;
+
+#[tokio::test]
+async fn every_clone_sees_the_stop() {
+    let (stop, trigger) = StopSignal::new();
+    let clone = stop.clone();
+    assert!(!clone.is_stopped());
+    trigger.stop();
+    clone.stopped().await;
+    stop.stopped().await;
+    assert!(stop.is_stopped());
+}
+
+#[tokio::test]
+async fn a_stop_that_was_asked_for_outlives_its_trigger() {
+    let (stop, trigger) = StopSignal::new();
+    trigger.stop();
+    drop(trigger);
+    stop.stopped().await;
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,9 +1,11 @@
 //! Reading and checking the JSON settings of every program.
 
+mod private_file;
 mod settings_error;
 mod settings_event;
 mod settings_file;
 
+pub use private_file::write_private;
 pub use settings_error::SettingsError;
 pub use settings_file::{SettingsCheck, load_settings, parse_settings};
 
--- /dev/null
+++ b/src/tls/mod.rs
@@ -0,0 +1,18 @@
+//! Certificates and keys from files, and the TLS settings of HTTP/3.
+
+mod certificate_files;
+mod certificate_store;
+mod server_trust;
+mod test_certificate;
+mod tls_config;
+mod tls_error;
+
+pub use certificate_files::CertificateFiles;
+pub use certificate_store::CertificateStore;
+pub use server_trust::ServerTrust;
+pub use test_certificate::TestCertificate;
+pub use tls_config::{client_config, server_config};
+pub use tls_error::TlsError;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/tls/server_trust.rs
@@ -0,0 +1,35 @@
+use std::path::Path;
+
+use rustls::RootCertStore;
+
+use super::{TlsError, certificate_files::read_certificates};
+
+/// The roots that a caller trusts servers by.
+#[derive(Debug, Clone)]
+pub struct ServerTrust {
+    roots: RootCertStore,
+}
+
+impl ServerTrust {
+    /// Trusts every certificate of the PEM file at `path`, and no other.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file is unreadable or holds no usable certificate.
+    pub fn load(path: &Path) -> Result<Self, TlsError> {
+        let mut roots = RootCertStore::empty();
+        for certificate in read_certificates(path)? {
+            roots
+                .add(certificate)
+                .map_err(|cause| TlsError::Untrusted {
+                    path: path.to_owned(),
+                    cause,
+                })?;
+        }
+        Ok(Self { roots })
+    }
+
+    pub(super) fn into_roots(self) -> RootCertStore {
+        self.roots
+    }
+}
--- /dev/null
+++ b/src/tls/tls_config.rs
@@ -0,0 +1,41 @@
+use std::sync::Arc;
+
+use rustls::{ClientConfig, ServerConfig, crypto::ring, version::TLS13};
+
+use super::{CertificateStore, ServerTrust, TlsError};
+
+/// The protocol that both sides agree on within the handshake.
+const HTTP3_PROTOCOL: &[u8] = b"h3";
+
+/// Returns the TLS settings of an HTTP/3 server that presents `store`.
+///
+/// Early data stays off, since it can be replayed.
+///
+/// # Errors
+///
+/// Fails when the TLS library refuses the settings.
+pub fn server_config(store: CertificateStore) -> Result<ServerConfig, TlsError> {
+    let mut config = ServerConfig::builder_with_provider(Arc::new(ring::default_provider()))
+        .with_protocol_versions(&[&TLS13])
+        .map_err(TlsError::Protocol)?
+        .with_no_client_auth()
+        .with_cert_resolver(Arc::new(store));
+    config.alpn_protocols = vec![HTTP3_PROTOCOL.to_vec()];
+    config.max_early_data_size = 0;
+    Ok(config)
+}
+
+/// Returns the TLS settings of an HTTP/3 caller that trusts `trust`.
+///
+/// # Errors
+///
+/// Fails when the TLS library refuses the settings.
+pub fn client_config(trust: ServerTrust) -> Result<ClientConfig, TlsError> {
+    let mut config = ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
+        .with_protocol_versions(&[&TLS13])
+        .map_err(TlsError::Protocol)?
+        .with_root_certificates(trust.into_roots())
+        .with_no_client_auth();
+    config.alpn_protocols = vec![HTTP3_PROTOCOL.to_vec()];
+    Ok(config)
+}
