Suspect peers and silent paths are found well again by probes alone

Cause: a suspicion that ended by time sent the first packets of callers to a dead agent again and again, each lost until the caller's next retransmission. Change: suspicion ends with an echo; one probe a second goes to suspects; a late echo of a path that was left does not clear the new one.

--- a/src/balancer/balancer_node.rs
+++ b/src/balancer/balancer_node.rs
@@ -222,6 +222,7 @@
 async fn keep_listeners(path: Arc<PacketPath>, listeners: Arc<ListenerSet>, state: Arc<WatchState>) {
     let mut changes = state.subscribe();
     let mut tasks = JoinSet::new();
+    let mut scratch = FrameScratch::default();
     loop {
         let owners = wanted_ports(&state.table().load());
         let change = listeners.change(owners);
@@ -237,7 +238,10 @@
         }
         tokio::select! {
             changed = changes.changed() => if changed.is_err() { return },
-            () = tokio::time::sleep(HOUSEKEEPING_MILLIS.duration()) => path.forget_idle_paths(),
+            () = tokio::time::sleep(HOUSEKEEPING_MILLIS.duration()) => {
+                path.forget_idle_paths();
+                path.probe_suspects(&mut scratch);
+            }
         }
         while tasks.try_join_next().is_some() {}
     }
--- a/src/balancer/packet_path.rs
+++ b/src/balancer/packet_path.rs
@@ -84,6 +84,20 @@
         self.lock_paths().forget_idle(self.clock.now());
     }
 
+    /// Asks the agents that answer nowhere whether they are well again.
+    pub(crate) fn probe_suspects(&self, scratch: &mut FrameScratch) {
+        let probes = self.lock_paths().due_probes(self.clock.now());
+        for (agent, choice) in probes {
+            FrameHeader::new(FrameKind::Probe, ServiceNumber::new(0), agent)
+                .with_echo(choice.echo)
+                .write(&[], &self.secret.keys(), &mut scratch.frame);
+            let tunnel = &self.tunnels[choice.port];
+            if tunnel.try_send(agent, &scratch.frame, 0, None).is_err() {
+                self.counters.add(PacketCount::Unsent);
+            }
+        }
+    }
+
     /// Sends a caller's datagram on its way to an agent.
     pub(crate) fn forward(
         &self,
@@ -128,7 +142,10 @@
         match header.kind {
             FrameKind::Answer => self.answer_caller(port, received.source, &header, payload, scratch),
             FrameKind::Echo => self.take_echo(received.source, &header),
-            FrameKind::Forward | FrameKind::Peer => self.counters.add(PacketCount::BadFrame),
+            FrameKind::Probe => self.send_echo(port, received.source, &header, scratch),
+            FrameKind::Forward | FrameKind::PassOn | FrameKind::Peer => {
+                self.counters.add(PacketCount::BadFrame);
+            }
         }
     }
 
@@ -139,10 +156,9 @@
         datagram: &ReceivedDatagram<'_>,
         scratch: &mut FrameScratch,
     ) {
-        let now = self.clock.now();
         let ordered = {
             let paths = self.lock_paths();
-            chain.with_suspects_last(|target| paths.is_suspect(target.address(), now))
+            chain.with_suspects_last(|target| paths.is_suspect(target.address()))
         };
         if let Some((target, rest)) = ordered.split_first() {
             self.send_frame(service, target, rest, datagram, scratch);
@@ -184,9 +200,7 @@
         payload: &[u8],
         scratch: &mut FrameScratch,
     ) {
-        if header.echo.is_some() {
-            self.send_echo(port, agent, header, scratch);
-        }
+        self.send_echo(port, agent, header, scratch);
         let table = self.table.load();
         let Some(pool) = table.pool(header.service) else {
             self.counters.add_drop(DropCause::UnknownAddress);
@@ -206,6 +220,9 @@
         header: &FrameHeader,
         scratch: &mut FrameScratch,
     ) {
+        if header.echo.is_none() {
+            return;
+        }
         FrameHeader::new(FrameKind::Echo, header.service, header.caller)
             .with_echo(header.echo)
             .write(&[], &self.secret.keys(), &mut scratch.frame);
--- a/src/tunnel/frame_header.rs
+++ b/src/tunnel/frame_header.rs
@@ -37,6 +37,12 @@
     Answer,
     /// Answers the echo number of a frame; carries nothing.
     Echo,
+    /// Asks for an echo; carries nothing.
+    Probe,
+    /// A first packet that an agent passes on to the next candidate.
+    ///
+    /// The payload starts with the balancer's tunnel address (4 + 2 bytes).
+    PassOn,
     /// A message between agents; all of it is under the proof.
     Peer,
 }
@@ -166,6 +172,8 @@
             Self::Answer => 2,
             Self::Echo => 3,
             Self::Peer => 4,
+            Self::Probe => 5,
+            Self::PassOn => 6,
         }
     }
 
@@ -175,6 +183,8 @@
             2 => Ok(Self::Answer),
             3 => Ok(Self::Echo),
             4 => Ok(Self::Peer),
+            5 => Ok(Self::Probe),
+            6 => Ok(Self::PassOn),
             _ => Err(FrameError::UnknownKind { kind }),
         }
     }
@@ -182,7 +192,9 @@
     /// Returns how much of a payload of `length` bytes is under the proof.
     fn proved_bytes(self, length: usize) -> usize {
         match self {
-            Self::Forward | Self::Answer | Self::Echo => length.min(PROVED_PAYLOAD_BYTES),
+            Self::Forward | Self::Answer | Self::Echo | Self::Probe | Self::PassOn => {
+                length.min(PROVED_PAYLOAD_BYTES)
+            }
             Self::Peer => length,
         }
     }
--- a/src/tunnel/path_book.rs
+++ b/src/tunnel/path_book.rs
@@ -5,8 +5,6 @@
 
 /// The time after which a path that carried nothing is forgotten.
 const IDLE_MILLIS: SpanMillis = SpanMillis::new(30_000);
-/// The time for which a peer that answers on no path is avoided.
-const SUSPECT_MILLIS: SpanMillis = SpanMillis::new(2_000);
 /// The most peers whose paths are watched; more go unwatched.
 const MOST_PEERS: usize = 65_536;
 
@@ -25,7 +23,7 @@
     health: PathHealth,
     port: usize,
     silent_ports: usize,
-    suspected_at: Option<ClockMillis>,
+    is_suspect: bool,
     used_at: ClockMillis,
 }
 
@@ -62,13 +60,13 @@
             health: PathHealth::new(),
             port: 0,
             silent_ports: 0,
-            suspected_at: None,
+            is_suspect: false,
             used_at: now,
         });
         path.used_at = now;
         let moved = path.health.is_silent(now);
         if moved {
-            path.leave_port(self.ports, now);
+            path.leave_port(self.ports);
         }
         PathChoice {
             port: path.port,
@@ -79,19 +77,37 @@
 
     /// Takes an echo from `peer`.
     pub(crate) fn take_echo(&mut self, peer: SocketAddrV4, number: u16) {
-        if let Some(path) = self.peers.get_mut(&peer) {
-            path.health.take_echo(number);
+        if let Some(path) = self.peers.get_mut(&peer)
+            && path.health.take_echo(number)
+        {
             path.silent_ports = 0;
-            path.suspected_at = None;
+            path.is_suspect = false;
         }
     }
 
-    /// Returns whether `peer` answered on none of the source ports lately.
-    pub(crate) fn is_suspect(&self, peer: SocketAddrV4, now: ClockMillis) -> bool {
+    /// Returns whether `peer` answers on none of the source ports.
+    pub(crate) fn is_suspect(&self, peer: SocketAddrV4) -> bool {
+        self.peers.get(&peer).is_some_and(|path| path.is_suspect)
+    }
+
+    /// Returns the suspect peers that a probe is due to, each with its path.
+    ///
+    /// Since new work avoids them, only these probes find them well again.
+    pub(crate) fn due_probes(&mut self, now: ClockMillis) -> Vec<(SocketAddrV4, PathChoice)> {
+        let ports = self.ports;
         self.peers
-            .get(&peer)
-            .and_then(|path| path.suspected_at)
-            .is_some_and(|suspected_at| now.since(suspected_at) < SUSPECT_MILLIS)
+            .iter_mut()
+            .filter(|(_, path)| path.is_suspect)
+            .filter_map(|(peer, path)| {
+                let moved = path.health.is_silent(now);
+                if moved {
+                    path.leave_port(ports);
+                }
+                let echo = Some(path.health.next_probe(now)?);
+                let port = path.port;
+                Some((*peer, PathChoice { port, echo, moved }))
+            })
+            .collect()
     }
 
     /// Forgets the paths that carried nothing for a while.
@@ -107,12 +123,12 @@
 }
 
 impl PeerPath {
-    fn leave_port(&mut self, ports: usize, now: ClockMillis) {
+    fn leave_port(&mut self, ports: usize) {
         self.port = (self.port + 1) % ports;
         self.silent_ports += 1;
-        self.health = PathHealth::new();
+        self.health = self.health.moved();
         if self.silent_ports >= ports {
-            self.suspected_at = Some(now);
+            self.is_suspect = true;
         }
     }
 }
--- a/src/tunnel/path_health.rs
+++ b/src/tunnel/path_health.rs
@@ -15,6 +15,7 @@
     probed_at: Option<ClockMillis>,
     waiting: Option<u16>,
     number: u16,
+    first: u16,
     missed: u8,
 }
 
@@ -24,6 +25,15 @@
         Self::default()
     }
 
+    /// Returns a fresh path to the same peer, to which older echoes don't count.
+    pub(crate) fn moved(self) -> Self {
+        Self {
+            number: self.number,
+            first: self.number.wrapping_add(1),
+            ..Self::default()
+        }
+    }
+
     /// Returns the number that the next frame should ask to echo, if due.
     pub(crate) fn next_probe(&mut self, now: ClockMillis) -> Option<u16> {
         self.expire_probe(now);
@@ -39,12 +49,19 @@
         self.waiting
     }
 
-    /// Takes an echo; one of an older probe still shows that the path works.
-    pub(crate) fn take_echo(&mut self, number: u16) {
+    /// Takes an echo and returns whether it is one of this path.
+    ///
+    /// A late echo still shows that the path works.
+    pub(crate) fn take_echo(&mut self, number: u16) -> bool {
+        let is_own = number.wrapping_sub(self.first) <= self.number.wrapping_sub(self.first);
+        if !is_own || self.probed_at.is_none() {
+            return false;
+        }
         if self.waiting == Some(number) {
             self.waiting = None;
         }
         self.missed = 0;
+        true
     }
 
     /// Returns whether several probes in a row went unanswered.
--- a/src/tunnel/tests.rs
+++ b/src/tunnel/tests.rs
@@ -82,15 +82,30 @@
     drive(&mut book, 0, 5_000, |_| true);
     assert_eq!(drive(&mut book, 5_000, 6_500, |port| port == 1), 1);
     assert_eq!(drive(&mut book, 6_500, 60_000, |port| port == 1), 1);
-    assert!(!book.is_suspect(address(1), ClockMillis::new(60_000)));
+    assert!(!book.is_suspect(address(1)));
 }
 
 #[test]
-fn a_peer_that_is_silent_on_all_paths_is_suspect_for_a_while() {
+fn a_peer_that_is_silent_on_all_paths_is_suspect_until_it_answers_a_probe() {
     let mut book = PathBook::new(2);
     drive(&mut book, 0, 3_000, |_| false);
-    assert!(book.is_suspect(address(1), ClockMillis::new(3_000)));
-    assert!(!book.is_suspect(address(1), ClockMillis::new(6_000)));
+    assert!(book.is_suspect(address(1)));
+    let probes = book.due_probes(ClockMillis::new(4_000));
+    let [(peer, choice)] = probes.as_slice() else {
+        panic!("one probe was due, not {probes:?}");
+    };
+    book.take_echo(*peer, choice.echo.expect("a probe asks for an echo"));
+    assert!(!book.is_suspect(address(1)));
+}
+
+#[test]
+fn a_late_echo_of_a_left_path_does_not_clear_the_new_one() {
+    let mut book = PathBook::new(2);
+    let late = book.choose(address(1), ClockMillis::ORIGIN).echo;
+    drive(&mut book, 50, 3_000, |_| false);
+    assert!(book.is_suspect(address(1)));
+    book.take_echo(address(1), late.expect("the first frame probes"));
+    assert!(book.is_suspect(address(1)));
 }
 
 #[test]
