--- /dev/null
+++ b/src/agent/slot/mod.rs
@@ -0,0 +1,19 @@
+//! Slots of the target, the queue before them, and the counts that are limited.
+
+mod open_count;
+mod service_time;
+mod slot_limits;
+mod slot_queue;
+mod slot_verdict;
+mod waiting_line;
+
+pub(crate) use open_count::{CountVerdict, OpenCount};
+pub(crate) use service_time::ServiceTime;
+pub(crate) use slot_limits::SlotLimits;
+pub(crate) use slot_queue::{QueueCounts, SlotQueue};
+pub(crate) use slot_verdict::{
+    RefusalCause, SlotEvent, SlotKey, SlotRefusal, SlotRequest, SlotVerdict, WaiterKey,
+};
+
+#[cfg(test)]
+mod tests;
