--- a/src/agent/admission/tests.rs
+++ b/src/agent/admission/tests.rs
@@ -7,7 +7,10 @@
     AcceptRule, AdmissionGate, AdmissionVerdict, AgentPhase, CandidatePlace, ClientCid,
     ConnectionOffer, PeerLoad, TargetLoad,
 };
-use crate::clock::{ClockMillis, SpanMillis};
+use crate::{
+    agent::tests::fixed_cases,
+    clock::{ClockMillis, SpanMillis},
+};
 
 fn load(requests: u32, connections: u32) -> TargetLoad {
     TargetLoad {
