--- a/src/agent/agent_event.rs
+++ b/src/agent/agent_event.rs
@@ -16,5 +16,6 @@
         AnswerCut = 3011 => "answer cut by the upstream; stream reset",
         PathLeft = 3012 => "silent path to a balancer left",
         Renumbered = 3013 => "service has another number; restart the agent",
+        WithdrawFailed = 3014 => "withdrawing the target failed; its lease will expire",
     }
 }
--- /dev/null
+++ b/src/agent/lease_keeper.rs
@@ -0,0 +1,116 @@
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use super::AgentEvent;
+use crate::{
+    clock::SpanMillis,
+    control::{
+        api::{AnnounceReceipt, AnnounceRequest, HeartbeatReceipt, HeartbeatRequest, WithdrawRequest},
+        client::ControlClient,
+    },
+    event::log_event,
+    route::TargetPhase,
+};
+
+/// The pause after an announcement that failed.
+const RETRY_MILLIS: SpanMillis = SpanMillis::new(500);
+/// Heartbeats within one lease.
+const BEATS_PER_LEASE: u64 = 3;
+
+/// Announces the target and keeps its lease.
+#[derive(Debug)]
+pub(crate) struct LeaseKeeper {
+    client: ControlClient,
+    announcement: AnnounceRequest,
+    phase: watch::Receiver<TargetPhase>,
+}
+
+impl LeaseKeeper {
+    /// Creates a keeper; `phase` tells what to announce.
+    pub(crate) fn new(
+        client: ControlClient,
+        announcement: AnnounceRequest,
+        phase: watch::Receiver<TargetPhase>,
+    ) -> Self {
+        Self {
+            client,
+            announcement,
+            phase,
+        }
+    }
+
+    /// Announces the target, again and again until control accepts it.
+    pub(crate) async fn announce(&mut self) -> AnnounceReceipt {
+        loop {
+            self.announcement.phase = *self.phase.borrow_and_update();
+            match self.client.announce(&self.announcement).await {
+                Ok(receipt) => {
+                    let phase = self.announcement.phase;
+                    log_event!(info, AgentEvent::Announced, service = %receipt.service, ?phase);
+                    return receipt;
+                }
+                Err(error) => {
+                    log_event!(warn, AgentEvent::AnnounceFailed, %error);
+                    tokio::time::sleep(RETRY_MILLIS.duration()).await;
+                }
+            }
+        }
+    }
+
+    /// Keeps the lease and announces each change of the phase.
+    pub(crate) async fn run(mut self, receipt: AnnounceReceipt) {
+        let service = receipt.service;
+        let mut lease = receipt.lease;
+        loop {
+            let pause = SpanMillis::new(lease.millis() / BEATS_PER_LEASE);
+            let is_changed = tokio::select! {
+                changed = self.phase.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    true
+                }
+                () = tokio::time::sleep(pause.duration()) => false,
+            };
+            if is_changed || !self.renew(&mut lease).await {
+                let receipt = self.announce().await;
+                lease = receipt.lease;
+                if receipt.service != service {
+                    log_event!(error, AgentEvent::Renumbered, service = %receipt.service);
+                }
+            }
+        }
+    }
+
+    /// Sends a heartbeat and returns whether control knows the registration.
+    async fn renew(&self, lease: &mut SpanMillis) -> bool {
+        let request = HeartbeatRequest {
+            target: self.announcement.target,
+            incarnation: self.announcement.incarnation,
+        };
+        match self.client.heartbeat(&request).await {
+            Ok(HeartbeatReceipt::Renewed { span }) => {
+                *lease = span;
+                true
+            }
+            Ok(HeartbeatReceipt::Unknown) => {
+                log_event!(warn, AgentEvent::LeaseLost);
+                false
+            }
+            // Control may be away for long; the next beat tries again.
+            Err(_) => true,
+        }
+    }
+}
+
+/// Takes a target out for good; control may be away, so it is tried once.
+pub(crate) async fn withdraw_target(client: &Arc<ControlClient>, announcement: &AnnounceRequest) {
+    let request = WithdrawRequest {
+        target: announcement.target,
+        incarnation: announcement.incarnation,
+    };
+    if let Err(error) = client.withdraw(&request).await {
+        log_event!(warn, AgentEvent::WithdrawFailed, %error);
+    }
+}
