The operator checks manifests, calls services, and keeps the secret

A rotation goes in three steps (add, activate, retire) so that no process meets an epoch that it lacks; a one-step rotation was ruled out for that reason.

--- /dev/null
+++ b/src/caller/call_request.rs
@@ -0,0 +1,64 @@
+use bytes::Bytes;
+use http::Request;
+
+use super::CallerError;
+
+/// The header that carries a ticket.
+const TICKET_HEADER: &str = "idempotency-key";
+
+/// One request to a service.
+#[derive(Debug, Clone)]
+pub struct CallRequest {
+    method: String,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Bytes,
+}
+
+impl CallRequest {
+    /// Creates a request without a body.
+    #[must_use]
+    pub fn new(method: &str, path: &str) -> Self {
+        Self {
+            method: method.to_owned(),
+            path: path.to_owned(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn with_header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Sends a ticket along, so that the request runs at most once.
+    #[must_use]
+    pub fn with_ticket(self, ticket: &str) -> Self {
+        self.with_header(TICKET_HEADER, ticket)
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub fn with_body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Returns the head for the service of this name, and the body.
+    pub(super) fn into_parts(self, service: &str) -> Result<(Request<()>, Bytes), CallerError> {
+        let mut builder = Request::builder()
+            .method(self.method.as_str())
+            .uri(format!("https://{service}{}", self.path));
+        for (name, value) in &self.headers {
+            builder = builder.header(name.as_str(), value.as_str());
+        }
+        if !self.body.is_empty() {
+            builder = builder.header(http::header::CONTENT_LENGTH, self.body.len());
+        }
+        let head = builder.body(()).map_err(CallerError::Malformed)?;
+        Ok((head, self.body))
+    }
+}
--- /dev/null
+++ b/src/caller/mod.rs
@@ -0,0 +1,13 @@
+//! An ordinary HTTP/3 caller of services, for `cyclamen call` and the demo.
+
+mod answer_stream;
+mod call_answer;
+mod call_request;
+mod caller_error;
+mod service_caller;
+
+pub use answer_stream::AnswerStream;
+pub use call_answer::CallAnswer;
+pub use call_request::CallRequest;
+pub use caller_error::CallerError;
+pub use service_caller::ServiceCaller;
--- /dev/null
+++ b/src/caller/service_caller.rs
@@ -0,0 +1,98 @@
+use std::{
+    future::poll_fn,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    sync::Arc,
+};
+
+use bytes::Bytes;
+use h3::client::SendRequest;
+use h3_quinn::OpenStreams;
+use quinn::{ClientConfig, Connection, Endpoint, crypto::rustls::QuicClientConfig};
+
+use super::{AnswerStream, CallAnswer, CallRequest, CallerError};
+use crate::tls::{ServerTrust, client_config};
+
+/// One connection to a service, from a socket of its own.
+pub struct ServiceCaller {
+    service: String,
+    endpoint: Endpoint,
+    connection: Connection,
+    sender: SendRequest<OpenStreams, Bytes>,
+}
+
+impl ServiceCaller {
+    /// Connects to the service of this name at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no agent accepts the connection or its certificate is not
+    /// trusted.
+    pub async fn connect(
+        address: SocketAddrV4,
+        service: &str,
+        trust: ServerTrust,
+    ) -> Result<Self, CallerError> {
+        let endpoint = open_endpoint(trust)?;
+        let connection = endpoint
+            .connect(SocketAddr::V4(address), service)
+            .map_err(|cause| CallerError::Connect { address, cause })?
+            .await
+            .map_err(|cause| CallerError::Handshake { address, cause })?;
+        let transport = h3_quinn::Connection::new(connection.clone());
+        let (mut driver, sender) = h3::client::new(transport)
+            .await
+            .map_err(CallerError::Connection)?;
+        // The driver ends with the connection; the requests report why.
+        tokio::spawn(async move { poll_fn(|context| driver.poll_close(context)).await });
+        Ok(Self {
+            service: service.to_owned(),
+            endpoint,
+            connection,
+            sender,
+        })
+    }
+
+    /// Sends a request and waits for the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection or the stream is cut before the answer's end.
+    pub async fn send(&self, request: CallRequest) -> Result<CallAnswer, CallerError> {
+        self.open(request).await?.collect().await
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection or the stream is cut before that.
+    pub async fn open(&self, request: CallRequest) -> Result<AnswerStream, CallerError> {
+        let (head, body) = request.into_parts(&self.service)?;
+        let mut sender = self.sender.clone();
+        let stream = sender
+            .send_request(head)
+            .await
+            .map_err(CallerError::Stream)?;
+        AnswerStream::open(stream, body).await
+    }
+
+    /// Returns whether the connection is known to be gone.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.connection.close_reason().is_some()
+    }
+
+    /// Closes the connection and waits until the other end was told.
+    pub async fn close(self) {
+        self.connection.close(quinn::VarInt::from_u32(0), b"");
+        self.endpoint.wait_idle().await;
+    }
+}
+
+fn open_endpoint(trust: ServerTrust) -> Result<Endpoint, CallerError> {
+    let any_port = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
+    let mut endpoint = Endpoint::client(any_port).map_err(CallerError::Socket)?;
+    let config = QuicClientConfig::try_from(client_config(trust)?).map_err(CallerError::Cipher)?;
+    endpoint.set_default_client_config(ClientConfig::new(Arc::new(config)));
+    Ok(endpoint)
+}
--- /dev/null
+++ b/src/cli/cli_options.rs
@@ -0,0 +1,58 @@
+use std::path::PathBuf;
+
+use gumdrop::Options;
+
+use super::{
+    OutputFormat,
+    command::{CallOptions, CertificateOptions, CheckOptions, SecretOptions},
+};
+
+/// The command line of `cyclamen`.
+#[derive(Debug, Options)]
+pub(crate) struct CliOptions {
+    /// Prints the help text.
+    #[options(help = "print this text")]
+    pub(crate) help: bool,
+    /// Prints the version.
+    #[options(no_short, help = "print the version")]
+    pub(crate) version: bool,
+    /// The operator's settings.
+    #[options(meta = "FILE", help = "read the operator's settings from FILE")]
+    pub(crate) settings: Option<PathBuf>,
+    /// Checks the settings and stops.
+    #[options(no_short, help = "check the settings and stop")]
+    pub(crate) check_settings: bool,
+    /// The command with its own options.
+    #[options(command)]
+    pub(crate) command: Option<CliCommand>,
+}
+
+/// The commands of `cyclamen`.
+#[derive(Debug, Options)]
+pub(crate) enum CliCommand {
+    /// Checks a manifest.
+    #[options(help = "check a manifest")]
+    Check(CheckOptions),
+    /// Sends a request to a service.
+    #[options(help = "send one HTTP/3 request to a service")]
+    Call(CallOptions),
+    /// Makes or rotates the deployment secret.
+    #[options(help = "make or rotate the deployment secret")]
+    Secret(SecretOptions),
+    /// Makes a certificate for trials.
+    #[options(help = "make a certificate for trials")]
+    TlsTestCertificate(CertificateOptions),
+}
+
+impl CliCommand {
+    /// Returns for whom the command writes its report.
+    pub(crate) const fn output(&self) -> OutputFormat {
+        let json = match self {
+            Self::Check(options) => options.json,
+            Self::Call(options) => options.json,
+            Self::Secret(options) => options.json,
+            Self::TlsTestCertificate(options) => options.json,
+        };
+        OutputFormat::from_flag(json)
+    }
+}
--- a/src/cli/cli_run.rs
+++ b/src/cli/cli_run.rs
@@ -1,17 +1,96 @@
 use std::{env, process::ExitCode};
 
-use super::CliEvent;
-use crate::{event::log_event, program::ExitStatus};
+use gumdrop::Options;
+
+use super::{
+    CliError, CliEvent, OutputFormat, UsageFault,
+    cli_options::{CliCommand, CliOptions},
+};
+use crate::{
+    event::log_event,
+    program::{ExitStatus, LogFormat, start_logs},
+};
 
 /// Runs the operator's command line.
 #[must_use]
 pub fn run_cli() -> ExitCode {
+    start_logs(LogFormat::Text);
     let arguments: Vec<String> = env::args().skip(1).collect();
     log_event!(debug, CliEvent::Started);
-    match arguments.first().map(String::as_str) {
-        Some("--version") => println!("cyclamen {}", env!("CARGO_PKG_VERSION")),
-        Some("--help") => println!("Usage: cyclamen COMMAND"),
-        _ => return ExitStatus::Usage.into(),
+    run_arguments(&arguments).into()
+}
+
+/// Runs one command line and returns its exit status.
+pub(crate) fn run_arguments(arguments: &[String]) -> ExitStatus {
+    let options = match CliOptions::parse_args_default(arguments) {
+        Ok(options) => options,
+        Err(error) => {
+            let fault = UsageFault::Options {
+                message: format!("{error}; see cyclamen --help"),
+            };
+            return fail(wanted_format(arguments), &fault.into());
+        }
+    };
+    if options.help_requested() {
+        print_help(&options);
+        return ExitStatus::Done;
+    }
+    if options.version {
+        println!("cyclamen {}", env!("CARGO_PKG_VERSION"));
+        return ExitStatus::Done;
+    }
+    let Some(command) = &options.command else {
+        let fault = UsageFault::Missing { name: "COMMAND" };
+        return fail(OutputFormat::Text, &fault.into());
+    };
+    match run_command(command) {
+        Ok(status) => status,
+        Err(error) => fail(command.output(), &error),
+    }
+}
+
+fn run_command(command: &CliCommand) -> Result<ExitStatus, CliError> {
+    match command {
+        CliCommand::Check(options) => options.run(),
+        CliCommand::Call(options) => block_on(options.run()),
+        CliCommand::Secret(options) => options.run(),
+        CliCommand::TlsTestCertificate(options) => options.run(),
+    }
+}
+
+fn block_on(
+    work: impl Future<Output = Result<ExitStatus, CliError>>,
+) -> Result<ExitStatus, CliError> {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(CliError::Runtime)?
+        .block_on(work)
+}
+
+fn fail(format: OutputFormat, error: &CliError) -> ExitStatus {
+    format.print_error(error);
+    error.exit_status()
+}
+
+/// Returns the format for errors of a command line that can't be parsed.
+fn wanted_format(arguments: &[String]) -> OutputFormat {
+    OutputFormat::from_flag(arguments.iter().any(|argument| argument == "--json"))
+}
+
+fn print_help(options: &CliOptions) {
+    match &options.command {
+        Some(command) => {
+            let name = options.command_name().unwrap_or_default();
+            println!(
+                "Usage: cyclamen {name} [OPTIONS]\n\n{}",
+                command.self_usage()
+            );
+        }
+        None => println!(
+            "Usage: cyclamen [OPTIONS] COMMAND\n\n{}\n\nCommands:\n{}",
+            CliOptions::usage(),
+            CliOptions::command_list().unwrap_or_default()
+        ),
     }
-    ExitStatus::Done.into()
 }
--- /dev/null
+++ b/src/cli/command/call_command.rs
@@ -0,0 +1,142 @@
+use std::{collections::BTreeMap, fmt, fs, net::SocketAddrV4, path::PathBuf, time::Duration};
+
+use gumdrop::Options;
+use serde::Serialize;
+
+use crate::{
+    caller::{CallAnswer, CallRequest, CallerError, ServiceCaller},
+    cli::{CliError, OutputFormat, UsageFault},
+    program::ExitStatus,
+    tls::ServerTrust,
+};
+
+/// The options of `cyclamen call`.
+#[derive(Debug, Options)]
+pub(crate) struct CallOptions {
+    /// Prints the help text.
+    #[options(help = "print this text")]
+    help: bool,
+    /// Writes the report as JSON.
+    #[options(no_short, help = "write the report as JSON")]
+    pub(crate) json: bool,
+    /// The service's address.
+    #[options(no_short, meta = "IP:PORT", help = "the service's address")]
+    service_address: Option<SocketAddrV4>,
+    /// The service's name.
+    #[options(no_short, meta = "SERVICE", help = "the service's name")]
+    name: Option<String>,
+    /// The root certificates to trust.
+    #[options(no_short, meta = "FILE", help = "trust the roots in this PEM file")]
+    ca: Option<PathBuf>,
+    /// The HTTP method.
+    #[options(no_short, meta = "METHOD", default = "GET", help = "the HTTP method")]
+    method: String,
+    /// The path.
+    #[options(no_short, meta = "PATH", default = "/", help = "the path and query")]
+    path: String,
+    /// The body.
+    #[options(no_short, meta = "TEXT", help = "the body, or @FILE")]
+    data: Option<String>,
+    /// The ticket.
+    #[options(
+        no_short,
+        meta = "TICKET",
+        help = "send this ticket as Idempotency-Key"
+    )]
+    ticket: Option<String>,
+    /// The time to wait.
+    #[options(no_short, meta = "N", default = "30", help = "give up after N seconds")]
+    timeout_seconds: u64,
+}
+
+/// The answer of a service.
+#[derive(Debug, Serialize)]
+struct CallReport {
+    status: u16,
+    headers: BTreeMap<String, String>,
+    body: String,
+}
+
+impl CallOptions {
+    /// Sends the request and reports the answer.
+    pub(crate) async fn run(&self) -> Result<ExitStatus, CliError> {
+        let request = self.request()?;
+        let work = self.send(request);
+        let answer = tokio::time::timeout(Duration::from_secs(self.timeout_seconds), work)
+            .await
+            .map_err(|_| CliError::TimedOut {
+                seconds: self.timeout_seconds,
+            })??;
+        let report = CallReport::new(&answer);
+        OutputFormat::from_flag(self.json).print(&report);
+        Ok(if answer.is_success() {
+            ExitStatus::Done
+        } else {
+            ExitStatus::Failed
+        })
+    }
+
+    async fn send(&self, request: CallRequest) -> Result<CallAnswer, CliError> {
+        let address = self.service_address.ok_or(UsageFault::Missing {
+            name: "--service-address",
+        })?;
+        let name = self.name.as_deref();
+        let name = name.ok_or(UsageFault::Missing { name: "--name" })?;
+        let ca = self.ca.as_ref();
+        let ca = ca.ok_or(UsageFault::Missing { name: "--ca" })?;
+        let caller = ServiceCaller::connect(address, name, ServerTrust::load(ca)?).await?;
+        let answer: Result<CallAnswer, CallerError> = caller.send(request).await;
+        caller.close().await;
+        Ok(answer?)
+    }
+
+    fn request(&self) -> Result<CallRequest, CliError> {
+        let mut request = CallRequest::new(&self.method, &self.path);
+        if let Some(ticket) = &self.ticket {
+            request = request.with_ticket(ticket);
+        }
+        if let Some(data) = &self.data {
+            request = request.with_body(read_data(data)?);
+        }
+        Ok(request)
+    }
+}
+
+/// Returns the text itself, or the content of the file that follows an `@`.
+fn read_data(data: &str) -> Result<Vec<u8>, CliError> {
+    match data.strip_prefix('@') {
+        Some(path) => fs::read(path).map_err(|cause| CliError::Unreadable {
+            path: path.into(),
+            cause,
+        }),
+        None => Ok(data.as_bytes().to_vec()),
+    }
+}
+
+impl CallReport {
+    fn new(answer: &CallAnswer) -> Self {
+        let headers = answer
+            .headers
+            .iter()
+            .map(|(name, value)| {
+                let value = String::from_utf8_lossy(value.as_bytes());
+                (name.to_string(), value.into_owned())
+            })
+            .collect();
+        Self {
+            status: answer.status,
+            headers,
+            body: String::from_utf8_lossy(&answer.body).into_owned(),
+        }
+    }
+}
+
+impl fmt::Display for CallReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "status {}", self.status)?;
+        for (name, value) in &self.headers {
+            writeln!(formatter, "{name}: {value}")?;
+        }
+        write!(formatter, "\n{}", self.body)
+    }
+}
--- /dev/null
+++ b/src/cli/command/secret_command.rs
@@ -0,0 +1,162 @@
+use std::{
+    fmt, io,
+    path::{Path, PathBuf},
+    str::FromStr,
+};
+
+use gumdrop::Options;
+use serde::Serialize;
+
+use crate::{
+    cli::{CliError, OutputFormat, UsageFault},
+    program::ExitStatus,
+    secret::DeploymentSecret,
+    settings::write_private,
+};
+
+/// The epoch of a deployment's first secret.
+const FIRST_EPOCH: u8 = 1;
+
+/// The options of `cyclamen secret`.
+#[derive(Debug, Options)]
+pub(crate) struct SecretOptions {
+    /// Prints the help text.
+    #[options(help = "print this text")]
+    help: bool,
+    /// Writes the report as JSON.
+    #[options(no_short, help = "write the report as JSON")]
+    pub(crate) json: bool,
+    /// The step of a rotation.
+    #[options(
+        no_short,
+        meta = "STEP",
+        help = "the step of `rotate`: add, activate or retire"
+    )]
+    step: Option<RotationStep>,
+    /// What to do, and the file.
+    #[options(free, help = "new FILE, or rotate FILE --step STEP")]
+    arguments: Vec<String>,
+}
+
+/// One step of a rotation; every process gets the file between two steps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RotationStep {
+    /// Adds the next epoch, which is accepted and not yet used.
+    Add,
+    /// Uses the added epoch; the old one is still accepted.
+    Activate,
+    /// Takes the old epoch out.
+    Retire,
+}
+
+impl FromStr for RotationStep {
+    type Err = UsageFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "add" => Ok(Self::Add),
+            "activate" => Ok(Self::Activate),
+            "retire" => Ok(Self::Retire),
+            _ => Err(UsageFault::BadValue {
+                name: "--step",
+                value: text.to_owned(),
+                allowed: "add, activate or retire",
+            }),
+        }
+    }
+}
+
+/// What is now in the secret file; never the secret itself.
+#[derive(Debug, Serialize)]
+struct SecretReport {
+    file: PathBuf,
+    active: u8,
+    epochs: Vec<u8>,
+}
+
+impl SecretOptions {
+    /// Makes a secret file or takes it one step through a rotation.
+    pub(crate) fn run(&self) -> Result<ExitStatus, CliError> {
+        let (action, path) = self.action()?;
+        let secret = match action {
+            SecretAction::New => {
+                refuse_existing(&path)?;
+                DeploymentSecret::random(FIRST_EPOCH)
+            }
+            SecretAction::Rotate(step) => rotate(DeploymentSecret::load(&path)?, step)?,
+        };
+        let text = serde_json::to_string_pretty(&secret).unwrap_or_default();
+        write_private(&path, &text).map_err(|cause| CliError::Unwritable {
+            path: path.clone(),
+            cause,
+        })?;
+        let report = SecretReport {
+            file: path,
+            active: secret.active,
+            epochs: secret.epochs.iter().map(|epoch| epoch.epoch).collect(),
+        };
+        OutputFormat::from_flag(self.json).print(&report);
+        Ok(ExitStatus::Done)
+    }
+
+    fn action(&self) -> Result<(SecretAction, PathBuf), UsageFault> {
+        let [action, path] = self.arguments.as_slice() else {
+            return Err(UsageFault::Missing {
+                name: "`new FILE` or `rotate FILE`",
+            });
+        };
+        let action = match (action.as_str(), self.step) {
+            ("new", None) => SecretAction::New,
+            ("rotate", Some(step)) => SecretAction::Rotate(step),
+            ("rotate", None) => return Err(UsageFault::Missing { name: "--step" }),
+            _ => {
+                return Err(UsageFault::BadValue {
+                    name: "the action",
+                    value: action.clone(),
+                    allowed: "`new` without --step, or `rotate` with it",
+                });
+            }
+        };
+        Ok((action, PathBuf::from(path)))
+    }
+}
+
+/// What the operator asked for.
+#[derive(Debug, Clone, Copy)]
+enum SecretAction {
+    New,
+    Rotate(RotationStep),
+}
+
+/// A secret in use is never overwritten: every process would lose the others.
+fn refuse_existing(path: &Path) -> Result<(), CliError> {
+    if path.exists() {
+        return Err(CliError::Unwritable {
+            path: path.to_owned(),
+            cause: io::ErrorKind::AlreadyExists.into(),
+        });
+    }
+    Ok(())
+}
+
+fn rotate(secret: DeploymentSecret, step: RotationStep) -> Result<DeploymentSecret, CliError> {
+    let rotated = match step {
+        RotationStep::Add => secret.with_next_epoch()?,
+        RotationStep::Activate => secret.with_newest_active()?,
+        RotationStep::Retire => secret.with_active_alone()?,
+    };
+    Ok(rotated)
+}
+
+impl fmt::Display for SecretReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let epochs: Vec<String> = self.epochs.iter().map(u8::to_string).collect();
+        write!(
+            formatter,
+            "{}: epochs {}, active {}",
+            self.file.display(),
+            epochs.join(" and "),
+            self.active
+        )
+    }
+}
--- /dev/null
+++ b/src/cli/tests/secrets.rs
@@ -0,0 +1,38 @@
+//! A secret is made once and rotated step by step.
+
+use super::run;
+use crate::{program::ExitStatus, secret::DeploymentSecret};
+
+#[test]
+fn a_rotation_keeps_the_old_epoch_until_the_end() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let path = folder.path().join("secret.json");
+    let name = path.to_str().expect("an ASCII path");
+    let step = |step| run(&["secret", "rotate", name, "--step", step]);
+    let epochs = || {
+        let secret = DeploymentSecret::load(&path).expect("a private file");
+        let epochs: Vec<u8> = secret.epochs.iter().map(|epoch| epoch.epoch).collect();
+        (secret.active, epochs)
+    };
+    assert_eq!(run(&["secret", "new", name]), ExitStatus::Done);
+    assert_eq!(step("activate"), ExitStatus::Failed);
+    assert_eq!(step("add"), ExitStatus::Done);
+    assert_eq!(epochs(), (1, vec![1, 2]));
+    assert_eq!(step("retire"), ExitStatus::Failed);
+    assert_eq!(step("activate"), ExitStatus::Done);
+    assert_eq!(epochs(), (2, vec![1, 2]));
+    assert_eq!(step("retire"), ExitStatus::Done);
+    assert_eq!(epochs(), (2, vec![2]));
+}
+
+#[test]
+fn a_secret_in_use_is_not_overwritten() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let path = folder.path().join("secret.json");
+    let name = path.to_str().expect("an ASCII path");
+    run(&["secret", "new", name]);
+    let before = DeploymentSecret::load(&path).expect("a private file");
+    assert_eq!(run(&["secret", "new", name]), ExitStatus::Failed);
+    let after = DeploymentSecret::load(&path).expect("a private file");
+    assert_eq!(before, after);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod agent;
 pub mod balancer;
+pub mod caller;
 pub mod cli;
 pub mod clock;
 pub mod control;
--- a/src/secret/mod.rs
+++ b/src/secret/mod.rs
@@ -3,6 +3,7 @@
 mod deployment_secret;
 mod key_ring;
 mod secret_error;
+mod secret_rotation;
 mod secret_store;
 
 pub use deployment_secret::{DeploymentSecret, SecretEpoch};
--- a/src/secret/secret_error.rs
+++ b/src/secret/secret_error.rs
@@ -61,4 +61,16 @@
         /// The bytes found.
         length: usize,
     },
+    /// A further epoch was asked for while a rotation runs.
+    #[error("the secret holds {count} epochs already; finish that rotation first")]
+    RotationRuns {
+        /// How many epochs were found.
+        count: usize,
+    },
+    /// A step of a rotation was asked for while none runs.
+    #[error("the secret holds one epoch; add the next one first")]
+    NoRotation,
+    /// The old epoch was to go while it is in use.
+    #[error("the added epoch is not in use yet; activate it first")]
+    NotActivated,
 }
