The agent node announces its target, serves connections and drains

Cause: the thin path needs a process beside each upstream. Change: the node ties endpoint, lease, feed and relay together; a kameo actor leads the planned stop, fed with counts of open work and committed phases.

--- a/src/agent/agent_event.rs
+++ b/src/agent/agent_event.rs
@@ -16,6 +16,9 @@
         AnswerCut = 3011 => "answer cut by the upstream; stream reset",
         PathLeft = 3012 => "silent path to a balancer left",
         Renumbered = 3013 => "service has another number; restart the agent",
+        DrainBegun = 3015 => "drain begun; new connections are passed on",
+        Drained = 3016 => "drained; nothing is open any more",
+        WorkCut = 3017 => "open work cut on the operator's word",
         WithdrawFailed = 3014 => "withdrawing the target failed; its lease will expire",
     }
 }
--- a/src/agent/agent_run.rs
+++ b/src/agent/agent_run.rs
@@ -1,19 +1,23 @@
-use miette::Diagnostic;
-use thiserror::Error;
+use super::{AgentError, AgentEvent, AgentNode, AgentSettings};
+use crate::{event::log_event, program::StopSignal};
 
-use super::{AgentEvent, AgentSettings};
-use crate::event::log_event;
-
-/// Why `cyclamen-agent` stopped.
-#[derive(Debug, Error, Diagnostic)]
-pub enum AgentError {}
-
-/// Runs the agent until it is told to stop.
+/// Runs an agent until it is told to stop, then drains it.
 ///
 /// # Errors
 ///
 /// Fails when it can't start.
-pub async fn run_agent(_settings: AgentSettings) -> Result<(), AgentError> {
-    log_event!(info, AgentEvent::Started);
-    std::future::ready(Ok(())).await
+pub async fn run_agent(settings: AgentSettings) -> Result<(), AgentError> {
+    let signal = StopSignal::listen().map_err(AgentError::Signal)?;
+    let mut node = tokio::select! {
+        node = AgentNode::start(&settings) => node?,
+        () = signal.stopped() => return Ok(()),
+    };
+    let exit = async {
+        signal.stopped().await;
+        node.begin_exit().await;
+    };
+    exit.await;
+    node.finish_exit().await;
+    log_event!(info, AgentEvent::Stopped);
+    Ok(())
 }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -1,26 +1,19 @@
-//! The agent.
+//! The agent beside an upstream: ends connections, decides, relays, drains.
 
-#[allow(
-    dead_code,
-    unused_imports,
-    reason = "the request path does not call it yet"
-)]
 pub(crate) mod admission;
 mod agent_event;
 mod agent_run;
 mod agent_settings;
-#[allow(
-    dead_code,
-    unused_imports,
-    reason = "the request path does not call it yet"
-)]
 pub(crate) mod drain;
+mod endpoint;
+mod node;
 #[allow(
     dead_code,
     unused_imports,
     reason = "the request path does not call it yet"
 )]
 pub(crate) mod outcome;
+mod relay;
 #[allow(
     dead_code,
     unused_imports,
@@ -28,8 +21,9 @@
 )]
 pub(crate) mod slot;
 
-pub use agent_run::{AgentError, run_agent};
+pub use agent_run::run_agent;
 pub use agent_settings::AgentSettings;
+pub use node::{AgentDump, AgentError, AgentNode};
 
 pub(crate) use agent_event::AgentEvent;
 
--- /dev/null
+++ b/src/agent/node/agent_node.rs
@@ -0,0 +1,292 @@
+use std::{net::SocketAddrV4, sync::Arc};
+
+use kameo::prelude::*;
+use quinn::Endpoint;
+use tokio::{
+    net::UdpSocket,
+    sync::{mpsc, watch},
+    task::JoinSet,
+};
+
+use super::{
+    AgentDump, AgentError, DrainActor, DrainDuty, DrainOrder, DrainQuery, LeaseKeeper, OpenGauge,
+    withdraw_target,
+};
+use crate::{
+    agent::{
+        AgentEvent, AgentSettings,
+        admission::{AcceptRule, AdmissionGate, AdmissionVerdict, AgentPhase},
+        drain::{DrainEvent, DrainGoal, DrainReport},
+        endpoint::{LoadGauge, PEER_INBOX, TargetIdentity, TunnelSocket, open_endpoint},
+        relay::{ServeContext, UpstreamClient, serve_connection},
+    },
+    clock::{ClockMillis, SpanMillis},
+    control::{
+        api::{AnnounceRequest, WatchScope, WatcherName},
+        client::ControlClient,
+    },
+    event::log_event,
+    key::{DomainName, IncarnationId, TargetKey},
+    manifest::ServiceLimits,
+    route::TargetPhase,
+    secret::SecretStore,
+    tls::CertificateStore,
+    watch::{RouteWatch, WatchState},
+};
+
+/// How often open work is counted and paths are looked after.
+const HOUSEKEEPING_MILLIS: SpanMillis = SpanMillis::new(250);
+
+/// A running agent; dropping it stops it at once.
+#[derive(Debug)]
+pub struct AgentNode {
+    name: String,
+    service: String,
+    domain: DomainName,
+    socket: Arc<TunnelSocket>,
+    endpoint: Endpoint,
+    gauge: Arc<LoadGauge>,
+    state: Arc<WatchState>,
+    drain: ActorRef<DrainActor>,
+    exit: watch::Receiver<bool>,
+    client: Arc<ControlClient>,
+    announcement: AnnounceRequest,
+    _tasks: JoinSet<()>,
+}
+
+impl AgentNode {
+    /// Starts an agent within the runtime; it waits until control knows it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the secret, the certificate or the address can't be had.
+    pub async fn start(settings: &AgentSettings) -> Result<Self, AgentError> {
+        let secret = SecretStore::open(settings.secret_file.clone())?;
+        let certificates = CertificateStore::open(settings.tls.clone())?;
+        let io = bind_tunnel(settings.tunnel_listen).await?;
+        let client = Arc::new(ControlClient::new(settings.control.clone(), secret.clone()));
+        let announcement = announcement_of(settings);
+        let (phase, phase_seen) = watch::channel(TargetPhase::Serving);
+        let (committed, committed_seen) = watch::channel(TargetPhase::Serving);
+        let mut keeper = LeaseKeeper::new(
+            ControlClient::new(settings.control.clone(), secret.clone()),
+            announcement.clone(),
+            phase_seen,
+            committed,
+        );
+        let receipt = keeper.announce().await;
+        let identity = TargetIdentity {
+            service: receipt.service,
+            target: announcement.target,
+            incarnation: announcement.incarnation,
+        };
+        let gauge = Arc::new(LoadGauge::new(ServiceLimits::default()));
+        let (inbox, _peer_datagrams) = mpsc::channel(PEER_INBOX);
+        let phase_now = AgentPhase::Warming {
+            since: ClockMillis::ORIGIN,
+        };
+        let socket = Arc::new(TunnelSocket::new(
+            io,
+            identity,
+            secret.clone(),
+            AdmissionGate::new(AcceptRule::DEFAULT, phase_now),
+            Arc::clone(&gauge),
+            inbox,
+        ));
+        let endpoint = open_endpoint(
+            Arc::clone(&socket),
+            secret.clone(),
+            certificates,
+            settings.connection_id_life,
+        )?;
+        let open = OpenGauge::new();
+        let (go_away, go_away_seen) = watch::channel(0);
+        let (exit, exit_seen) = watch::channel(false);
+        let drain = DrainActor::spawn(DrainActor::new(DrainDuty {
+            socket: Arc::clone(&socket),
+            endpoint: endpoint.clone(),
+            open: Arc::clone(&open),
+            phase,
+            go_away,
+            exit,
+        }));
+        let state = WatchState::new();
+        let context = Arc::new(ServeContext {
+            upstream: UpstreamClient::new(settings.upstream),
+            open: Arc::clone(&open),
+            go_away: go_away_seen,
+        });
+        let watch = RouteWatch::new(
+            ControlClient::new(settings.control.clone(), secret),
+            WatcherName::Agent(settings.name.clone()),
+            settings.domain.clone(),
+            WatchScope::Service(settings.service.clone()),
+            Arc::clone(&state),
+        );
+        let mut tasks = JoinSet::new();
+        tasks.spawn(keeper.run(receipt));
+        tasks.spawn(watch.run());
+        tasks.spawn(accept_connections(
+            endpoint.clone(),
+            Arc::clone(&socket),
+            context,
+        ));
+        tasks.spawn(report_commits(committed_seen, drain.clone()));
+        tasks.spawn(
+            Housekeeping {
+                socket: Arc::clone(&socket),
+                endpoint: endpoint.clone(),
+                gauge: Arc::clone(&gauge),
+                open,
+                state: Arc::clone(&state),
+                drain: drain.clone(),
+            }
+            .run(),
+        );
+        log_event!(info, AgentEvent::Started, name = settings.name, domain = %settings.domain);
+        Ok(Self {
+            name: settings.name.clone(),
+            service: settings.service.clone(),
+            domain: settings.domain.clone(),
+            socket,
+            endpoint,
+            gauge,
+            state,
+            drain,
+            exit: exit_seen,
+            client,
+            announcement,
+            _tasks: tasks,
+        })
+    }
+
+    /// Begins a planned stop, cancels it, or stops without waiting.
+    ///
+    /// It returns how far the stop has come, or `None` once the agent is gone.
+    pub(crate) async fn order(&self, event: DrainEvent) -> Option<DrainReport> {
+        self.drain.ask(DrainOrder(event)).await.ok()
+    }
+
+    /// Begins a planned stop that ends the agent; nothing in progress is cut.
+    pub async fn begin_exit(&self) {
+        let event = DrainEvent::Begin {
+            goal: DrainGoal::Exit,
+            deadline: None,
+        };
+        let _ = self.order(event).await;
+    }
+
+    /// Waits until a planned stop has ended, and withdraws the target.
+    pub async fn finish_exit(&mut self) {
+        // The sender lives as long as the drain actor.
+        let _ = self.exit.wait_for(|is_over| *is_over).await;
+        withdraw_target(&self.client, &self.announcement).await;
+        self.endpoint.close(quinn::VarInt::from_u32(0x100), b"stopped");
+        self.endpoint.wait_idle().await;
+    }
+
+    /// Returns the whole state without stopping the packet path.
+    pub async fn dump(&self) -> AgentDump {
+        let table = self.state.table().load_full();
+        let identity = self.socket.identity();
+        AgentDump {
+            name: self.name.clone(),
+            domain: self.domain.clone(),
+            service: self.service.clone(),
+            service_number: identity.service.number(),
+            incarnation: identity.incarnation,
+            revision: table.revision().count(),
+            control_answers: self.state.is_connected(),
+            phase: self.socket.phase(),
+            load: self.gauge.read(),
+            drain: self.drain.ask(DrainQuery).await.ok(),
+            admission: self.socket.admission(),
+            balancers: self.socket.list_paths(),
+            tunnel: self.socket.counters().read(),
+        }
+    }
+}
+
+fn announcement_of(settings: &AgentSettings) -> AnnounceRequest {
+    AnnounceRequest {
+        service: settings.service.clone(),
+        target: TargetKey::new(settings.tunnel_listen),
+        incarnation: IncarnationId::random(),
+        domain: settings.domain.clone(),
+        peer_address: settings.peer_listen,
+        weight: settings.weight,
+        phase: TargetPhase::Serving,
+    }
+}
+
+async fn bind_tunnel(address: SocketAddrV4) -> Result<UdpSocket, AgentError> {
+    UdpSocket::bind(address)
+        .await
+        .map_err(|cause| AgentError::Tunnel { address, cause })
+}
+
+/// Accepts or refuses each connection that the endpoint offers.
+async fn accept_connections(
+    endpoint: Endpoint,
+    socket: Arc<TunnelSocket>,
+    context: Arc<ServeContext>,
+) {
+    while let Some(incoming) = endpoint.accept().await {
+        match socket.verdict(&incoming.orig_dst_cid()) {
+            AdmissionVerdict::Accept | AdmissionVerdict::PassOn => {
+                let context = Arc::clone(&context);
+                tokio::spawn(async move {
+                    // A copy of a first packet that lost to another agent ends here.
+                    if let Ok(connection) = incoming.await {
+                        serve_connection(connection, context).await;
+                    }
+                });
+            }
+            AdmissionVerdict::Refuse { .. } => incoming.refuse(),
+        }
+    }
+}
+
+/// Tells the planned stop which phase control has committed.
+async fn report_commits(mut committed: watch::Receiver<TargetPhase>, drain: ActorRef<DrainActor>) {
+    while committed.changed().await.is_ok() {
+        let phase = *committed.borrow_and_update();
+        let event = DrainEvent::Announced(phase);
+        if drain.tell(DrainOrder(event)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Counts open work, keeps paths and puts changed limits in force.
+struct Housekeeping {
+    socket: Arc<TunnelSocket>,
+    endpoint: Endpoint,
+    gauge: Arc<LoadGauge>,
+    open: Arc<OpenGauge>,
+    state: Arc<WatchState>,
+    drain: ActorRef<DrainActor>,
+}
+
+impl Housekeeping {
+    async fn run(self) {
+        loop {
+            tokio::time::sleep(HOUSEKEEPING_MILLIS.duration()).await;
+            self.socket.keep_paths();
+            self.gauge.set_connections(self.endpoint.open_connections());
+            self.take_limits();
+            let event = DrainEvent::Counted(self.open.read());
+            if self.drain.tell(DrainOrder(event)).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn take_limits(&self) {
+        let table = self.state.table().load();
+        let number = self.socket.identity().service;
+        if let Some(pool) = table.pool(number) {
+            self.gauge.set_limits(pool.route().spec.limits);
+        }
+    }
+}
--- a/src/agent/lease_keeper.rs
+++ b/src/agent/node/lease_keeper.rs
@@ -2,8 +2,8 @@
 
 use tokio::sync::watch;
 
-use super::AgentEvent;
 use crate::{
+    agent::AgentEvent,
     clock::SpanMillis,
     control::{
         api::{AnnounceReceipt, AnnounceRequest, HeartbeatReceipt, HeartbeatRequest, WithdrawRequest},
@@ -24,19 +24,23 @@
     client: ControlClient,
     announcement: AnnounceRequest,
     phase: watch::Receiver<TargetPhase>,
+    committed: watch::Sender<TargetPhase>,
 }
 
 impl LeaseKeeper {
-    /// Creates a keeper; `phase` tells what to announce.
+    /// Creates a keeper; `phase` tells what to announce, and `committed` is
+    /// told what control has accepted.
     pub(crate) fn new(
         client: ControlClient,
         announcement: AnnounceRequest,
         phase: watch::Receiver<TargetPhase>,
+        committed: watch::Sender<TargetPhase>,
     ) -> Self {
         Self {
             client,
             announcement,
             phase,
+            committed,
         }
     }
 
@@ -48,6 +52,7 @@
                 Ok(receipt) => {
                     let phase = self.announcement.phase;
                     log_event!(info, AgentEvent::Announced, service = %receipt.service, ?phase);
+                    self.committed.send_replace(phase);
                     return receipt;
                 }
                 Err(error) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod settings;
 pub mod tls;
 pub mod tunnel;
+mod watch;
