A request reaches its upstream while every datagram takes its own way

Change: stand-ins of the fabric and of an upstream, a small site of processes for tests, and tests of streams that outlive dead, frozen, restarted and new balancers, an absent control, a planned stop, and a restarted agent. Ruled out: a test that froze one balancer alone passed with the probes switched off whenever answers went by the other one; it now freezes each in its turn.

--- a/src/agent/agent_settings.rs
+++ b/src/agent/agent_settings.rs
@@ -75,7 +75,11 @@
             })
         };
         if self.name.is_empty() {
-            return fault("name", self.name.clone(), "a name of at least one character");
+            return fault(
+                "name",
+                self.name.clone(),
+                "a name of at least one character",
+            );
         }
         if self.service.is_empty() {
             let allowed = "the name of a service of the manifest";
--- a/src/agent/endpoint/answer_paths.rs
+++ b/src/agent/endpoint/answer_paths.rs
@@ -73,7 +73,11 @@
     }
 
     /// Returns how to send an answer to `caller`, if any balancer is known.
-    pub(super) fn choose(&mut self, caller: SocketAddrV4, now: ClockMillis) -> Option<AnswerChoice> {
+    pub(super) fn choose(
+        &mut self,
+        caller: SocketAddrV4,
+        now: ClockMillis,
+    ) -> Option<AnswerChoice> {
         let left = self.mark_silent(now);
         let index = self
             .best_index(caller, |path| path.is_usable(now))
--- a/src/agent/endpoint/endpoint_config.rs
+++ b/src/agent/endpoint/endpoint_config.rs
@@ -72,12 +72,8 @@
     let mut server = ServerConfig::with_crypto(Arc::new(tls));
     server.transport_config(Arc::new(transport_config()));
     server.max_incoming(MOST_INCOMING);
-    let endpoint = Endpoint::new_with_abstract_socket(
-        config,
-        Some(server),
-        socket,
-        Arc::new(TokioRuntime),
-    )?;
+    let endpoint =
+        Endpoint::new_with_abstract_socket(config, Some(server), socket, Arc::new(TokioRuntime))?;
     Ok(endpoint)
 }
 
--- /dev/null
+++ b/src/agent/endpoint/tests/answer_choice.rs
@@ -0,0 +1,74 @@
+//! Which balancer an answer goes by.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use crate::{agent::endpoint::AnswerPaths, clock::ClockMillis};
+
+fn balancer(last: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 5_000)
+}
+
+fn caller(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(192, 0, 2, 1), port)
+}
+
+/// Sends an answer each 50 ms while `live` balancers echo; returns the last choice.
+fn drive(paths: &mut AnswerPaths, from: u64, until: u64, live: &[u8]) -> Option<SocketAddrV4> {
+    let mut last = None;
+    for at in (from..until).step_by(50) {
+        let now = ClockMillis::new(at);
+        for index in live {
+            paths.hear(balancer(*index), now);
+        }
+        let mut probes = paths.due_probes(now);
+        let choice = paths.choose(caller(1), now)?;
+        probes.extend(choice.echo.map(|number| (choice.balancer, number)));
+        for (peer, number) in probes {
+            if live.iter().any(|index| balancer(*index) == peer) {
+                paths.take_echo(peer, number);
+            }
+        }
+        last = Some(choice.balancer);
+    }
+    last
+}
+
+#[test]
+fn answers_to_one_caller_keep_to_one_balancer() {
+    let mut paths = AnswerPaths::new();
+    let first = drive(&mut paths, 0, 100, &[1, 2, 3]);
+    assert_eq!(drive(&mut paths, 100, 20_000, &[1, 2, 3]), first);
+}
+
+#[test]
+fn a_dead_balancer_is_left_within_a_second_and_not_tried_again() {
+    let mut paths = AnswerPaths::new();
+    let dead = drive(&mut paths, 0, 2_000, &[1, 2, 3]).expect("a balancer");
+    let live: Vec<u8> = (1..=3).filter(|index| balancer(*index) != dead).collect();
+    drive(&mut paths, 2_000, 3_000, &live);
+    for at in (3_000..20_000).step_by(500) {
+        assert_ne!(drive(&mut paths, at, at + 500, &live), Some(dead));
+    }
+}
+
+#[test]
+fn a_balancer_that_comes_back_is_used_again() {
+    let mut paths = AnswerPaths::new();
+    let first = drive(&mut paths, 0, 2_000, &[1, 2]).expect("a balancer");
+    let other = if first == balancer(1) { 2 } else { 1 };
+    drive(&mut paths, 2_000, 5_000, &[other]);
+    assert_eq!(drive(&mut paths, 5_000, 9_000, &[1, 2]), Some(first));
+}
+
+#[test]
+fn the_set_stays_small_and_makes_room_for_newcomers() {
+    let mut paths = AnswerPaths::new();
+    for index in 0..100 {
+        paths.hear(balancer(index), ClockMillis::ORIGIN);
+    }
+    assert_eq!(paths.list(ClockMillis::ORIGIN).len(), 16);
+    let later = ClockMillis::new(40_000);
+    paths.hear(balancer(200), later);
+    let choice = paths.choose(caller(1), later).expect("a balancer");
+    assert_eq!(choice.balancer, balancer(200));
+}
--- a/src/agent/endpoint/tunnel_poller.rs
+++ b/src/agent/endpoint/tunnel_poller.rs
@@ -45,6 +45,8 @@
 
 impl fmt::Debug for TunnelPoller {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_struct("TunnelPoller").finish_non_exhaustive()
+        formatter
+            .debug_struct("TunnelPoller")
+            .finish_non_exhaustive()
     }
 }
--- a/src/agent/endpoint/tunnel_socket.rs
+++ b/src/agent/endpoint/tunnel_socket.rs
@@ -341,7 +341,9 @@
     ) -> io::Result<()> {
         let mut frame = Vec::with_capacity(LONGEST_FRAME_BYTES);
         header.write(payload, &self.secret.keys(), &mut frame);
-        self.io.try_send_to(&frame, SocketAddr::V4(peer)).map(|_| ())
+        self.io
+            .try_send_to(&frame, SocketAddr::V4(peer))
+            .map(|_| ())
     }
 
     /// Returns how to send an answer to `caller` now.
--- a/src/agent/node/agent_node.rs
+++ b/src/agent/node/agent_node.rs
@@ -181,7 +181,8 @@
         // The sender lives as long as the drain actor.
         let _ = self.exit.wait_for(|is_over| *is_over).await;
         withdraw_target(&self.client, &self.announcement).await;
-        self.endpoint.close(quinn::VarInt::from_u32(0x100), b"stopped");
+        self.endpoint
+            .close(quinn::VarInt::from_u32(0x100), b"stopped");
         self.endpoint.wait_idle().await;
     }
 
--- a/src/agent/node/drain_actor.rs
+++ b/src/agent/node/drain_actor.rs
@@ -73,7 +73,9 @@
             DrainAction::HandOverTickets => log_event!(info, AgentEvent::Drained),
             DrainAction::CutOpenWork => {
                 log_event!(warn, AgentEvent::WorkCut);
-                self.duty.endpoint.close(NO_ERROR, b"stopped on the operator's word");
+                self.duty
+                    .endpoint
+                    .close(NO_ERROR, b"stopped on the operator's word");
             }
             DrainAction::Exit => {
                 self.duty.exit.send_replace(true);
--- a/src/agent/node/lease_keeper.rs
+++ b/src/agent/node/lease_keeper.rs
@@ -6,7 +6,9 @@
     agent::AgentEvent,
     clock::SpanMillis,
     control::{
-        api::{AnnounceReceipt, AnnounceRequest, HeartbeatReceipt, HeartbeatRequest, WithdrawRequest},
+        api::{
+            AnnounceReceipt, AnnounceRequest, HeartbeatReceipt, HeartbeatRequest, WithdrawRequest,
+        },
         client::ControlClient,
     },
     event::log_event,
--- a/src/agent/node/open_gauge.rs
+++ b/src/agent/node/open_gauge.rs
@@ -72,6 +72,8 @@
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        self.gauge.counter(self.kind).fetch_sub(1, Ordering::Relaxed);
+        self.gauge
+            .counter(self.kind)
+            .fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/src/agent/relay/request_relay.rs
+++ b/src/agent/relay/request_relay.rs
@@ -42,7 +42,9 @@
     let (mut head, mut body) = response.into_parts();
     head.headers.remove(http::header::CONNECTION);
     head.headers.remove(http::header::TRANSFER_ENCODING);
-    answers.send_response(Response::from_parts(head, ())).await?;
+    answers
+        .send_response(Response::from_parts(head, ()))
+        .await?;
     while let Some(frame) = body.frame().await {
         match frame.map(http_body::Frame::into_data) {
             Ok(Ok(data)) => answers.send_data(data).await?,
--- a/src/balancer/balancer_node.rs
+++ b/src/balancer/balancer_node.rs
@@ -184,7 +184,9 @@
     let mut scratch = FrameScratch::default();
     loop {
         let received = path.tunnels()[port]
-            .receive(&mut buffers, |datagram| path.answer(port, &datagram, &mut scratch))
+            .receive(&mut buffers, |datagram| {
+                path.answer(port, &datagram, &mut scratch)
+            })
             .await;
         pause_after(received).await;
     }
@@ -219,12 +221,18 @@
 }
 
 /// Keeps the open ports in line with the routes and the path book small.
-async fn keep_listeners(path: Arc<PacketPath>, listeners: Arc<ListenerSet>, state: Arc<WatchState>) {
+async fn keep_listeners(
+    path: Arc<PacketPath>,
+    listeners: Arc<ListenerSet>,
+    state: Arc<WatchState>,
+) {
     let mut changes = state.subscribe();
     let mut tasks = JoinSet::new();
     let mut scratch = FrameScratch::default();
     loop {
-        let owners = wanted_ports(&state.table().load());
+        let table = state.table().load_full();
+        log_event!(debug, BalancerEvent::TableChanged, revision = %table.revision());
+        let owners = wanted_ports(&table);
         let change = listeners.change(owners);
         for port in change.closed {
             log_event!(info, BalancerEvent::ListenerClosed, port);
@@ -234,7 +242,11 @@
         }
         for socket in change.opened {
             log_event!(info, BalancerEvent::ListenerOpened, address = %socket.local());
-            tasks.spawn(run_listener(Arc::clone(&path), Arc::clone(&listeners), socket));
+            tasks.spawn(run_listener(
+                Arc::clone(&path),
+                Arc::clone(&listeners),
+                socket,
+            ));
         }
         tokio::select! {
             changed = changes.changed() => if changed.is_err() { return },
@@ -249,7 +261,8 @@
 
 /// Returns the service ports, each with the first address that has it.
 fn wanted_ports(table: &RouteTable) -> BTreeMap<u16, SocketAddrV4> {
-    let mut addresses: Vec<SocketAddrV4> = table.services().map(|route| route.spec.address).collect();
+    let mut addresses: Vec<SocketAddrV4> =
+        table.services().map(|route| route.spec.address).collect();
     addresses.sort_unstable();
     let mut owners = BTreeMap::new();
     for address in addresses {
--- a/src/balancer/balancer_settings.rs
+++ b/src/balancer/balancer_settings.rs
@@ -63,7 +63,11 @@
             })
         };
         if self.name.is_empty() {
-            return fault("name", self.name.clone(), "a name of at least one character");
+            return fault(
+                "name",
+                self.name.clone(),
+                "a name of at least one character",
+            );
         }
         if self.control.is_empty() {
             return fault("control", "empty".to_owned(), "at least one address");
--- a/src/balancer/packet_path.rs
+++ b/src/balancer/packet_path.rs
@@ -140,7 +140,9 @@
             }
         };
         match header.kind {
-            FrameKind::Answer => self.answer_caller(port, received.source, &header, payload, scratch),
+            FrameKind::Answer => {
+                self.answer_caller(port, received.source, &header, payload, scratch)
+            }
             FrameKind::Echo => self.take_echo(received.source, &header),
             FrameKind::Probe => self.send_echo(port, received.source, &header, scratch),
             FrameKind::Forward | FrameKind::PassOn | FrameKind::Peer => {
@@ -207,7 +209,10 @@
             return;
         };
         let address = pool.route().spec.address;
-        match self.listeners.send(address, header.caller, payload, header.ecn) {
+        match self
+            .listeners
+            .send(address, header.caller, payload, header.ecn)
+        {
             Ok(()) => self.counters.add(PacketCount::Answered),
             Err(_) => self.counters.add(PacketCount::Unsent),
         }
--- /dev/null
+++ b/src/balancer/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the balancer's decisions.
+
+mod datagram_verdicts;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cli;
 pub mod clock;
 pub mod control;
+pub mod demo;
 pub mod event;
 pub mod key;
 pub mod manifest;
--- a/src/program/log_setup.rs
+++ b/src/program/log_setup.rs
@@ -1,4 +1,4 @@
-use std::io;
+use std::io::{self, IsTerminal};
 
 use serde::{Deserialize, Serialize};
 use tracing_subscriber::EnvFilter;
@@ -25,6 +25,7 @@
         EnvFilter::try_from_env(FILTER_VARIABLE).unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
+        .with_ansi(io::stderr().is_terminal())
         .with_writer(io::stderr);
     // A process that has logs already keeps them.
     let _ = match format {
--- a/src/tunnel/datagram_socket.rs
+++ b/src/tunnel/datagram_socket.rs
@@ -89,8 +89,10 @@
         let ReceiveBuffers { bytes, meta } = buffers;
         let filled = loop {
             self.io.readable().await?;
-            let mut slices: Vec<IoSliceMut<'_>> =
-                bytes.iter_mut().map(|buffer| IoSliceMut::new(buffer)).collect();
+            let mut slices: Vec<IoSliceMut<'_>> = bytes
+                .iter_mut()
+                .map(|buffer| IoSliceMut::new(buffer))
+                .collect();
             let received = self.io.try_io(Interest::READABLE, || {
                 self.state.recv((&self.io).into(), &mut slices, meta)
             });
@@ -129,11 +131,6 @@
             self.state.try_send((&self.io).into(), &transmit)
         })
     }
-
-    /// Returns the socket for readiness polls.
-    pub(crate) fn io(&self) -> &UdpSocket {
-        &self.io
-    }
 }
 
 /// Splits a coalesced run into its datagrams.
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,318 @@
+//! A small site of the built binaries, for tests that kill processes.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::{
+    fs,
+    net::{Ipv4Addr, SocketAddrV4},
+    os::unix::fs::PermissionsExt,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
+
+use cyclamenrouter::{
+    caller::{CallAnswer, CallRequest, ServiceCaller},
+    control::{api::ApplyRequest, client::ControlClient},
+    demo::{FabricStandIn, UpstreamStandIn},
+    manifest::Manifest,
+    secret::{DeploymentSecret, SecretStore},
+    tls::{CertificateFiles, ServerTrust, TestCertificate},
+};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// How long a test waits for a state before it fails.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+/// The pause between two looks at a state.
+pub const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// The failure domains of the site.
+pub const DOMAINS: [&str; 3] = ["fjord-a", "fjord-b", "sund"];
+/// The port of the first service; the second has the next one.
+pub const FIRST_PORT: u16 = 4433;
+
+static NEXT_BLOCK: AtomicU8 = AtomicU8::new(1);
+
+/// A process of the site; it is killed when dropped.
+pub struct SiteProcess {
+    pub name: String,
+    child: Child,
+}
+
+impl SiteProcess {
+    /// Sends SIGKILL and waits for the end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal by its name, such as `TERM` or `STOP`.
+    pub fn signal(&self, signal: &str) {
+        let status = Command::new("kill")
+            .args([format!("-{signal}"), self.id().to_string()])
+            .status()
+            .expect("kill is there");
+        assert!(status.success());
+    }
+
+    /// Returns whether the process has ended, and how.
+    pub fn try_wait(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().expect("own child")
+    }
+}
+
+impl Drop for SiteProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The addresses, files and processes of a small site on loopback.
+pub struct TestSite {
+    pub folder: TempDir,
+    block: (u8, u8),
+    certificates: CertificateFiles,
+}
+
+impl TestSite {
+    /// Prepares files and a block of loopback addresses of its own.
+    pub fn new() -> Self {
+        let folder = tempfile::tempdir().expect("a temporary folder");
+        let pid = std::process::id();
+        let block = (
+            u8::try_from(1 + pid % 250).expect("below 251"),
+            u8::try_from((pid / 250) % 50).expect("below 50") * 5
+                + NEXT_BLOCK.fetch_add(1, Ordering::Relaxed) % 5,
+        );
+        let certificate =
+            TestCertificate::new(&["barge-control", "logbook"]).expect("a certificate");
+        let certificates = certificate.write(folder.path()).expect("a writable folder");
+        let secret = folder.path().join("secret.json");
+        let text = serde_json::to_string(&DeploymentSecret::random(1)).expect("plain JSON");
+        fs::write(&secret, text).expect("a writable folder");
+        fs::set_permissions(&secret, fs::Permissions::from_mode(0o600)).expect("own file");
+        Self {
+            folder,
+            block,
+            certificates,
+        }
+    }
+
+    pub fn ip(&self, last: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.block.0, self.block.1, last)
+    }
+
+    pub fn address(&self, last: u8, port: u16) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip(last), port)
+    }
+
+    pub fn secret_file(&self) -> PathBuf {
+        self.folder.path().join("secret.json")
+    }
+
+    pub fn control_address(&self) -> SocketAddrV4 {
+        self.address(2, 7000)
+    }
+
+    pub fn service_address(&self, index: u16) -> SocketAddrV4 {
+        self.address(1, FIRST_PORT + index)
+    }
+
+    pub fn client(&self) -> ControlClient {
+        let secret = DeploymentSecret::load(&self.secret_file()).expect("own secret");
+        let store = SecretStore::new(&secret).expect("own secret");
+        ControlClient::new(vec![self.control_address()], store)
+    }
+
+    fn start(&self, program: &str, path: &str, name: &str, settings: &Value) -> SiteProcess {
+        let file = self.folder.path().join(format!("{name}.json"));
+        fs::write(&file, settings.to_string()).expect("a writable folder");
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.path().join(format!("{name}.log")))
+            .expect("a writable folder");
+        let child = Command::new(path)
+            .arg("--settings")
+            .arg(&file)
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap_or_else(|error| panic!("{program} does not start: {error}"));
+        SiteProcess {
+            name: name.to_owned(),
+            child,
+        }
+    }
+
+    pub fn start_control(&self) -> SiteProcess {
+        let settings = json!({
+            "name": "control-1",
+            "domain": domain(0),
+            "listen": self.control_address(),
+            "data_folder": self.folder.path().join("control-1"),
+            "secret_file": self.secret_file(),
+        });
+        let path = env!("CARGO_BIN_EXE_cyclamen-control");
+        self.start("cyclamen-control", path, "control-1", &settings)
+    }
+
+    pub fn balancer_ip(&self, index: u8) -> Ipv4Addr {
+        self.ip(10 + index)
+    }
+
+    pub fn start_balancer(&self, index: u8) -> SiteProcess {
+        let name = format!("balancer-{index}");
+        let settings = json!({
+            "name": name,
+            "domain": domain(index),
+            "listen_ip": self.balancer_ip(index),
+            "tunnel_ip": self.balancer_ip(index),
+            "control": [self.control_address()],
+            "secret_file": self.secret_file(),
+            "admin_listen": SocketAddrV4::new(self.balancer_ip(index), 7100),
+        });
+        let path = env!("CARGO_BIN_EXE_cyclamen-balancer");
+        self.start("cyclamen-balancer", path, &name, &settings)
+    }
+
+    pub fn agent_address(&self, index: u8) -> SocketAddrV4 {
+        self.address(100 + index, 6000)
+    }
+
+    /// Starts the agent beside `upstream`.
+    pub fn start_agent(&self, index: u8, service: &str, upstream: SocketAddrV4) -> SiteProcess {
+        let name = format!("agent-{index}");
+        let settings = json!({
+            "name": name,
+            "domain": domain(index),
+            "service": service,
+            "upstream": upstream,
+            "tunnel_listen": self.agent_address(index),
+            "peer_listen": self.address(100 + index, 6001),
+            "control": [self.control_address()],
+            "secret_file": self.secret_file(),
+            "tls": self.certificates,
+            "admin_listen": self.address(100 + index, 7200),
+        });
+        let path = env!("CARGO_BIN_EXE_cyclamen-agent");
+        self.start("cyclamen-agent", path, &name, &settings)
+    }
+
+    /// Starts the stand-in upstream of an agent.
+    pub async fn start_upstream(&self, index: u8, name: &str) -> UpstreamStandIn {
+        let address = self.address(100 + index, 8000);
+        UpstreamStandIn::start(name, address)
+            .await
+            .expect("a free address")
+    }
+
+    /// Starts the fabric of the service with this index.
+    pub async fn start_fabric(&self, index: u16, balancers: &[u8]) -> FabricStandIn {
+        let service = self.service_address(index);
+        FabricStandIn::start(service, self.ip(3), self.listeners(index, balancers))
+            .await
+            .expect("a free address")
+    }
+
+    /// Returns where balancers listen for the service with this index.
+    pub fn listeners(&self, index: u16, balancers: &[u8]) -> Vec<SocketAddrV4> {
+        balancers
+            .iter()
+            .map(|balancer| SocketAddrV4::new(self.balancer_ip(*balancer), FIRST_PORT + index))
+            .collect()
+    }
+
+    pub fn manifest(&self, version: u64) -> Manifest {
+        let text = json!({
+            "version": version,
+            "replaces": version - 1,
+            "services": [
+                { "name": "barge-control", "address": self.service_address(0) },
+                { "name": "logbook", "address": self.service_address(1) },
+            ],
+        });
+        serde_json::from_value(text).expect("a good manifest")
+    }
+
+    /// Applies a manifest, waiting until control answers.
+    pub async fn apply(&self, manifest: Manifest) {
+        let client = self.client();
+        let request = ApplyRequest { manifest };
+        eventually("the manifest is accepted", async || {
+            client.apply(&request).await.is_ok()
+        })
+        .await;
+    }
+
+    pub fn trust(&self) -> ServerTrust {
+        ServerTrust::load(&self.folder.path().join("root.pem")).expect("own root")
+    }
+
+    /// Connects to a service, trying until an agent accepts.
+    pub async fn connect(&self, index: u16, service: &str) -> ServiceCaller {
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        loop {
+            let address = self.service_address(index);
+            let attempt = ServiceCaller::connect(address, service, self.trust());
+            let fault = match tokio::time::timeout(Duration::from_secs(5), attempt).await {
+                Ok(Ok(caller)) => return caller,
+                Ok(Err(error)) => error.to_string(),
+                Err(_) => "no answer".to_owned(),
+            };
+            assert!(
+                tokio::time::Instant::now() < deadline,
+                "{service} is never reached: {fault}\n{}",
+                self.logs()
+            );
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    /// Returns the ends of all logs, for a failed test.
+    pub fn logs(&self) -> String {
+        let mut text = String::new();
+        let Ok(entries) = fs::read_dir(self.folder.path()) else {
+            return text;
+        };
+        for entry in entries.flatten() {
+            if entry.path().extension().is_some_and(|kind| kind == "log") {
+                text.push_str(&last_lines(&entry.path()));
+            }
+        }
+        text
+    }
+}
+
+/// Waits until `is_true` holds, and fails after a long while.
+pub async fn eventually(what: &str, mut is_true: impl AsyncFnMut() -> bool) {
+    let deadline = tokio::time::Instant::now() + PATIENCE;
+    while !is_true().await {
+        assert!(tokio::time::Instant::now() < deadline, "never: {what}");
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
+/// Sends a GET and returns the whole answer.
+pub async fn get(caller: &ServiceCaller, path: &str) -> CallAnswer {
+    caller
+        .send(CallRequest::new("GET", path))
+        .await
+        .unwrap_or_else(|error| panic!("GET {path}: {error}"))
+}
+
+fn domain(index: u8) -> Value {
+    json!({ "region": "vestland", "failure_domain": DOMAINS[usize::from(index) % 3] })
+}
+
+fn last_lines(path: &Path) -> String {
+    let text = fs::read_to_string(path).unwrap_or_default();
+    let lines: Vec<&str> = text.lines().collect();
+    let start = lines.len().saturating_sub(12);
+    format!("== {}\n{}\n", path.display(), lines[start..].join("\n"))
+}
