Control answers proven calls: registrations, leases, manifest, feed

Cause: balancers and agents had messages but nobody to send them to. Change: calls carry a header with time, nonce, body digest and HMAC-SHA256; the server verifies it before it reads the body, and signs its answers. The control state is deterministic and executes encoded commands; a history of changes serves coalesced deltas within a scope; leases live in memory and expire by a committed command; the client leaves silent or refusing replicas and tells refused, unreached and unknown outcomes apart. A single replica in memory stands behind the seam ControlStore until the log is wired. Ruled out: a MAC over the raw body, since a stranger's body would have to be read first; the header carries its digest instead.

--- a/src/bin/cyclamen-control.rs
+++ b/src/bin/cyclamen-control.rs
@@ -2,12 +2,8 @@
 
 use std::process::ExitCode;
 
-use cyclamenrouter::{
-    control::run_control,
-    program::{LogFormat, run_program, start_logs},
-};
+use cyclamenrouter::{control::run_control, program::run_program};
 
 fn main() -> ExitCode {
-    start_logs(LogFormat::Text);
     run_program("cyclamen-control", run_control)
 }
--- a/src/control/api/call_refusal.rs
+++ b/src/control/api/call_refusal.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::manifest::ManifestDigest;
+use crate::{key::ServiceNumber, manifest::ManifestDigest};
 
 /// Why control refused a call; it travels as the data of a JSON-RPC error.
 #[derive(Debug, Clone, PartialEq, Eq, Error, Diagnostic, Serialize, Deserialize)]
@@ -24,7 +24,8 @@
     OutcomeUnknown,
     /// The manifest replaces a version that is not in force.
     #[error(
-        "version {offered} replaces version {replaces}, but version {in_force} ({digest}) is in force"
+        "version {offered} replaces version {replaces}, but version {in_force} ({}) is in force",
+        digest_text(digest.as_ref())
     )]
     VersionConflict {
         /// The version that was offered.
@@ -33,8 +34,8 @@
         replaces: u64,
         /// The version in force.
         in_force: u64,
-        /// The digest of the content in force.
-        digest: ManifestDigest,
+        /// The digest of the content in force, if there is one.
+        digest: Option<ManifestDigest>,
     },
     /// The manifest breaks a rule.
     #[error("the manifest is invalid: {}", faults.join("; "))]
@@ -42,6 +43,9 @@
         /// Each broken rule, with its place in the document.
         faults: Vec<String>,
     },
+    /// Every service number was given out, and none may be given out twice.
+    #[error("no service number is left for a new name; keep to the names used so far")]
+    NoServiceNumber,
     /// No service of that name is in force.
     #[error("no service named {name} is in force")]
     UnknownService {
@@ -51,6 +55,18 @@
     /// Another, newer run holds the registration.
     #[error("another run of the agent holds this registration")]
     StaleIncarnation,
+    /// This run of the agent is registered under another service.
+    #[error("this run of the agent is registered under service {registered}")]
+    ServiceMismatch {
+        /// The number of the service that holds the registration.
+        registered: ServiceNumber,
+    },
+    /// The announcement breaks a rule.
+    #[error("the announcement is invalid: {fault}")]
+    InvalidAnnouncement {
+        /// The broken rule.
+        fault: AnnounceFault,
+    },
     /// The replica has too much work; come back later.
     #[error("overloaded; come back in {retry_after_millis} ms")]
     Overloaded {
@@ -58,3 +74,54 @@
         retry_after_millis: u64,
     },
 }
+
+impl CallRefusal {
+    /// Returns the value of the metric's label `outcome`.
+    #[must_use]
+    pub const fn label(&self) -> &'static str {
+        match self {
+            Self::NotLeader { .. } => "not_leader",
+            Self::NoQuorum => "no_quorum",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::VersionConflict { .. } => "version_conflict",
+            Self::InvalidManifest { .. } => "invalid_manifest",
+            Self::NoServiceNumber => "no_service_number",
+            Self::UnknownService { .. } => "unknown_service",
+            Self::StaleIncarnation => "stale_incarnation",
+            Self::ServiceMismatch { .. } => "service_mismatch",
+            Self::InvalidAnnouncement { .. } => "invalid_announcement",
+            Self::Overloaded { .. } => "overloaded",
+        }
+    }
+
+    /// Returns whether another replica, or the same one later, may accept the call.
+    #[must_use]
+    pub const fn is_passing(&self) -> bool {
+        matches!(
+            self,
+            Self::NotLeader { .. }
+                | Self::NoQuorum
+                | Self::OutcomeUnknown
+                | Self::Overloaded { .. }
+        )
+    }
+}
+
+/// Which rule an announcement breaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AnnounceFault {
+    /// The weight is zero.
+    #[error("the weight is 0; allowed: 1 to 65535")]
+    ZeroWeight,
+    /// A name of the place is empty or too long.
+    #[error("region and failure domain take 1 to 64 bytes each")]
+    DomainLength,
+    /// The target's address can't be reached.
+    #[error("the target's address needs an IP number and a port other than 0")]
+    Address,
+}
+
+fn digest_text(digest: Option<&ManifestDigest>) -> String {
+    digest.map_or_else(|| "none".to_owned(), ToString::to_string)
+}
--- a/src/control/api/mod.rs
+++ b/src/control/api/mod.rs
@@ -2,14 +2,19 @@
 
 mod announce_message;
 mod apply_message;
+mod call_name;
 mod call_refusal;
+mod dump_message;
 mod heartbeat_message;
+mod packed_routes;
 mod status_message;
 mod watch_message;
 
 pub use announce_message::{AnnounceReceipt, AnnounceRequest, WithdrawRequest};
 pub use apply_message::{ApplyReceipt, ApplyRequest};
-pub use call_refusal::CallRefusal;
+pub use call_name::{CallName, MOST_REPLY_BYTES, MOST_REQUEST_BYTES, REFUSAL_CODE};
+pub use call_refusal::{AnnounceFault, CallRefusal};
+pub use dump_message::{ControlDump, DumpedService};
 pub use heartbeat_message::{HeartbeatReceipt, HeartbeatRequest};
-pub use status_message::{ControlStatus, ReplicaRole, ReplicaStatus, WatcherStatus};
+pub use status_message::{ControlStatus, ReplicaRole, ReplicaStatus, StatusRequest, WatcherStatus};
 pub use watch_message::{FeedReply, WatchRequest, WatchScope, WatcherName};
--- a/src/control/api/status_message.rs
+++ b/src/control/api/status_message.rs
@@ -8,6 +8,11 @@
     manifest::ManifestDigest,
 };
 
+/// Asks for the status or the dump; the calls `status` and `dump`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StatusRequest {}
+
 /// What an operator sees of the control group; the call `status`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ControlStatus {
@@ -25,7 +30,9 @@
     pub targets: usize,
     /// The replicas, as the leader sees them.
     pub replicas: Vec<ReplicaStatus>,
-    /// The watchers of the feed and how far each has come.
+    /// All watchers of this replica's feed.
+    pub watcher_count: usize,
+    /// Those watchers that lag furthest, up to a bound.
     pub watchers: Vec<WatcherStatus>,
 }
 
--- a/src/control/api/watch_message.rs
+++ b/src/control/api/watch_message.rs
@@ -1,5 +1,7 @@
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
+use super::packed_routes::PackedRoutes;
 use crate::{
     clock::SpanMillis,
     key::{DomainName, FeedRevision},
@@ -45,6 +47,9 @@
 }
 
 /// What came after the revision that was asked for.
+///
+/// A delta may stop short of the newest revision; the watcher asks again.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FeedReply {
@@ -54,7 +59,7 @@
         revision: FeedRevision,
     },
     /// The changes since then.
-    Delta(RouteDelta),
+    Delta(#[serde_as(as = "PackedRoutes")] RouteDelta),
     /// Everything, since the changes are no longer held.
-    Snapshot(RouteSnapshot),
+    Snapshot(#[serde_as(as = "PackedRoutes")] RouteSnapshot),
 }
--- a/src/control/control_run.rs
+++ b/src/control/control_run.rs
@@ -1,19 +1,70 @@
+use std::io;
+
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder};
 use miette::Diagnostic;
 use thiserror::Error;
+use tokio::signal::unix::{SignalKind, signal};
 
-use super::{ControlEvent, ControlSettings};
-use crate::event::log_event;
+use super::{
+    ControlEvent, ControlSettings,
+    feed::ReplicaState,
+    server::{ControlServer, ControlService, ServerError, write_listening},
+    store::{ControlStore, MemoryStore, StateHandle},
+};
+use crate::{
+    event::log_event,
+    program::start_logs,
+    secret::{SecretError, SecretStore},
+};
 
 /// Why `cyclamen-control` stopped.
 #[derive(Debug, Error, Diagnostic)]
-pub enum ControlError {}
+pub enum ControlError {
+    /// The deployment secret is unusable.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Secret(#[from] SecretError),
+    /// The server could not start.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Server(#[from] ServerError),
+    /// The data folder can't be written.
+    #[error("cannot write into the data folder: {0}")]
+    DataFolder(#[source] io::Error),
+    /// Metrics can't be offered.
+    #[error("cannot offer metrics: {0}")]
+    Metrics(#[from] BuildError),
+    /// The system hands over no signals.
+    #[error("cannot wait for signals: {0}")]
+    Signals(#[source] io::Error),
+}
 
-/// Runs the control until it is told to stop.
+/// Runs a control replica until it is told to stop.
 ///
 /// # Errors
 ///
 /// Fails when it can't start.
-pub async fn run_control(_settings: ControlSettings) -> Result<(), ControlError> {
-    log_event!(info, ControlEvent::Started);
-    std::future::ready(Ok(())).await
+pub async fn run_control(settings: ControlSettings) -> Result<(), ControlError> {
+    start_logs(settings.log_format);
+    let mut terminate = signal(SignalKind::terminate()).map_err(ControlError::Signals)?;
+    if let Some(address) = settings.metrics_listen {
+        PrometheusBuilder::new()
+            .with_http_listener(address)
+            .install()?;
+    }
+    let secret = SecretStore::open(settings.secret_file)?;
+    let (listener, address) = ControlServer::bind(settings.listen)?;
+    let state = StateHandle::new(ReplicaState::new());
+    let store = ControlStore::Memory(MemoryStore::new(state.clone()));
+    let service = ControlService::new(settings.name.clone(), address, state, store);
+    let server = ControlServer::start(listener, service, secret)?;
+    write_listening(&settings.data_folder, address).map_err(ControlError::DataFolder)?;
+    log_event!(info, ControlEvent::Started, name = settings.name, %address);
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    server.stop().await;
+    log_event!(info, ControlEvent::Stopped);
+    Ok(())
 }
--- /dev/null
+++ b/src/control/feed/delta_builder.rs
@@ -0,0 +1,107 @@
+use std::collections::BTreeMap;
+
+use super::FeedScope;
+use crate::{
+    control::state::FeedChange,
+    key::{ServiceNumber, TargetKey},
+    route::RouteChange,
+};
+
+/// The bytes of a change without its names, about.
+const CHANGE_BYTES: usize = 32;
+/// The bytes of a service without its names, about.
+const SERVICE_BYTES: usize = 48;
+
+/// What a change is about; the latest change of a subject counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum ChangeSubject {
+    Service(ServiceNumber),
+    Target(TargetKey),
+}
+
+/// Coalesces changes into the fewest that lead to the same routes.
+#[derive(Debug)]
+pub(super) struct DeltaBuilder<'a> {
+    scope: FeedScope,
+    latest: BTreeMap<ChangeSubject, &'a FeedChange>,
+    bytes: usize,
+}
+
+impl<'a> DeltaBuilder<'a> {
+    /// Starts an empty delta for watchers of `scope`.
+    pub(super) fn new(scope: FeedScope) -> Self {
+        Self {
+            scope,
+            latest: BTreeMap::new(),
+            bytes: 0,
+        }
+    }
+
+    /// Returns the packed size of the delta, about.
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Adds the changes of one revision.
+    pub(super) fn add(&mut self, changes: &'a [FeedChange]) {
+        for change in changes {
+            let subject = subject_of(&change.change);
+            if let Some(earlier) = self.latest.get_mut(&subject) {
+                // Once a watcher was told of a target it must hear its end.
+                *earlier = change;
+            } else if self.scope.covers(change) {
+                self.bytes += size_of(&change.change);
+                self.latest.insert(subject, change);
+            }
+        }
+    }
+
+    /// Returns the changes: services first, then targets, removed services last.
+    pub(super) fn finish(self) -> Vec<RouteChange> {
+        let mut changes = Vec::with_capacity(self.latest.len());
+        let mut removed = Vec::new();
+        for change in self.latest.into_values() {
+            let change = scoped_change(self.scope, change);
+            match change {
+                RouteChange::ServiceRemoved(_) => removed.push(change),
+                _ => changes.push(change),
+            }
+        }
+        changes.append(&mut removed);
+        changes
+    }
+}
+
+/// Returns the change as a watcher of `scope` sees it.
+fn scoped_change(scope: FeedScope, change: &FeedChange) -> RouteChange {
+    match (scope, &change.change) {
+        (FeedScope::Service(service), RouteChange::TargetSet(route))
+            if route.service != service =>
+        {
+            RouteChange::TargetRemoved(route.key)
+        }
+        (_, change) => change.clone(),
+    }
+}
+
+fn subject_of(change: &RouteChange) -> ChangeSubject {
+    match change {
+        RouteChange::ServiceSet(route) => ChangeSubject::Service(route.number),
+        RouteChange::ServiceRemoved(number) => ChangeSubject::Service(*number),
+        RouteChange::TargetSet(route) => ChangeSubject::Target(route.key),
+        RouteChange::TargetRemoved(key) => ChangeSubject::Target(*key),
+    }
+}
+
+fn size_of(change: &RouteChange) -> usize {
+    match change {
+        RouteChange::ServiceSet(route) => {
+            let rules = route.spec.rules.len() * SERVICE_BYTES;
+            SERVICE_BYTES + route.spec.name.len() + rules
+        }
+        RouteChange::TargetSet(route) => {
+            CHANGE_BYTES + route.domain.region.len() + route.domain.failure_domain.len()
+        }
+        RouteChange::ServiceRemoved(_) | RouteChange::TargetRemoved(_) => CHANGE_BYTES / 4,
+    }
+}
--- /dev/null
+++ b/src/control/feed/feed_signals.rs
@@ -0,0 +1,69 @@
+use std::collections::{BTreeSet, HashMap};
+
+use tokio::sync::watch;
+
+use super::FeedScope;
+use crate::{
+    control::state::FeedChange,
+    key::{FeedRevision, ServiceNumber},
+};
+
+/// Wakes the watchers that a change concerns, and no others.
+#[derive(Debug)]
+pub(crate) struct FeedSignals {
+    all: watch::Sender<FeedRevision>,
+    services: HashMap<ServiceNumber, watch::Sender<FeedRevision>>,
+}
+
+impl FeedSignals {
+    /// Starts without watchers.
+    pub(crate) fn new(revision: FeedRevision) -> Self {
+        Self {
+            all: watch::Sender::new(revision),
+            services: HashMap::new(),
+        }
+    }
+
+    /// Returns a receiver that changes when news for `scope` may be there.
+    pub(crate) fn subscribe(&mut self, scope: FeedScope) -> watch::Receiver<FeedRevision> {
+        match scope {
+            FeedScope::All => self.all.subscribe(),
+            FeedScope::Service(service) => self
+                .services
+                .entry(service)
+                .or_insert_with(|| watch::Sender::new(FeedRevision::EMPTY))
+                .subscribe(),
+        }
+    }
+
+    /// Wakes the watchers of the services that `changes` concern.
+    pub(crate) fn announce(&mut self, revision: FeedRevision, changes: &[FeedChange]) {
+        self.all.send_replace(revision);
+        let services: BTreeSet<ServiceNumber> = changes
+            .iter()
+            .flat_map(|change| std::iter::once(change.service).chain(change.left))
+            .collect();
+        for service in services {
+            self.announce_service(revision, service);
+        }
+    }
+
+    /// Wakes every watcher.
+    pub(crate) fn announce_all(&mut self, revision: FeedRevision) {
+        self.all.send_replace(revision);
+        self.services.retain(|_, sender| {
+            sender.send_replace(revision);
+            sender.receiver_count() > 0
+        });
+    }
+
+    fn announce_service(&mut self, revision: FeedRevision, service: ServiceNumber) {
+        let Some(sender) = self.services.get(&service) else {
+            return;
+        };
+        sender.send_replace(revision);
+        if sender.receiver_count() == 0 {
+            self.services.remove(&service);
+        }
+    }
+}
--- /dev/null
+++ b/src/control/feed/mod.rs
@@ -0,0 +1,25 @@
+//! The feed: what watchers of the routes are told, and how fast.
+
+mod change_history;
+mod delta_builder;
+mod feed_answer;
+mod feed_scope;
+mod feed_signals;
+mod replica_state;
+mod reply_cache;
+mod watcher_budget;
+mod watcher_table;
+
+pub(crate) use change_history::ChangeHistory;
+pub(crate) use feed_answer::{EncodedReply, FeedAnswer};
+pub(crate) use feed_scope::FeedScope;
+pub(crate) use feed_signals::FeedSignals;
+pub(crate) use replica_state::ReplicaState;
+pub(crate) use watcher_budget::WatcherBudget;
+pub(crate) use watcher_table::WatcherTable;
+
+use delta_builder::DeltaBuilder;
+use reply_cache::ReplyCache;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/control/server/control_service.rs
@@ -0,0 +1,220 @@
+use std::{
+    net::SocketAddrV4,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use kameo::actor::ActorRef;
+
+use super::{CallGate, check_announce};
+use crate::{
+    clock::ProcessClock,
+    control::{
+        api::{
+            AnnounceReceipt, AnnounceRequest, ApplyReceipt, ApplyRequest, CallRefusal, ControlDump,
+            ControlStatus, DumpedService, HeartbeatReceipt, HeartbeatRequest, WithdrawRequest,
+        },
+        feed::WatcherTable,
+        lease::{CountLeases, LEASE_MILLIS, LeaseKeeper, RenewLease},
+        state::{ControlCommand, ControlOutcome, ControlState},
+        store::{ControlStore, LeadView, ReadConfirmer, StateHandle},
+    },
+    key::FeedRevision,
+    manifest::check_manifest,
+};
+
+/// The watchers that a status lists.
+const MOST_WATCHERS_SHOWN: usize = 1_000;
+/// The services and the targets that a dump lists.
+const MOST_DUMPED: usize = 1_000;
+
+/// Answers the calls of one replica.
+pub(crate) struct ControlService {
+    pub(super) name: String,
+    pub(super) address: SocketAddrV4,
+    pub(super) state: StateHandle,
+    pub(super) store: ControlStore,
+    pub(super) confirmer: ReadConfirmer,
+    pub(super) leases: ActorRef<LeaseKeeper>,
+    pub(super) gate: CallGate,
+    pub(super) clock: ProcessClock,
+    watchers: Mutex<WatcherTable>,
+}
+
+impl ControlService {
+    /// Creates the service of the replica `name`; it must be called within the runtime.
+    pub(crate) fn new(
+        name: String,
+        address: SocketAddrV4,
+        state: StateHandle,
+        store: ControlStore,
+    ) -> Self {
+        let clock = ProcessClock::new();
+        let keeper = LeaseKeeper::new(state.clone(), clock);
+        Self {
+            name,
+            address,
+            confirmer: ReadConfirmer::start(store.clone()),
+            leases: kameo::Actor::spawn(keeper),
+            state,
+            store,
+            gate: CallGate::new(),
+            clock,
+            watchers: Mutex::new(WatcherTable::new()),
+        }
+    }
+
+    /// Replaces the bounds on concurrent calls.
+    #[cfg(test)]
+    pub(crate) fn with_gate(mut self, gate: CallGate) -> Self {
+        self.gate = gate;
+        self
+    }
+
+    /// Registers a target.
+    pub(crate) async fn announce(
+        &self,
+        request: AnnounceRequest,
+    ) -> Result<AnnounceReceipt, CallRefusal> {
+        check_announce(&request)?;
+        match self.propose(ControlCommand::Announce(request)).await? {
+            ControlOutcome::Announced { service, revision } => Ok(AnnounceReceipt {
+                service,
+                lease: LEASE_MILLIS,
+                revision,
+            }),
+            outcome => Err(refusal_of(outcome)),
+        }
+    }
+
+    /// Takes a target out; returns the revision from which it is gone.
+    pub(crate) async fn withdraw(
+        &self,
+        request: WithdrawRequest,
+    ) -> Result<FeedRevision, CallRefusal> {
+        match self.propose(ControlCommand::Withdraw(request)).await? {
+            ControlOutcome::Withdrawn { revision } => Ok(revision),
+            outcome => Err(refusal_of(outcome)),
+        }
+    }
+
+    /// Renews a lease; only the leader keeps them.
+    pub(crate) async fn heartbeat(
+        &self,
+        request: HeartbeatRequest,
+    ) -> Result<HeartbeatReceipt, CallRefusal> {
+        if let LeadView::Following { leader } = self.store.lead() {
+            return Err(CallRefusal::NotLeader { leader });
+        }
+        let renewal = RenewLease {
+            target: request.target,
+            incarnation: request.incarnation,
+        };
+        let renewed = self.leases.ask(renewal).await;
+        if renewed.map_err(|_| CallRefusal::NoQuorum)? {
+            Ok(HeartbeatReceipt::Renewed { span: LEASE_MILLIS })
+        } else {
+            Ok(HeartbeatReceipt::Unknown)
+        }
+    }
+
+    /// Puts a manifest in force.
+    pub(crate) async fn apply(&self, request: ApplyRequest) -> Result<ApplyReceipt, CallRefusal> {
+        check_manifest(&request.manifest).map_err(|faults| CallRefusal::InvalidManifest {
+            faults: faults.iter().map(ToString::to_string).collect(),
+        })?;
+        match self
+            .propose(ControlCommand::Apply(request.manifest))
+            .await?
+        {
+            ControlOutcome::Applied(receipt) => Ok(receipt),
+            outcome => Err(refusal_of(outcome)),
+        }
+    }
+
+    /// Returns how the group does, from a confirmed state.
+    pub(crate) async fn status(&self) -> Result<ControlStatus, CallRefusal> {
+        self.confirmer.confirm().await?;
+        Ok(self.local_status())
+    }
+
+    /// Returns the state of this replica, confirmed or not.
+    pub(crate) async fn dump(&self) -> ControlDump {
+        let status = self.local_status();
+        let count = self.leases.ask(CountLeases).await.unwrap_or_default();
+        self.state.read(|replica| ControlDump {
+            name: self.name.clone(),
+            status,
+            history_floor: replica.history().floor(),
+            history_changes: replica.history().held(),
+            leases: count.leases,
+            lease_holds: count.holds,
+            services: dump_services(replica.state()),
+            targets: replica
+                .state()
+                .registrations()
+                .targets()
+                .take(MOST_DUMPED)
+                .cloned()
+                .collect(),
+        })
+    }
+
+    /// Returns the table of watchers for a short use.
+    pub(super) fn watchers(&self) -> MutexGuard<'_, WatcherTable> {
+        self.watchers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn propose(&self, command: ControlCommand) -> Result<ControlOutcome, CallRefusal> {
+        if let LeadView::Following { leader } = self.store.lead() {
+            return Err(CallRefusal::NotLeader { leader });
+        }
+        self.store.propose(&command).await
+    }
+
+    fn local_status(&self) -> ControlStatus {
+        let now = self.clock.now();
+        let (watcher_count, watchers) = {
+            let table = self.watchers();
+            (table.len(), table.laggards(MOST_WATCHERS_SHOWN, now))
+        };
+        let replicas = self.store.replicas(self.address);
+        self.state.read(|replica| {
+            let state = replica.state();
+            let in_force = state.manifest().in_force();
+            ControlStatus {
+                revision: state.revision(),
+                manifest_version: state.manifest().version(),
+                manifest_digest: in_force.map(|accepted| accepted.digest),
+                manifest_revision: in_force.map_or(FeedRevision::EMPTY, |found| found.revision),
+                services: state.manifest().service_count(),
+                targets: state.registrations().targets().len(),
+                replicas,
+                watcher_count,
+                watchers,
+            }
+        })
+    }
+}
+
+fn dump_services(state: &ControlState) -> Vec<DumpedService> {
+    let routes = state.manifest().services().take(MOST_DUMPED);
+    routes
+        .map(|route| DumpedService {
+            number: route.number,
+            targets: state.registrations().members(route.number).count(),
+            spec: route.spec,
+        })
+        .collect()
+}
+
+/// Returns the refusal of an outcome that is no receipt.
+fn refusal_of(outcome: ControlOutcome) -> CallRefusal {
+    match outcome {
+        ControlOutcome::Refused(refusal) => refusal,
+        ControlOutcome::Applied(_)
+        | ControlOutcome::Announced { .. }
+        | ControlOutcome::Withdrawn { .. }
+        | ControlOutcome::Expired { .. }
+        | ControlOutcome::Undecodable => CallRefusal::OutcomeUnknown,
+    }
+}
--- /dev/null
+++ b/src/control/server/tests/overload.rs
@@ -0,0 +1,33 @@
+//! What is beyond the bounds is refused at once.
+
+use super::fixture::{TestReplica, manifest, watch_after};
+use crate::control::{
+    api::{CallRefusal, WatchScope},
+    client::LinkFault,
+    server::CallGate,
+};
+
+#[tokio::test]
+async fn a_call_beyond_the_bound_is_refused_at_once() {
+    let replica = TestReplica::with_gate(CallGate::with_limits(0, 8));
+    let refused = replica.client().status_at(replica.address).await;
+    let Err(LinkFault::Refused(CallRefusal::Overloaded { retry_after_millis })) = refused else {
+        panic!("expected an overload, got {refused:?}");
+    };
+    assert!(retry_after_millis > 0);
+}
+
+#[tokio::test]
+async fn watchers_that_wait_take_no_room_from_calls() {
+    let replica = TestReplica::with_gate(CallGate::with_limits(1, 1));
+    let client = replica.client();
+    let waiting = {
+        let client = client.clone();
+        tokio::spawn(async move { client.watch(&watch_after(0, WatchScope::All, 20_000)).await })
+    };
+    client
+        .apply(&manifest(1, 0, &["barge"]))
+        .await
+        .expect("accepted");
+    assert!(waiting.await.expect("no panic").is_ok());
+}
--- /dev/null
+++ b/src/control/state/control_state.rs
@@ -0,0 +1,162 @@
+use serde::{Deserialize, Serialize};
+
+use super::{
+    ControlCommand, ControlOutcome, FeedChange, ManifestState, RegistrationTable, StateError,
+    StateStep, manifest_state::OfferVerdict, registration_table::AnnounceEffect,
+};
+use crate::{
+    control::api::{AnnounceRequest, ApplyReceipt, CallRefusal, WithdrawRequest},
+    key::{FeedRevision, IncarnationId, TargetKey},
+    manifest::Manifest,
+    route::RouteChange,
+};
+
+/// The state that every replica builds from the same committed commands.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub(crate) struct ControlState {
+    revision: FeedRevision,
+    manifest: ManifestState,
+    registrations: RegistrationTable,
+}
+
+impl ControlState {
+    /// Creates the state before the first command.
+    pub(crate) fn new() -> Self {
+        Self::default()
+    }
+
+    /// Reads the state from the bytes of a snapshot.
+    pub(crate) fn restore(bytes: &[u8]) -> Result<Self, StateError> {
+        postcard::from_bytes(bytes).map_err(StateError::Snapshot)
+    }
+
+    /// Returns the state as bytes, the same on every replica.
+    pub(crate) fn snapshot(&self) -> Result<Vec<u8>, StateError> {
+        postcard::to_stdvec(self).map_err(StateError::Snapshot)
+    }
+
+    /// Returns the count of effective commands.
+    pub(crate) fn revision(&self) -> FeedRevision {
+        self.revision
+    }
+
+    /// Returns the manifest in force.
+    pub(crate) fn manifest(&self) -> &ManifestState {
+        &self.manifest
+    }
+
+    /// Returns the registered targets.
+    pub(crate) fn registrations(&self) -> &RegistrationTable {
+        &self.registrations
+    }
+
+    /// Executes one committed command.
+    pub(crate) fn apply(&mut self, bytes: &[u8]) -> StateStep {
+        match ControlCommand::decode(bytes) {
+            Some(ControlCommand::Apply(manifest)) => self.apply_manifest(manifest),
+            Some(ControlCommand::Announce(request)) => self.announce(request),
+            Some(ControlCommand::Withdraw(request)) => self.withdraw(&request),
+            Some(ControlCommand::Expire(targets)) => self.expire(&targets),
+            None => StateStep::unchanged(ControlOutcome::Undecodable),
+        }
+    }
+
+    fn apply_manifest(&mut self, manifest: Manifest) -> StateStep {
+        let digest = match self.manifest.judge(&manifest) {
+            OfferVerdict::Resent(receipt) => {
+                return StateStep::unchanged(ControlOutcome::Applied(receipt));
+            }
+            OfferVerdict::Refused(refusal) => return refuse(refusal),
+            OfferVerdict::Fresh(digest) => digest,
+        };
+        if !self.manifest.has_numbers_for(&manifest) {
+            return refuse(CallRefusal::NoServiceNumber);
+        }
+        let version = manifest.version;
+        let revision = self.advance();
+        let mut changes = Vec::new();
+        for change in self.manifest.accept(manifest, digest, revision) {
+            if let RouteChange::ServiceRemoved(service) = change.change {
+                let keys = self.registrations.remove_service(service);
+                let removed = keys.into_iter().map(RouteChange::TargetRemoved);
+                changes.extend(removed.map(|removed| FeedChange::new(removed, service)));
+            }
+            changes.push(change);
+        }
+        let receipt = ApplyReceipt {
+            version,
+            digest,
+            revision,
+            resent: false,
+        };
+        StateStep::changed(ControlOutcome::Applied(receipt), changes)
+    }
+
+    fn announce(&mut self, request: AnnounceRequest) -> StateStep {
+        let number = self.manifest.number(&request.service);
+        let in_force = number.filter(|number| self.manifest.service(*number).is_some());
+        let Some(service) = in_force else {
+            return refuse(CallRefusal::UnknownService {
+                name: request.service,
+            });
+        };
+        let effect = match self.registrations.announce(request, service) {
+            Ok(effect) => effect,
+            Err(refusal) => return refuse(refusal),
+        };
+        match effect {
+            AnnounceEffect::Same => StateStep::unchanged(ControlOutcome::Announced {
+                service,
+                revision: self.revision,
+            }),
+            AnnounceEffect::Changed { route, left } => {
+                let revision = self.advance();
+                let change = FeedChange::new(RouteChange::TargetSet(route), service);
+                let outcome = ControlOutcome::Announced { service, revision };
+                StateStep::changed(outcome, vec![change.with_left(left)])
+            }
+        }
+    }
+
+    fn withdraw(&mut self, request: &WithdrawRequest) -> StateStep {
+        let target = request.target;
+        let Some(service) = self.registrations.withdraw(target, request.incarnation) else {
+            return StateStep::unchanged(ControlOutcome::Withdrawn {
+                revision: self.revision,
+            });
+        };
+        let revision = self.advance();
+        let change = FeedChange::new(RouteChange::TargetRemoved(target), service);
+        StateStep::changed(ControlOutcome::Withdrawn { revision }, vec![change])
+    }
+
+    fn expire(&mut self, targets: &[(TargetKey, IncarnationId)]) -> StateStep {
+        let mut changes = Vec::new();
+        for (target, incarnation) in targets {
+            if let Some(service) = self.registrations.remove(*target, *incarnation) {
+                let change = RouteChange::TargetRemoved(*target);
+                changes.push(FeedChange::new(change, service));
+            }
+        }
+        if changes.is_empty() {
+            return StateStep::unchanged(ControlOutcome::Expired {
+                targets: 0,
+                revision: self.revision,
+            });
+        }
+        let outcome = ControlOutcome::Expired {
+            targets: changes.len(),
+            revision: self.advance(),
+        };
+        StateStep::changed(outcome, changes)
+    }
+
+    fn advance(&mut self) -> FeedRevision {
+        self.revision = self.revision.next();
+        self.revision
+    }
+}
+
+fn refuse(refusal: CallRefusal) -> StateStep {
+    StateStep::unchanged(ControlOutcome::Refused(refusal))
+}
--- /dev/null
+++ b/src/control/state/manifest_state.rs
@@ -0,0 +1,153 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use super::{AcceptedVersion, AcceptedVersions, FeedChange};
+use crate::{
+    control::api::{ApplyReceipt, CallRefusal},
+    key::{FeedRevision, ServiceNumber},
+    manifest::{Manifest, ManifestDigest, ServiceSpec},
+    route::{RouteChange, ServiceRoute},
+};
+
+/// The manifest in force, and the numbers of all services that ever were.
+///
+/// A name keeps its number for good, since connection IDs may still carry it.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub(crate) struct ManifestState {
+    versions: AcceptedVersions,
+    numbers: BTreeMap<String, ServiceNumber>,
+    services: BTreeMap<ServiceNumber, ServiceSpec>,
+}
+
+/// What the state says to an offered manifest.
+pub(super) enum OfferVerdict {
+    /// The same content was accepted before.
+    Resent(ApplyReceipt),
+    /// It may replace the version in force.
+    Fresh(ManifestDigest),
+    /// It may not.
+    Refused(CallRefusal),
+}
+
+impl ManifestState {
+    /// Returns the version in force.
+    pub(crate) fn in_force(&self) -> Option<&AcceptedVersion> {
+        self.versions.in_force()
+    }
+
+    /// Returns the number of the version in force, 0 before the first one.
+    pub(crate) fn version(&self) -> u64 {
+        self.in_force().map_or(0, |accepted| accepted.version)
+    }
+
+    /// Returns the number that `name` goes by, also if the service is gone.
+    pub(crate) fn number(&self, name: &str) -> Option<ServiceNumber> {
+        self.numbers.get(name).copied()
+    }
+
+    /// Returns the service with `number`, if it is in force.
+    pub(crate) fn service(&self, number: ServiceNumber) -> Option<&ServiceSpec> {
+        self.services.get(&number)
+    }
+
+    /// Returns the service with `number` as the feed shows it.
+    pub(crate) fn route(&self, number: ServiceNumber) -> Option<ServiceRoute> {
+        let spec = self.services.get(&number)?.clone();
+        Some(ServiceRoute { number, spec })
+    }
+
+    /// Returns the count of services in force.
+    pub(crate) fn service_count(&self) -> usize {
+        self.services.len()
+    }
+
+    /// Returns every service in force in the order of numbers.
+    pub(crate) fn services(&self) -> impl ExactSizeIterator<Item = ServiceRoute> + '_ {
+        self.services.iter().map(|(number, spec)| ServiceRoute {
+            number: *number,
+            spec: spec.clone(),
+        })
+    }
+
+    /// Judges an offer against what was accepted before.
+    pub(super) fn judge(&self, manifest: &Manifest) -> OfferVerdict {
+        let digest = manifest.digest();
+        if let Some(accepted) = self.versions.find(manifest.version, digest) {
+            return OfferVerdict::Resent(ApplyReceipt {
+                version: accepted.version,
+                digest: accepted.digest,
+                revision: accepted.revision,
+                resent: true,
+            });
+        }
+        let in_force = self.version();
+        if manifest.replaces == in_force && manifest.version > in_force {
+            return OfferVerdict::Fresh(digest);
+        }
+        OfferVerdict::Refused(CallRefusal::VersionConflict {
+            offered: manifest.version,
+            replaces: manifest.replaces,
+            in_force,
+            digest: self.in_force().map(|accepted| accepted.digest),
+        })
+    }
+
+    /// Returns whether every new name of `manifest` can still get a number.
+    pub(super) fn has_numbers_for(&self, manifest: &Manifest) -> bool {
+        let names: BTreeSet<&str> = manifest
+            .services
+            .iter()
+            .map(|spec| spec.name.as_str())
+            .filter(|name| !self.numbers.contains_key(*name))
+            .collect();
+        u16::try_from(self.numbers.len() + names.len()).is_ok()
+    }
+
+    /// Puts a judged manifest in force and returns the changes of services.
+    pub(super) fn accept(
+        &mut self,
+        manifest: Manifest,
+        digest: ManifestDigest,
+        revision: FeedRevision,
+    ) -> Vec<FeedChange> {
+        self.versions.accept(AcceptedVersion {
+            version: manifest.version,
+            digest,
+            revision,
+        });
+        let mut wanted = BTreeMap::new();
+        for spec in manifest.services {
+            wanted.insert(self.assign_number(&spec.name), spec);
+        }
+        let former = std::mem::replace(&mut self.services, wanted);
+        let mut changes = Vec::new();
+        for (number, spec) in &self.services {
+            if former.get(number) != Some(spec) {
+                let route = ServiceRoute {
+                    number: *number,
+                    spec: spec.clone(),
+                };
+                changes.push(FeedChange::new(RouteChange::ServiceSet(route), *number));
+            }
+        }
+        for number in former.keys() {
+            if !self.services.contains_key(number) {
+                let change = RouteChange::ServiceRemoved(*number);
+                changes.push(FeedChange::new(change, *number));
+            }
+        }
+        changes
+    }
+
+    fn assign_number(&mut self, name: &str) -> ServiceNumber {
+        if let Some(number) = self.numbers.get(name) {
+            return *number;
+        }
+        // `has_numbers_for` was asked before, so that the count fits.
+        let count = u16::try_from(self.numbers.len()).unwrap_or(u16::MAX - 1);
+        let number = ServiceNumber::new(count + 1);
+        self.numbers.insert(name.to_owned(), number);
+        number
+    }
+}
--- /dev/null
+++ b/src/control/store/lead_view.rs
@@ -0,0 +1,16 @@
+use std::net::SocketAddrV4;
+
+/// What a replica knows of the group's leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LeadView {
+    /// This replica leads in the given term.
+    Leading {
+        /// The term; it grows with each election.
+        term: u64,
+    },
+    /// Another replica leads, or none is known.
+    Following {
+        /// The leader's call address, if known.
+        leader: Option<SocketAddrV4>,
+    },
+}
--- /dev/null
+++ b/src/control/store/mod.rs
@@ -0,0 +1,16 @@
+//! The seam between the calls and the state: who orders commands, who reads.
+
+mod control_store;
+mod lead_view;
+mod memory_store;
+mod read_confirmer;
+mod state_handle;
+
+pub(crate) use control_store::ControlStore;
+pub(crate) use lead_view::LeadView;
+pub(crate) use memory_store::MemoryStore;
+pub(crate) use read_confirmer::ReadConfirmer;
+pub(crate) use state_handle::{RegistrationChanges, StateHandle};
+
+#[cfg(test)]
+mod tests;
--- a/src/key/incarnation_id.rs
+++ b/src/key/incarnation_id.rs
@@ -5,7 +5,7 @@
 
 /// A random number that names one run of an agent; never used twice.
 ///
-/// It is written as sixteen hexadecimal digits.
+/// It is written as sixteen hexadecimal digits, and as a number in binary codecs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct IncarnationId(u64);
 
@@ -58,12 +58,20 @@
 
 impl Serialize for IncarnationId {
     fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        IncarnationText(*self).serialize(serializer)
+        if serializer.is_human_readable() {
+            IncarnationText(*self).serialize(serializer)
+        } else {
+            self.0.serialize(serializer)
+        }
     }
 }
 
 impl<'de> Deserialize<'de> for IncarnationId {
     fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        IncarnationText::deserialize(deserializer).map(|text| text.0)
+        if deserializer.is_human_readable() {
+            IncarnationText::deserialize(deserializer).map(|text| text.0)
+        } else {
+            u64::deserialize(deserializer).map(Self)
+        }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod key;
 pub mod manifest;
 pub mod program;
+pub mod proof;
 pub mod route;
 pub mod secret;
 pub mod settings;
--- /dev/null
+++ b/src/proof/proof_layer.rs
@@ -0,0 +1,150 @@
+use std::{
+    future::Future,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use jsonrpsee::{
+    core::BoxError,
+    server::{HttpBody, HttpRequest, HttpResponse},
+};
+use metrics::counter;
+use tower::{Layer, Service};
+
+use super::{CALL_HEADER, CallLine, CallProof, ProofError, REPLY_HEADER, ReplyProof, wall_now};
+use crate::{clock::SpanMillis, secret::SecretStore};
+
+/// The time within which the body of a proven call must arrive.
+const BODY_MILLIS: SpanMillis = SpanMillis::new(10_000);
+
+/// Lets only proven calls through to a JSON-RPC server, and signs its answers.
+#[derive(Debug, Clone)]
+pub(crate) struct ProofLayer {
+    secret: SecretStore,
+    body_limit: usize,
+}
+
+impl ProofLayer {
+    /// Verifies against `secret` and reads bodies of at most `body_limit` bytes.
+    pub(crate) fn new(secret: SecretStore, body_limit: usize) -> Self {
+        Self { secret, body_limit }
+    }
+
+    /// Verifies the header and then the body; nothing is parsed.
+    async fn admit(
+        &self,
+        request: HttpRequest<HttpBody>,
+    ) -> Result<(u64, HttpRequest<HttpBody>), ProofError> {
+        let proof = self.verify_header(&request)?;
+        let (parts, body) = request.into_parts();
+        let body = self.read_body(body).await?;
+        proof.verify_body(&body)?;
+        let request = HttpRequest::from_parts(parts, HttpBody::from(body.to_vec()));
+        Ok((proof.nonce(), request))
+    }
+
+    fn verify_header(&self, request: &HttpRequest<HttpBody>) -> Result<CallProof, ProofError> {
+        let header = request
+            .headers()
+            .get(CALL_HEADER)
+            .ok_or(ProofError::Missing)?;
+        let text = header.to_str().map_err(|_| ProofError::Malformed)?;
+        let proof = CallProof::parse(text)?;
+        let line = CallLine {
+            method: request.method().as_str(),
+            path: request.uri().path(),
+        };
+        proof.verify(&self.secret.keys(), line, wall_now())?;
+        Ok(proof)
+    }
+
+    async fn read_body(&self, body: HttpBody) -> Result<Bytes, ProofError> {
+        let limit = self.body_limit;
+        let reading = Limited::new(body, limit).collect();
+        match tokio::time::timeout(BODY_MILLIS.duration(), reading).await {
+            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ProofError::Oversize { limit }),
+            Ok(Err(_)) | Err(_) => Err(ProofError::Incomplete),
+        }
+    }
+
+    async fn sign(
+        &self,
+        nonce: u64,
+        response: HttpResponse<HttpBody>,
+    ) -> Result<HttpResponse<HttpBody>, BoxError> {
+        let (mut parts, body) = response.into_parts();
+        let body = body.collect().await?.to_bytes();
+        let status = parts.status.as_u16();
+        let proof = ReplyProof::new(self.secret.keys().active(), nonce, status, &body);
+        let value = http::HeaderValue::try_from(proof.to_string())?;
+        parts.headers.insert(REPLY_HEADER, value);
+        Ok(HttpResponse::from_parts(
+            parts,
+            HttpBody::new(http_body_util::Full::new(body)),
+        ))
+    }
+}
+
+impl<S> Layer<S> for ProofLayer {
+    type Service = ProofService<S>;
+
+    fn layer(&self, inner: S) -> Self::Service {
+        ProofService {
+            layer: self.clone(),
+            inner,
+        }
+    }
+}
+
+/// A JSON-RPC server behind a [`ProofLayer`].
+#[derive(Debug, Clone)]
+pub(crate) struct ProofService<S> {
+    layer: ProofLayer,
+    inner: S,
+}
+
+type ReplyFuture = Pin<Box<dyn Future<Output = Result<HttpResponse<HttpBody>, BoxError>> + Send>>;
+
+impl<S> Service<HttpRequest<HttpBody>> for ProofService<S>
+where
+    S: Service<HttpRequest<HttpBody>, Response = HttpResponse<HttpBody>, Error = BoxError>,
+    S: Clone + Send + 'static,
+    S::Future: Send,
+{
+    type Response = HttpResponse<HttpBody>;
+    type Error = BoxError;
+    type Future = ReplyFuture;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), BoxError>> {
+        self.inner.poll_ready(context)
+    }
+
+    fn call(&mut self, request: HttpRequest<HttpBody>) -> Self::Future {
+        let layer = self.layer.clone();
+        let mut inner = self.inner.clone();
+        Box::pin(async move {
+            match layer.admit(request).await {
+                Ok((nonce, request)) => {
+                    let response = inner.call(request).await?;
+                    layer.sign(nonce, response).await
+                }
+                Err(error) => refuse(error),
+            }
+        })
+    }
+}
+
+/// Counts the refusal and answers without a body that could leak anything.
+fn refuse(error: ProofError) -> Result<HttpResponse<HttpBody>, BoxError> {
+    counter!("cyclamen_call_proof_refused_total", "reason" => error.reason()).increment(1);
+    let status = match error {
+        ProofError::Oversize { .. } => http::StatusCode::PAYLOAD_TOO_LARGE,
+        _ => http::StatusCode::UNAUTHORIZED,
+    };
+    Ok(http::Response::builder()
+        .status(status)
+        .body(HttpBody::empty())?)
+}
