A replica keeps its log in a data folder that detects damage

Cause: the log must be on the disk before anything is acknowledged, and a folder that is torn by a crash has to be told apart from one that is damaged.

Change: segments of records, each with a checksum over its content and one over its header, so that a record which the file's end cuts short is known as torn and everything else that does not match is refused with file and offset. A lock keeps a second process out; a failed write or sync closes the folder.

Ruled out: to cut at the first record that does not match. It would drop acknowledged entries after a single changed bit. The price: after a loss of power that leaves a last record of full length with wrong content, the replica stops and has to join again with an empty folder.

The tests are still to be tried against broken code.

--- /dev/null
+++ b/src/control/journal/mod.rs
@@ -0,0 +1,16 @@
+//! The data folder of a replica: what is written here is synced before it is
+//! acknowledged, and what is damaged is never read as if it were whole.
+
+mod atomic_file;
+mod folder_lock;
+mod journal_error;
+mod log_record;
+mod recovery;
+mod replica_journal;
+mod segment_file;
+
+pub(crate) use journal_error::JournalError;
+pub(crate) use replica_journal::ReplicaJournal;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/control/journal/replica_journal.rs
@@ -0,0 +1,118 @@
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
+use super::{
+    JournalError,
+    atomic_file::replace_file,
+    folder_lock::FolderLock,
+    recovery::{HARD_STATE_NAME, read_folder, remove_segments, write_snapshot},
+    segment_file::SegmentFile,
+};
+use crate::control::replica::{DiskBatch, DiskId, LogEntry, LogIndex, RecoveredState};
+
+/// The bytes after which a new segment is begun.
+const SEGMENT_BYTES: usize = 8 << 20;
+
+/// The data folder of a replica.
+///
+/// After a failed write it is closed: nobody knows what is on the disk, so
+/// nothing more may be acknowledged until the replica has started again.
+#[derive(Debug)]
+pub(crate) struct ReplicaJournal {
+    folder: PathBuf,
+    segments: Vec<SegmentFile>,
+    segment_bytes: usize,
+    closed: bool,
+    _lock: FolderLock,
+}
+
+impl ReplicaJournal {
+    /// Opens a data folder, which is created if it does not exist.
+    ///
+    /// An empty folder gets the identity `fresh`. Fails when another process
+    /// has the folder, or when something in it is damaged.
+    pub(crate) fn open(
+        folder: &Path,
+        fresh: DiskId,
+    ) -> Result<(Self, RecoveredState), JournalError> {
+        fs::create_dir_all(folder).map_err(JournalError::storage("create", folder))?;
+        let lock = FolderLock::acquire(folder)?;
+        let content = read_folder(folder, fresh)?;
+        let journal = Self {
+            folder: folder.to_owned(),
+            segments: content.segments,
+            segment_bytes: SEGMENT_BYTES,
+            closed: false,
+            _lock: lock,
+        };
+        Ok((journal, content.recovered))
+    }
+
+    /// Sets the bytes after which a new segment is begun.
+    #[cfg(test)]
+    pub(crate) fn with_segment_bytes(mut self, bytes: usize) -> Self {
+        self.segment_bytes = bytes;
+        self
+    }
+
+    /// Writes a batch; when it returns, all of it is synced.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk is full or broken; the folder is closed then.
+    pub(crate) fn write_batch(&mut self, batch: &DiskBatch) -> Result<(), JournalError> {
+        if self.closed {
+            let path = self.folder.clone();
+            return Err(JournalError::Closed { path });
+        }
+        self.closed = true;
+        self.write_parts(batch)?;
+        self.closed = false;
+        Ok(())
+    }
+
+    fn write_parts(&mut self, batch: &DiskBatch) -> Result<(), JournalError> {
+        if let Some(state) = &batch.hard_state {
+            replace_file(&self.folder.join(HARD_STATE_NAME), state)?;
+        }
+        if let Some(snapshot) = &batch.snapshot {
+            write_snapshot(&self.folder, snapshot)?;
+            if batch.resets_log {
+                remove_segments(&self.folder, &mut self.segments)?;
+            }
+        }
+        self.append(&batch.entries)?;
+        self.compact(batch.drop_to)
+    }
+
+    fn append(&mut self, entries: &[LogEntry]) -> Result<(), JournalError> {
+        if entries.is_empty() {
+            return Ok(());
+        }
+        let number = self
+            .segments
+            .last()
+            .map_or(1, |segment| segment.number() + 1);
+        match self.segments.last_mut() {
+            Some(segment) if segment.length() < self.segment_bytes => segment.append(entries),
+            _ => {
+                let mut segment = SegmentFile::create(&self.folder, number)?;
+                segment.append(entries)?;
+                self.segments.push(segment);
+                Ok(())
+            }
+        }
+    }
+
+    /// Removes old segments that hold nothing after `drop_to`.
+    fn compact(&mut self, drop_to: LogIndex) -> Result<(), JournalError> {
+        while let [first, _, ..] = self.segments.as_slice()
+            && first.last_index() <= drop_to
+        {
+            self.segments.remove(0).remove()?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/control/journal/segment_file.rs
@@ -0,0 +1,199 @@
+use std::{
+    fs::{self, File, OpenOptions},
+    io::Write,
+    path::{Path, PathBuf},
+};
+
+use super::{
+    JournalError,
+    atomic_file::sync_folder,
+    journal_error::DamageFault,
+    log_record::{RecordFound, encode_record, read_record},
+};
+use crate::control::replica::{LogEntry, LogIndex};
+
+/// The first bytes of a segment, with the version of its format.
+const MAGIC: [u8; 8] = *b"CYCSEGM1";
+/// Magic, the segment's number, and the checksum of both.
+const SEGMENT_HEADER_BYTES: usize = 20;
+/// The ending of a segment's name.
+pub(super) const SEGMENT_EXTENSION: &str = "segment";
+
+/// One file of the log; only the newest one grows.
+#[derive(Debug)]
+pub(super) struct SegmentFile {
+    file: File,
+    path: PathBuf,
+    number: u64,
+    length: usize,
+    last_index: LogIndex,
+}
+
+/// What a segment held when it was opened.
+#[derive(Debug)]
+pub(super) struct SegmentContent {
+    /// The entries in the order in which they were written.
+    pub(super) entries: Vec<LogEntry>,
+    /// The bytes of a record whose write was cut short.
+    pub(super) torn_bytes: usize,
+}
+
+impl SegmentFile {
+    /// Creates an empty segment; its name is synced.
+    pub(super) fn create(folder: &Path, number: u64) -> Result<Self, JournalError> {
+        let path = segment_path(folder, number);
+        let mut file = OpenOptions::new()
+            .create_new(true)
+            .append(true)
+            .open(&path)
+            .map_err(JournalError::storage("create", &path))?;
+        file.write_all(&segment_header(number))
+            .map_err(JournalError::storage("write", &path))?;
+        file.sync_all()
+            .map_err(JournalError::storage("sync", &path))?;
+        sync_folder(&path)?;
+        Ok(Self {
+            file,
+            path,
+            number,
+            length: SEGMENT_HEADER_BYTES,
+            last_index: LogIndex::ZERO,
+        })
+    }
+
+    /// Opens a segment and reads it; a torn end is cut off if it is the newest.
+    ///
+    /// Returns `None` if even the newest segment's creation was cut short.
+    pub(super) fn open(
+        path: &Path,
+        number: u64,
+        newest: bool,
+    ) -> Result<Option<(Self, SegmentContent)>, JournalError> {
+        let bytes = fs::read(path).map_err(JournalError::storage("read", path))?;
+        if bytes.len() < SEGMENT_HEADER_BYTES {
+            if newest {
+                fs::remove_file(path).map_err(JournalError::storage("remove", path))?;
+                sync_folder(path)?;
+                return Ok(None);
+            }
+            return Err(JournalError::damaged(path, 0, DamageFault::Length));
+        }
+        if bytes[..SEGMENT_HEADER_BYTES] != segment_header(number) {
+            return Err(JournalError::damaged(path, 0, DamageFault::Header));
+        }
+        let (entries, length) = read_entries(path, &bytes, newest)?;
+        let file = OpenOptions::new()
+            .append(true)
+            .open(path)
+            .map_err(JournalError::storage("open", path))?;
+        let torn_bytes = bytes.len() - length;
+        if torn_bytes > 0 {
+            file.set_len(length as u64)
+                .and_then(|()| file.sync_all())
+                .map_err(JournalError::storage("cut", path))?;
+        }
+        let last_index = entries.iter().map(|entry| entry.index).max();
+        let segment = Self {
+            file,
+            path: path.to_owned(),
+            number,
+            length,
+            last_index: last_index.unwrap_or_default(),
+        };
+        let content = SegmentContent {
+            entries,
+            torn_bytes,
+        };
+        Ok(Some((segment, content)))
+    }
+
+    /// Appends entries and syncs them together.
+    pub(super) fn append(&mut self, entries: &[LogEntry]) -> Result<(), JournalError> {
+        let mut buffer = Vec::new();
+        for entry in entries {
+            if !encode_record(entry, &mut buffer) {
+                let fault = DamageFault::Encoding;
+                return Err(JournalError::damaged(&self.path, self.length, fault));
+            }
+            self.last_index = self.last_index.max(entry.index);
+        }
+        self.file
+            .write_all(&buffer)
+            .map_err(JournalError::storage("write", &self.path))?;
+        self.file
+            .sync_data()
+            .map_err(JournalError::storage("sync", &self.path))?;
+        self.length += buffer.len();
+        Ok(())
+    }
+
+    /// Removes the file.
+    pub(super) fn remove(self) -> Result<(), JournalError> {
+        fs::remove_file(&self.path).map_err(JournalError::storage("remove", &self.path))
+    }
+
+    /// Returns the segment's number.
+    pub(super) fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Returns the segment's bytes.
+    pub(super) fn length(&self) -> usize {
+        self.length
+    }
+
+    /// Returns the largest place of its entries.
+    pub(super) fn last_index(&self) -> LogIndex {
+        self.last_index
+    }
+}
+
+fn read_entries(
+    path: &Path,
+    bytes: &[u8],
+    newest: bool,
+) -> Result<(Vec<LogEntry>, usize), JournalError> {
+    let mut entries = Vec::new();
+    let mut offset = SEGMENT_HEADER_BYTES;
+    loop {
+        match read_record(&bytes[offset..]) {
+            RecordFound::Entry(entry, length) => {
+                entries.push(entry);
+                offset += length;
+            }
+            RecordFound::End => return Ok((entries, offset)),
+            RecordFound::Torn if newest => return Ok((entries, offset)),
+            RecordFound::Torn => {
+                return Err(JournalError::damaged(path, offset, DamageFault::Length));
+            }
+            RecordFound::Damaged(fault) => {
+                return Err(JournalError::damaged(path, offset, fault));
+            }
+        }
+    }
+}
+
+/// Returns the number in a segment's name.
+pub(super) fn segment_number(path: &Path) -> Option<u64> {
+    if path.extension()? != SEGMENT_EXTENSION {
+        return None;
+    }
+    path.file_stem()?
+        .to_str()?
+        .strip_prefix("log-")?
+        .parse()
+        .ok()
+}
+
+fn segment_path(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("log-{number:020}.{SEGMENT_EXTENSION}"))
+}
+
+fn segment_header(number: u64) -> [u8; SEGMENT_HEADER_BYTES] {
+    let mut header = [0; SEGMENT_HEADER_BYTES];
+    header[..8].copy_from_slice(&MAGIC);
+    header[8..16].copy_from_slice(&number.to_le_bytes());
+    let checksum = crc32fast::hash(&header[..16]);
+    header[16..].copy_from_slice(&checksum.to_le_bytes());
+    header
+}
--- /dev/null
+++ b/src/control/journal/tests/damage.rs
@@ -0,0 +1,166 @@
+//! Torn ends are cut, damage is refused.
+
+use std::fs;
+
+use proptest::prelude::*;
+use tempfile::{TempDir, tempdir};
+
+use super::{DISK, entries_batch, entry, files, open, snapshot_batch};
+use crate::control::{
+    journal::{
+        JournalError, ReplicaJournal,
+        log_record::{RecordFound, read_record},
+    },
+    replica::LogEntry,
+};
+
+/// Writes some entries to one segment; returns the file's length after each.
+fn write_entries(folder: &TempDir, sizes: &[usize]) -> (Vec<LogEntry>, Vec<usize>) {
+    let (mut journal, _) = open(folder);
+    let mut written = Vec::new();
+    let mut lengths = Vec::new();
+    for (index, size) in (1..).zip(sizes) {
+        let entry = entry(index, 1, *size);
+        journal
+            .write_batch(&entries_batch(vec![entry.clone()]))
+            .expect("room");
+        written.push(entry);
+        let path = &files(folder, ".segment")[0];
+        let length = fs::metadata(path).expect("a file").len();
+        lengths.push(usize::try_from(length).expect("small"));
+    }
+    (written, lengths)
+}
+
+fn refused(folder: &TempDir) -> bool {
+    let opened = ReplicaJournal::open(folder.path(), DISK);
+    matches!(opened, Err(JournalError::Damaged { .. }))
+}
+
+#[test]
+fn a_damaged_middle_names_its_file_and_offset() {
+    let folder = tempdir().expect("a temporary folder");
+    let (_, lengths) = write_entries(&folder, &[40, 40, 40]);
+    let path = files(&folder, ".segment")[0].clone();
+    let mut bytes = fs::read(&path).expect("a file");
+    bytes[lengths[0] + 30] ^= 1;
+    fs::write(&path, bytes).expect("own file");
+    let opened = ReplicaJournal::open(folder.path(), DISK);
+    let Err(JournalError::Damaged {
+        path: named,
+        offset,
+        ..
+    }) = opened
+    else {
+        panic!("expected damage, got {opened:?}");
+    };
+    assert_eq!(named, path);
+    assert_eq!(offset, lengths[0] as u64);
+}
+
+#[test]
+fn a_missing_segment_is_refused() {
+    let folder = tempdir().expect("a temporary folder");
+    let (journal, _) = open(&folder);
+    let mut journal = journal.with_segment_bytes(1);
+    for index in 1..=3 {
+        journal
+            .write_batch(&entries_batch(vec![entry(index, 1, 10)]))
+            .expect("room");
+    }
+    drop(journal);
+    fs::remove_file(&files(&folder, ".segment")[1]).expect("own file");
+    assert!(refused(&folder));
+}
+
+#[test]
+fn a_torn_older_segment_is_refused() {
+    let folder = tempdir().expect("a temporary folder");
+    let (journal, _) = open(&folder);
+    let mut journal = journal.with_segment_bytes(1);
+    for index in 1..=2 {
+        journal
+            .write_batch(&entries_batch(vec![entry(index, 1, 10)]))
+            .expect("room");
+    }
+    drop(journal);
+    let path = files(&folder, ".segment")[0].clone();
+    let bytes = fs::read(&path).expect("a file");
+    fs::write(&path, &bytes[..bytes.len() - 1]).expect("own file");
+    assert!(refused(&folder));
+}
+
+#[test]
+fn a_segment_whose_creation_was_cut_short_is_dropped() {
+    let folder = tempdir().expect("a temporary folder");
+    let (written, _) = write_entries(&folder, &[10, 10]);
+    let path = folder.path().join("log-00000000000000000002.segment");
+    fs::write(path, b"CYC").expect("own folder");
+    assert_eq!(open(&folder).1.entries, written);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    #[test]
+    fn a_torn_end_loses_only_what_was_not_synced(
+        sizes in prop::collection::vec(0..200_usize, 2..8),
+        synced in 0..8_usize,
+        part in 0.0..1.0_f64,
+        zeros in 0..64_usize,
+    ) {
+        let folder = tempdir().expect("a temporary folder");
+        let (written, lengths) = write_entries(&folder, &sizes);
+        let synced = synced % (sizes.len() - 1);
+        // The write of the next record stopped somewhere in its midst.
+        let (from, to) = (lengths[synced], lengths[synced + 1]);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, clippy::cast_precision_loss)]
+        let cut = from + ((to - from) as f64 * part) as usize;
+        let path = files(&folder, ".segment")[0].clone();
+        let mut bytes = fs::read(&path).expect("a file");
+        bytes.truncate(cut);
+        if cut == from {
+            bytes.extend(vec![0; zeros]);
+        }
+        fs::write(&path, bytes).expect("own file");
+        let (mut journal, recovered) = open(&folder);
+        prop_assert_eq!(&recovered.entries, &written[..=synced]);
+        // What follows the cut is found again.
+        let next = entry(synced as u64 + 2, 9, 5);
+        journal.write_batch(&entries_batch(vec![next.clone()])).expect("room");
+        drop(journal);
+        let (_journal, recovered) = open(&folder);
+        prop_assert_eq!(recovered.entries.last(), Some(&next));
+    }
+
+    #[test]
+    fn a_changed_byte_is_never_read_as_whole(
+        sizes in prop::collection::vec(0..200_usize, 1..6),
+        place in 0..4_000_usize,
+        flip in 1..=255_u8,
+        which in 0..3_usize,
+    ) {
+        let folder = tempdir().expect("a temporary folder");
+        write_entries(&folder, &sizes);
+        let (mut journal, _) = open(&folder);
+        journal.write_batch(&snapshot_batch(1, 1, false, 0)).expect("room");
+        drop(journal);
+        let path = match which {
+            0 => folder.path().join("hard-state"),
+            1 => files(&folder, ".snapshot")[0].clone(),
+            _ => files(&folder, ".segment")[0].clone(),
+        };
+        let mut bytes = fs::read(&path).expect("a file");
+        let place = place % bytes.len();
+        bytes[place] ^= flip;
+        fs::write(&path, bytes).expect("own file");
+        prop_assert!(refused(&folder));
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_break_the_reader(
+        bytes in prop::collection::vec(any::<u8>(), 0..300),
+    ) {
+        prop_assert!(!matches!(read_record(&bytes), RecordFound::Entry(..)));
+    }
+}
--- /dev/null
+++ b/src/control/journal/tests/mod.rs
@@ -0,0 +1,68 @@
+//! Tests of the data folder.
+
+mod damage;
+mod folder;
+mod measures;
+
+use std::{fs, path::PathBuf};
+
+use tempfile::TempDir;
+
+use super::ReplicaJournal;
+use crate::control::replica::{
+    DiskBatch, DiskId, EntryBody, EntryPayload, GroupMembers, GroupSnapshot, HardState, LogEntry,
+    LogIndex, RecoveredState, TermNumber,
+};
+
+const DISK: DiskId = DiskId::new(7);
+
+fn open(folder: &TempDir) -> (ReplicaJournal, RecoveredState) {
+    ReplicaJournal::open(folder.path(), DISK).expect("a whole folder")
+}
+
+fn entry(index: u64, term: u64, size: usize) -> LogEntry {
+    let fill = u8::try_from((index * 31 + term) % 251).expect("under 256");
+    LogEntry {
+        index: LogIndex::new(index),
+        term: TermNumber::new(term),
+        body: EntryBody::Change(EntryPayload::new(vec![fill; size])),
+    }
+}
+
+fn entries_batch(entries: Vec<LogEntry>) -> DiskBatch {
+    DiskBatch {
+        entries,
+        ..DiskBatch::default()
+    }
+}
+
+fn state_batch(term: u64) -> DiskBatch {
+    let mut state = HardState::new(DISK);
+    state.term = TermNumber::new(term);
+    DiskBatch {
+        hard_state: Some(state),
+        ..DiskBatch::default()
+    }
+}
+
+fn snapshot_batch(index: u64, term: u64, resets_log: bool, drop_to: u64) -> DiskBatch {
+    DiskBatch {
+        snapshot: Some(GroupSnapshot {
+            index: LogIndex::new(index),
+            term: TermNumber::new(term),
+            members: GroupMembers::default(),
+            payload: EntryPayload::new(vec![1, 2, 3]),
+        }),
+        resets_log,
+        drop_to: LogIndex::new(drop_to),
+        ..DiskBatch::default()
+    }
+}
+
+fn files(folder: &TempDir, ending: &str) -> Vec<PathBuf> {
+    let items = fs::read_dir(folder.path()).expect("a folder");
+    let mut paths: Vec<PathBuf> = items.map(|item| item.expect("a file").path()).collect();
+    paths.retain(|path| path.to_string_lossy().ends_with(ending));
+    paths.sort();
+    paths
+}
