--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod agent;
 pub mod balancer;
+pub mod caller;
 pub mod cli;
 pub mod clock;
 pub mod control;
@@ -14,4 +15,5 @@
 pub mod route;
 pub mod secret;
 pub mod settings;
+pub mod tls;
 pub mod tunnel;
