A candidate that is not elected tries again soon

Cause: with three replicas, two remain after the leader's loss. When both start a trial at once, or one refuses since it heard the leader a moment later, the next try came only after another full election time.

Change: after a failed trial or election the next one follows in 100 to 400 ms; the first still waits 600 to 1,200 ms after the last heartbeat. Measurements of the core and tests of single rules come along; the record of promises has its own file.

--- a/src/control/replica/election.rs
+++ b/src/control/replica/election.rs
@@ -13,10 +13,11 @@
     /// Asks whether an election could be won, without a new term.
     pub(super) fn start_trial(&mut self, now: ClockMillis) {
         self.leader = None;
-        self.reset_election(now);
         if !self.log.members().is_voter(self.hard_state.disk) {
+            self.reset_election(now);
             return;
         }
+        self.reset_retry(now);
         self.role = CoreRole::Candidate(CandidateState::new(self.hard_state.disk, true));
         self.ask_votes(true, self.hard_state.term.next());
         self.count_votes(now);
@@ -27,7 +28,7 @@
         self.hard_state.voted_for = Some(self.hard_state.disk);
         self.disk.save_hard_state(self.hard_state);
         self.role = CoreRole::Candidate(CandidateState::new(self.hard_state.disk, false));
-        self.reset_election(now);
+        self.reset_retry(now);
         self.ask_votes(false, self.hard_state.term);
         self.count_votes(now);
     }
--- a/src/control/replica/limits.rs
+++ b/src/control/replica/limits.rs
@@ -9,6 +9,10 @@
 /// The longest silence of a leader after which an election starts; a leader
 /// that has not heard a majority for as long steps down.
 pub(crate) const ELECTION_MAX_MILLIS: SpanMillis = SpanMillis::new(1_200);
+/// The shortest pause before a candidate that was not elected tries again.
+pub(crate) const RETRY_MIN_MILLIS: SpanMillis = SpanMillis::new(100);
+/// The longest pause before a candidate that was not elected tries again.
+pub(crate) const RETRY_MAX_MILLIS: SpanMillis = SpanMillis::new(400);
 /// How long entries or a chunk may stay unanswered before they are sent again.
 pub(crate) const RESEND_MILLIS: SpanMillis = SpanMillis::new(1_000);
 /// How often a replica outside the group asks to join.
--- a/src/control/replica/replica_core.rs
+++ b/src/control/replica/replica_core.rs
@@ -8,7 +8,7 @@
     candidate_state::CoreRole,
     disk_queue::{DiskQueue, HeldMessage},
     hard_state::RecoveredState,
-    limits::{ELECTION_MAX_MILLIS, ELECTION_MIN_MILLIS},
+    limits::{ELECTION_MAX_MILLIS, ELECTION_MIN_MILLIS, RETRY_MAX_MILLIS, RETRY_MIN_MILLIS},
     read_forward::ReadForward,
     replica_log::{LogCompaction, ReplicaLog},
     snapshots::IncomingSnapshot,
@@ -156,7 +156,17 @@
 
     /// Puts the next election off by a random time.
     pub(super) fn reset_election(&mut self, now: ClockMillis) {
-        let range = ELECTION_MIN_MILLIS.millis()..=ELECTION_MAX_MILLIS.millis();
+        self.wait_between(ELECTION_MIN_MILLIS, ELECTION_MAX_MILLIS, now);
+    }
+
+    /// Has a candidate that is not elected try again after a random time; it is
+    /// short, since nobody who could vote hears a leader.
+    pub(super) fn reset_retry(&mut self, now: ClockMillis) {
+        self.wait_between(RETRY_MIN_MILLIS, RETRY_MAX_MILLIS, now);
+    }
+
+    fn wait_between(&mut self, shortest: SpanMillis, longest: SpanMillis, now: ClockMillis) {
+        let range = shortest.millis()..=longest.millis();
         let wait = SpanMillis::new(self.generator.random_range(range));
         self.election_at = now.after(wait);
     }
--- a/src/control/replica/tests/promises.rs
+++ b/src/control/replica/tests/promises.rs
@@ -73,7 +73,7 @@
             // A second disk is lost only after the repair of the first.
             if lost.is_none() {
                 shuffler.lose_disk(node % count);
-                shuffler.reports.clear();
+                shuffler.record.reports.clear();
                 *lost = Some(node % count);
             }
         }
@@ -89,6 +89,7 @@
         Step::Run(millis) => shuffler.run(SpanMillis::new(millis)),
     }
     let repaired = shuffler
+        .record
         .reports
         .iter()
         .any(|(_, report)| matches!(report, ReplicaReport::RepairDone { .. }));
@@ -114,7 +115,7 @@
     let leader = shuffler.leader().expect("a majority answers");
     shuffler.propose(leader);
     shuffler.run(SpanMillis::new(1_000));
-    assert!(!shuffler.accepted.is_empty(), "nothing is accepted");
+    assert!(!shuffler.record.accepted.is_empty(), "nothing is accepted");
     for node in 0..shuffler.nodes.len() {
         shuffler.assert_holds_accepted(node);
     }
--- a/src/control/replica/tests/scenarios.rs
+++ b/src/control/replica/tests/scenarios.rs
@@ -22,13 +22,13 @@
         shuffler.settle();
     }
     shuffler.run(SpanMillis::new(500));
-    assert_eq!(shuffler.accepted.len(), 5);
+    assert_eq!(shuffler.record.accepted.len(), 5);
     (shuffler, leader)
 }
 
 fn repairs(shuffler: &Shuffler) -> usize {
     let done = |report: &ReplicaReport| matches!(report, ReplicaReport::RepairDone { .. });
-    let reports = shuffler.reports.iter();
+    let reports = shuffler.record.reports.iter();
     reports.filter(|(_, report)| done(report)).count()
 }
 
@@ -65,10 +65,19 @@
     let late_read = shuffler.read(old);
     let refused = shuffler.propose(old);
     shuffler.run(SETTLE_MILLIS);
-    assert_eq!(shuffler.outcomes[&unknown], ProposalOutcome::OutcomeUnknown);
-    assert_eq!(shuffler.outcomes[&refused], ProposalOutcome::NoQuorum);
-    assert_eq!(shuffler.read_outcomes[&read], ReadOutcome::Refused);
-    assert_eq!(shuffler.read_outcomes[&late_read], ReadOutcome::Refused);
+    assert_eq!(
+        shuffler.record.outcomes[&unknown],
+        ProposalOutcome::OutcomeUnknown
+    );
+    assert_eq!(
+        shuffler.record.outcomes[&refused],
+        ProposalOutcome::NoQuorum
+    );
+    assert_eq!(shuffler.record.read_outcomes[&read], ReadOutcome::Refused);
+    assert_eq!(
+        shuffler.record.read_outcomes[&late_read],
+        ReadOutcome::Refused
+    );
 }
 
 #[test]
@@ -78,14 +87,14 @@
     let current = shuffler.read(follower);
     shuffler.settle();
     assert!(matches!(
-        shuffler.read_outcomes[&current],
+        shuffler.record.read_outcomes[&current],
         ReadOutcome::Confirmed { .. }
     ));
     shuffler.isolate(follower);
     let stale = shuffler.read(follower);
     shuffler.propose(leader);
     shuffler.run(SETTLE_MILLIS);
-    assert_eq!(shuffler.read_outcomes[&stale], ReadOutcome::Refused);
+    assert_eq!(shuffler.record.read_outcomes[&stale], ReadOutcome::Refused);
 }
 
 #[test]
@@ -139,11 +148,20 @@
     shuffler.run(SETTLE_MILLIS);
     let refused = shuffler.propose(leader);
     let read = shuffler.read(leader);
-    assert_eq!(shuffler.outcomes[&refused], ProposalOutcome::NoQuorum);
-    assert_eq!(shuffler.read_outcomes[&read], ReadOutcome::Refused);
+    assert_eq!(
+        shuffler.record.outcomes[&refused],
+        ProposalOutcome::NoQuorum
+    );
+    assert_eq!(shuffler.record.read_outcomes[&read], ReadOutcome::Refused);
     assert_eq!(repairs(&shuffler), 0);
     let lost = |report: &ReplicaReport| matches!(report, ReplicaReport::QuorumLost { .. });
-    assert!(shuffler.reports.iter().any(|(_, report)| lost(report)));
+    assert!(
+        shuffler
+            .record
+            .reports
+            .iter()
+            .any(|(_, report)| lost(report))
+    );
     shuffler.assert_holds_accepted(leader);
 }
 
@@ -156,7 +174,7 @@
     shuffler.crash(second, 0);
     let key = shuffler.propose(leader);
     shuffler.run(SpanMillis::new(20_000));
-    let outcome = shuffler.outcomes.get(&key);
+    let outcome = shuffler.record.outcomes.get(&key);
     assert!(!matches!(outcome, Some(ProposalOutcome::Committed { .. })));
     assert_eq!(repairs(&shuffler), 0);
     shuffler.restart(second);
@@ -183,7 +201,7 @@
     }
     shuffler.restart(lagging);
     shuffler.run(SETTLE_MILLIS);
-    assert_eq!(shuffler.accepted.len(), 105);
+    assert_eq!(shuffler.record.accepted.len(), 105);
     shuffler.assert_holds_accepted(lagging);
     let view = shuffler.view(lagging).expect("it runs");
     assert_eq!(view.role, ReplicaRole::Follower);
--- a/src/control/replica/tests/shuffler.rs
+++ b/src/control/replica/tests/shuffler.rs
@@ -4,23 +4,18 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
+use super::{promise_record::PromiseRecord, test_node::TestNode};
 use crate::{
     clock::{ClockMillis, SpanMillis},
-    control::replica::{
-        DiskBatch, DiskId, EntryPayload, LogCompaction, PeerMessage, ProposalKey, ProposalOutcome,
-        ReadKey, ReadOutcome, RecoveredState, ReplicaAction, ReplicaCore, ReplicaEvent, ReplicaId,
-        ReplicaPeers, ReplicaReport, ReplicaView, TICK_MILLIS,
+    control::{
+        api::ReplicaRole,
+        replica::{
+            EntryPayload, LogCompaction, PeerMessage, ProposalKey, ReadKey, ReplicaAction,
+            ReplicaCore, ReplicaEvent, ReplicaId, ReplicaPeers, ReplicaView, TICK_MILLIS,
+        },
     },
 };
 
-/// One replica with its disk; the state machine is the list of its changes.
-pub(super) struct Node {
-    core: Option<ReplicaCore>,
-    disk: RecoveredState,
-    syncing: Option<DiskBatch>,
-    state: BTreeMap<u64, Vec<u8>>,
-}
-
 /// A message under way.
 struct Flight {
     from: usize,
@@ -30,45 +25,33 @@
 
 /// The replicas and what was promised to clients.
 pub(super) struct Shuffler {
-    pub(super) nodes: Vec<Node>,
+    pub(super) nodes: Vec<TestNode>,
     flights: Vec<Flight>,
     cuts: BTreeSet<(usize, usize)>,
     pub(super) now: ClockMillis,
     generator: StdRng,
-    proposals: BTreeMap<ProposalKey, Vec<u8>>,
-    reads: BTreeMap<ReadKey, u64>,
-    contents: BTreeMap<u64, Vec<u8>>,
-    leaders: BTreeMap<u64, usize>,
-    pub(super) accepted: BTreeMap<u64, Vec<u8>>,
-    pub(super) outcomes: BTreeMap<ProposalKey, ProposalOutcome>,
-    pub(super) read_outcomes: BTreeMap<ReadKey, ReadOutcome>,
-    pub(super) reports: Vec<(usize, ReplicaReport)>,
+    pub(super) record: PromiseRecord,
+    compaction: LogCompaction,
+    counted: Option<usize>,
     pub(super) messages: usize,
     pub(super) bytes: usize,
-    keys: u64,
 }
 
 impl Shuffler {
     pub(super) fn new(count: usize, seed: u64) -> Self {
         let mut generator = StdRng::seed_from_u64(seed);
-        let nodes = (0..count).map(|_| Node::new(&mut generator)).collect();
+        let nodes = (0..count).map(|_| TestNode::new(&mut generator)).collect();
         let mut shuffler = Self {
             nodes,
             flights: Vec::new(),
             cuts: BTreeSet::new(),
             now: ClockMillis::new(1),
             generator,
-            proposals: BTreeMap::new(),
-            reads: BTreeMap::new(),
-            contents: BTreeMap::new(),
-            leaders: BTreeMap::new(),
-            accepted: BTreeMap::new(),
-            outcomes: BTreeMap::new(),
-            read_outcomes: BTreeMap::new(),
-            reports: Vec::new(),
+            record: PromiseRecord::default(),
+            compaction: LogCompaction { every: 8, kept: 3 },
+            counted: None,
             messages: 0,
             bytes: 0,
-            keys: 0,
         };
         for node in 0..count {
             shuffler.restart(node);
@@ -76,6 +59,23 @@
         shuffler
     }
 
+    /// Sets when every replica compacts its log; they start again.
+    pub(super) fn with_compaction(mut self, every: u64, kept: u64) -> Self {
+        self.compaction = LogCompaction { every, kept };
+        for node in 0..self.nodes.len() {
+            self.crash(node, 0);
+            self.restart(node);
+        }
+        self
+    }
+
+    /// Counts only the messages from or to one replica from now on.
+    pub(super) fn count_for(&mut self, node: usize) {
+        self.counted = Some(node);
+        self.messages = 0;
+        self.bytes = 0;
+    }
+
     /// Starts a stopped replica from its disk.
     pub(super) fn restart(&mut self, node: usize) {
         if self.nodes[node].core.is_some() {
@@ -86,10 +86,9 @@
             own: replica(node),
             others: others.map(replica).collect(),
         };
-        let compaction = LogCompaction { every: 8, kept: 3 };
         let recovered = self.nodes[node].disk.clone();
         let core = ReplicaCore::new(peers, recovered, self.generator.random(), self.now)
-            .with_compaction(compaction);
+            .with_compaction(self.compaction);
         self.nodes[node].core = Some(core);
         self.nodes[node].state.clear();
     }
@@ -108,7 +107,7 @@
     /// Kills a replica and gives it an empty disk.
     pub(super) fn lose_disk(&mut self, node: usize) {
         self.crash(node, 0);
-        self.nodes[node] = Node::new(&mut self.generator);
+        self.nodes[node] = TestNode::new(&mut self.generator);
     }
 
     /// Cuts the way from one replica to another.
@@ -201,20 +200,14 @@
     }
 
     pub(super) fn propose(&mut self, node: usize) -> ProposalKey {
-        self.keys += 1;
-        let key = ProposalKey(self.keys);
-        let bytes = self.keys.to_be_bytes().to_vec();
-        self.proposals.insert(key, bytes.clone());
+        let (key, bytes) = self.record.new_proposal();
         let payload = EntryPayload::new(bytes);
         self.handle(node, ReplicaEvent::Proposed { key, payload });
         key
     }
 
     pub(super) fn read(&mut self, node: usize) -> ReadKey {
-        self.keys += 1;
-        let key = ReadKey(self.keys);
-        let newest = self.accepted.keys().next_back().copied().unwrap_or(0);
-        self.reads.insert(key, newest);
+        let key = self.record.new_read();
         self.handle(node, ReplicaEvent::ReadAsked { key });
         key
     }
@@ -228,14 +221,14 @@
     pub(super) fn leader(&self) -> Option<usize> {
         let views = (0..self.nodes.len()).filter_map(|node| Some((node, self.view(node)?)));
         views
-            .filter(|(_, view)| view.role == crate::control::api::ReplicaRole::Leader)
+            .filter(|(_, view)| view.role == ReplicaRole::Leader)
             .max_by_key(|(_, view)| view.term)
             .map(|(node, _)| node)
     }
 
     /// Checks that a replica has applied everything that was accepted.
     pub(super) fn assert_holds_accepted(&self, node: usize) {
-        for (index, bytes) in &self.accepted {
+        for (index, bytes) in &self.record.accepted {
             let held = self.nodes[node].state.get(index);
             assert_eq!(held, Some(bytes), "entry {index} is lost at {node}");
         }
@@ -254,9 +247,14 @@
     fn act(&mut self, node: usize, action: ReplicaAction) {
         match action {
             ReplicaAction::Send { to, message } => {
-                self.messages += 1;
-                self.bytes += postcard::to_stdvec(&message).expect("plain data").len();
                 let to = usize::from(to.number()) - 1;
+                if self
+                    .counted
+                    .is_none_or(|counted| counted == node || counted == to)
+                {
+                    self.messages += 1;
+                    self.bytes += postcard::to_stdvec(&message).expect("plain data").len();
+                }
                 self.flights.push(Flight {
                     from: node,
                     to,
@@ -269,8 +267,7 @@
             }
             ReplicaAction::Apply { index, payload } => {
                 let bytes = payload.bytes().to_vec();
-                let content = self.contents.entry(index.number()).or_insert(bytes.clone());
-                assert_eq!(*content, bytes, "two contents of entry {index}");
+                self.record.note_apply(index.number(), &bytes);
                 self.nodes[node].state.insert(index.number(), bytes);
             }
             ReplicaAction::Restore { payload, .. } => {
@@ -282,60 +279,13 @@
                 self.handle(node, ReplicaEvent::SnapshotTaken { index, payload });
             }
             ReplicaAction::AnswerProposal { key, outcome } => {
-                if let ProposalOutcome::Committed { index } = outcome {
-                    let bytes = self.proposals[&key].clone();
-                    assert_eq!(self.contents.get(&index.number()), Some(&bytes));
-                    self.accepted.insert(index.number(), bytes);
-                }
-                assert!(self.outcomes.insert(key, outcome).is_none(), "two answers");
+                self.record.note_proposal(key, outcome);
             }
             ReplicaAction::AnswerRead { key, outcome } => {
-                if let ReadOutcome::Confirmed { index } = outcome {
-                    assert!(index.number() >= self.reads[&key], "a read is too old");
-                    let applied = self.view(node).expect("it answers").applied;
-                    assert!(applied >= index, "a read comes before its state");
-                }
-                assert!(
-                    self.read_outcomes.insert(key, outcome).is_none(),
-                    "two answers"
-                );
+                let applied = self.view(node).expect("it answers").applied;
+                self.record.note_read(key, outcome, applied);
             }
-            ReplicaAction::Report(report) => {
-                if let ReplicaReport::LeaderElected { term } = report {
-                    let leader = self.leaders.insert(term.number(), node);
-                    assert!(leader.is_none(), "two leaders in term {term}");
-                }
-                self.reports.push((node, report));
-            }
-        }
-    }
-}
-
-impl Node {
-    fn new(generator: &mut StdRng) -> Self {
-        Self {
-            core: None,
-            disk: RecoveredState::new(DiskId::new(generator.random())),
-            syncing: None,
-            state: BTreeMap::new(),
-        }
-    }
-
-    fn write(&mut self, batch: DiskBatch, most_entries: usize) {
-        if let Some(state) = batch.hard_state {
-            self.disk.hard_state = state;
-        }
-        if let Some(snapshot) = batch.snapshot {
-            let drop_to = batch.drop_to;
-            let resets = batch.resets_log;
-            self.disk
-                .entries
-                .retain(|entry| !resets && entry.index > drop_to);
-            self.disk.snapshot = Some(snapshot);
-        }
-        for entry in batch.entries.into_iter().take(most_entries) {
-            self.disk.entries.retain(|held| held.index < entry.index);
-            self.disk.entries.push(entry);
+            ReplicaAction::Report(report) => self.record.note_report(node, report),
         }
     }
 }
--- /dev/null
+++ b/src/control/replica/tests/single_core.rs
@@ -0,0 +1,155 @@
+//! Rules of one replica that a group of them rarely shows.
+
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    control::replica::{
+        DiskId, EntryBody, EntryPayload, GroupId, GroupMembers, HardState, LogEntry, LogIndex,
+        PeerBody, PeerMessage, RecoveredState, ReplicaAction, ReplicaCore, ReplicaEvent, ReplicaId,
+        ReplicaPeers, ReplicaSeat, TermNumber,
+    },
+};
+
+const GROUP: GroupId = GroupId::new(1);
+const LATER_MILLIS: SpanMillis = SpanMillis::new(5_000);
+
+/// One replica of three whose peers are played by the test.
+struct SingleCore {
+    core: ReplicaCore,
+    now: ClockMillis,
+}
+
+fn seat(number: u8) -> ReplicaSeat {
+    ReplicaSeat {
+        replica: ReplicaId::new(number),
+        disk: DiskId::new(u128::from(number) * 100),
+    }
+}
+
+impl SingleCore {
+    /// Starts replica 1 with one change of term 1 behind the members.
+    fn new() -> Self {
+        let members = GroupMembers::new([seat(1), seat(2), seat(3)]);
+        let bodies = [
+            EntryBody::Members(members),
+            EntryBody::Change(EntryPayload::new(vec![1])),
+        ];
+        let entries = (1..).zip(bodies).map(|(index, body)| LogEntry {
+            index: LogIndex::new(index),
+            term: TermNumber::new(1),
+            body,
+        });
+        let recovered = RecoveredState {
+            hard_state: HardState {
+                disk: seat(1).disk,
+                group: Some(GROUP),
+                term: TermNumber::new(1),
+                voted_for: None,
+            },
+            snapshot: None,
+            entries: entries.collect(),
+        };
+        let peers = ReplicaPeers {
+            own: ReplicaId::new(1),
+            others: vec![ReplicaId::new(2), ReplicaId::new(3)],
+        };
+        Self {
+            core: ReplicaCore::new(peers, recovered, 5, ClockMillis::ORIGIN),
+            now: ClockMillis::ORIGIN.after(LATER_MILLIS),
+        }
+    }
+
+    /// Handles an event; every batch is synced at once.
+    fn handle(&mut self, event: ReplicaEvent) -> Vec<ReplicaAction> {
+        let mut actions = self.core.handle(event, self.now);
+        let mut place = 0;
+        while place < actions.len() {
+            if let ReplicaAction::Persist(batch) = &actions[place] {
+                let token = batch.token;
+                let event = ReplicaEvent::Synced { token };
+                actions.extend(self.core.handle(event, self.now));
+            }
+            place += 1;
+        }
+        actions
+    }
+
+    fn receive(&mut self, from: u8, term: u64, body: PeerBody) -> Vec<ReplicaAction> {
+        self.handle(ReplicaEvent::Received(PeerMessage {
+            group: Some(GROUP),
+            from: seat(from),
+            to: Some(seat(1).disk),
+            term: TermNumber::new(term),
+            body,
+        }))
+    }
+
+    /// Makes the replica leader of term 2.
+    fn lead(&mut self) {
+        self.handle(ReplicaEvent::Tick);
+        for trial in [true, false] {
+            let granted = true;
+            self.receive(2, 2, PeerBody::VoteGiven { trial, granted });
+        }
+    }
+
+    fn ask_vote(&mut self, from: u8, term: u64) -> bool {
+        let body = PeerBody::VoteAsked {
+            trial: false,
+            last_index: LogIndex::new(9),
+            last_term: TermNumber::new(1),
+        };
+        let actions = self.receive(from, term, body);
+        actions.iter().any(|action| {
+            matches!(action, ReplicaAction::Send { message, .. }
+                if matches!(message.body, PeerBody::VoteGiven { granted: true, .. }))
+        })
+    }
+}
+
+fn applied(actions: &[ReplicaAction]) -> usize {
+    let applies = actions
+        .iter()
+        .filter(|action| matches!(action, ReplicaAction::Apply { .. }));
+    applies.count()
+}
+
+#[test]
+fn an_entry_of_an_old_term_is_committed_only_with_one_of_the_own() {
+    let mut single = SingleCore::new();
+    single.lead();
+    let held = |index| PeerBody::AppendHeld {
+        matched: LogIndex::new(index),
+    };
+    assert_eq!(applied(&single.receive(2, 2, held(2))), 0);
+    assert_eq!(applied(&single.receive(2, 2, held(3))), 1);
+}
+
+#[test]
+fn a_vote_is_given_once_a_term() {
+    let mut single = SingleCore::new();
+    assert!(single.ask_vote(2, 7));
+    assert!(!single.ask_vote(3, 7));
+    assert!(single.ask_vote(2, 7));
+}
+
+#[test]
+fn messages_for_another_data_folder_or_group_are_dropped() {
+    let mut single = SingleCore::new();
+    let body = PeerBody::Heartbeat {
+        commit: LogIndex::new(2),
+        round: 1,
+    };
+    let message = |group, to| PeerMessage {
+        group: Some(GroupId::new(group)),
+        from: seat(2),
+        to: Some(DiskId::new(to)),
+        term: TermNumber::new(4),
+        body: body.clone(),
+    };
+    for (group, to) in [(1, 999), (2, 100)] {
+        single.handle(ReplicaEvent::Received(message(group, to)));
+        assert_eq!(single.core.view(single.now).term, TermNumber::new(1));
+    }
+    single.handle(ReplicaEvent::Received(message(1, 100)));
+    assert_eq!(single.core.view(single.now).term, TermNumber::new(4));
+}
--- /dev/null
+++ b/src/control/replica/tests/test_node.rs
@@ -0,0 +1,42 @@
+use std::collections::BTreeMap;
+
+use rand::{Rng, rngs::StdRng};
+
+use crate::control::replica::{DiskBatch, DiskId, RecoveredState, ReplicaCore};
+
+/// One replica with its disk; the state machine is the list of its changes.
+pub(super) struct TestNode {
+    pub(super) core: Option<ReplicaCore>,
+    pub(super) disk: RecoveredState,
+    pub(super) syncing: Option<DiskBatch>,
+    pub(super) state: BTreeMap<u64, Vec<u8>>,
+}
+
+impl TestNode {
+    pub(super) fn new(generator: &mut StdRng) -> Self {
+        Self {
+            core: None,
+            disk: RecoveredState::new(DiskId::new(generator.random())),
+            syncing: None,
+            state: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn write(&mut self, batch: DiskBatch, most_entries: usize) {
+        if let Some(state) = batch.hard_state {
+            self.disk.hard_state = state;
+        }
+        if let Some(snapshot) = batch.snapshot {
+            let drop_to = batch.drop_to;
+            let resets = batch.resets_log;
+            self.disk
+                .entries
+                .retain(|entry| !resets && entry.index > drop_to);
+            self.disk.snapshot = Some(snapshot);
+        }
+        for entry in batch.entries.into_iter().take(most_entries) {
+            self.disk.entries.retain(|held| held.index < entry.index);
+            self.disk.entries.push(entry);
+        }
+    }
+}
