Replicas talk over authenticated connections

Cause: the log's messages have to reach the other replicas, and nobody else may forge, replay or flood them.

Change: each replica dials every other one and sends on that connection alone.

Ruled out: one connection for both ways. It saves sockets, but then each side has to agree on who dials, and a path that is dead one way takes both.

Conclusion: kept; not wired yet.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -16,6 +16,12 @@
     reason = "wired with the shell of the replica"
 )]
 mod replica;
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "wired with the shell of the replica"
+)]
+mod replica_link;
 
 pub use control_run::{ControlError, run_control};
 pub use control_settings::ControlSettings;
--- /dev/null
+++ b/src/control/replica_link/tests/mod.rs
@@ -0,0 +1,123 @@
+//! Tests of the connections between replicas.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::mpsc,
+    time::timeout,
+};
+
+use super::{LinkListener, LinkSender};
+use crate::{
+    clock::SpanMillis,
+    control::replica::{DiskId, PeerBody, PeerMessage, ReplicaId, ReplicaSeat, TermNumber},
+    secret::{DeploymentSecret, SecretStore},
+};
+
+const PATIENCE_MILLIS: SpanMillis = SpanMillis::new(20_000);
+const ANY_PORT: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+
+fn message(term: u64) -> PeerMessage {
+    PeerMessage {
+        group: None,
+        from: ReplicaSeat {
+            replica: ReplicaId::new(2),
+            disk: DiskId::new(5),
+        },
+        to: None,
+        term: TermNumber::new(term),
+        body: PeerBody::JoinAsked,
+    }
+}
+
+async fn listen(secret: &SecretStore) -> (SocketAddrV4, mpsc::Receiver<PeerMessage>) {
+    let listener = LinkListener::bind(ANY_PORT).await.expect("a free port");
+    let address = listener.address();
+    let (inbox, messages) = mpsc::channel(16);
+    tokio::spawn(listener.run(inbox, secret.clone()));
+    (address, messages)
+}
+
+fn store() -> SecretStore {
+    SecretStore::new(&DeploymentSecret::random(1)).expect("a good secret")
+}
+
+#[tokio::test]
+async fn messages_arrive_in_order() {
+    let secret = store();
+    let (address, mut messages) = listen(&secret).await;
+    let sender = LinkSender::start(ReplicaId::new(1), address, secret);
+    let receive = async {
+        // What is handed over before the connection stands may be lost.
+        loop {
+            sender.send(message(1));
+            let waited = timeout(SpanMillis::new(100).duration(), messages.recv()).await;
+            if matches!(waited, Ok(Some(_))) {
+                break;
+            }
+        }
+        for term in 2..6 {
+            sender.send(message(term));
+        }
+        let mut terms = Vec::new();
+        while terms.last() != Some(&5) {
+            let message = messages.recv().await.expect("the listener runs");
+            terms.push(message.term.number());
+        }
+        terms.retain(|term| *term > 1);
+        assert_eq!(terms, [2, 3, 4, 5]);
+    };
+    timeout(PATIENCE_MILLIS.duration(), receive)
+        .await
+        .expect("messages arrive");
+}
+
+#[tokio::test]
+async fn another_secret_is_refused() {
+    let (address, mut messages) = listen(&store()).await;
+    let sender = LinkSender::start(ReplicaId::new(1), address, store());
+    for _ in 0..10 {
+        sender.send(message(1));
+        let waited = timeout(SpanMillis::new(30).duration(), messages.recv()).await;
+        assert!(waited.is_err(), "a message without proof came through");
+    }
+}
+
+#[tokio::test]
+async fn a_long_first_frame_is_refused_before_it_is_read() {
+    let (address, _messages) = listen(&store()).await;
+    let mut stream = TcpStream::connect(address).await.expect("it listens");
+    let mut nonce = [0; 16];
+    stream.read_exact(&mut nonce).await.expect("a nonce");
+    let mut frame = vec![0; 16];
+    frame.extend_from_slice(&u32::to_be_bytes(1 << 20));
+    frame.resize(16 + 37, 0);
+    stream.write_all(&frame).await.expect("it reads");
+    let closed = async {
+        let mut rest = Vec::new();
+        // A reset is as good as an end.
+        let _ = stream.read_to_end(&mut rest).await;
+        rest.len()
+    };
+    let answered = timeout(PATIENCE_MILLIS.duration(), closed).await;
+    assert_eq!(answered.expect("the connection is closed"), 0);
+}
+
+#[test]
+fn a_frame_can_not_be_replayed_or_turned_round() {
+    use super::session_key::{FrameWay, SessionKey};
+    let secret = store();
+    let key = SessionKey::new(secret.clone(), [1; 16], [2; 16]);
+    let (epoch, proof) = key.prove(FrameWay::Forward, 3, b"payload");
+    let verify = |key: &SessionKey, way, sequence, payload: &[u8]| {
+        key.verify(way, sequence, payload, (epoch, &proof)).is_ok()
+    };
+    assert!(verify(&key, FrameWay::Forward, 3, b"payload"));
+    assert!(!verify(&key, FrameWay::Forward, 4, b"payload"));
+    assert!(!verify(&key, FrameWay::Back, 3, b"payload"));
+    assert!(!verify(&key, FrameWay::Forward, 3, b"other"));
+    let other = SessionKey::new(secret, [1; 16], [9; 16]);
+    assert!(!verify(&other, FrameWay::Forward, 3, b"payload"));
+}
