A command under a ticket runs at most once, and "not run" is true

Cause: callers resend after lost answers, over other connections to other agents, while agents are killed, drained and cut off from each other.

Change: - ticket: sealed tickets that take no memory until they are used; a ledger that is bounded in count and bytes, never forgets a live ticket, and lets a watermark cover refused tickets that are too many to remember; heirs that answer after a planned stop. - retry: a budget over a window of 10 s, and the decision to retry. - request: RequestMachine with an explicit point of no return. - drain: tickets are handed over only when the process is to exit, since a drain that is cancelled needs its ledger. - A key of a ticket's form that no live secret sealed is answered with "outcome unknown": it may be a ticket of an earlier secret. - A refusal burns its ticket. Letting it run later was ruled out: a delayed copy of the request would run after its caller was told that it did not.

--- a/src/agent/drain/drain_machine.rs
+++ b/src/agent/drain/drain_machine.rs
@@ -132,7 +132,6 @@
         if cut {
             actions.push(DrainAction::CutOpenWork);
         }
-        actions.push(DrainAction::HandOverTickets);
         actions.extend(self.finish());
         actions
     }
@@ -140,7 +139,7 @@
     fn finish(&self) -> Vec<DrainAction> {
         match self.goal {
             DrainGoal::Stay => Vec::new(),
-            DrainGoal::Exit => vec![DrainAction::Exit],
+            DrainGoal::Exit => vec![DrainAction::HandOverTickets, DrainAction::Exit],
         }
     }
 
--- a/src/agent/drain/tests.rs
+++ b/src/agent/drain/tests.rs
@@ -118,8 +118,18 @@
             .handle(DrainEvent::Counted(IDLE), at(2_400))
             .is_empty()
     );
-    let actions = machine.handle(DrainEvent::Counted(IDLE), at(2_500));
-    assert_eq!(actions, [DrainAction::HandOverTickets]);
+    assert!(
+        machine
+            .handle(DrainEvent::Counted(IDLE), at(2_500))
+            .is_empty()
+    );
+    let drained = DrainStage::Drained {
+        since: at(2_500),
+        cut: false,
+    };
+    assert_eq!(machine.report().stage, drained);
+    let actions = machine.handle(begin(DrainGoal::Exit, None), at(3_000));
+    assert_eq!(actions, [DrainAction::HandOverTickets, DrainAction::Exit]);
 }
 
 #[test]
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -26,7 +26,25 @@
     unused_imports,
     reason = "the request path does not call it yet"
 )]
+pub(crate) mod request;
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "the request path does not call it yet"
+)]
+pub(crate) mod retry;
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "the request path does not call it yet"
+)]
 pub(crate) mod slot;
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "the request path does not call it yet"
+)]
+pub(crate) mod ticket;
 
 pub use agent_run::{AgentError, run_agent};
 pub use agent_settings::AgentSettings;
--- a/src/agent/outcome/final_answer.rs
+++ b/src/agent/outcome/final_answer.rs
@@ -28,13 +28,12 @@
         /// When to ask again.
         retry_after: SpanMillis,
     },
-    /// The key is no ticket; the request did not run.
-    TicketNeeded {
-        /// A fresh ticket.
-        ticket: String,
-    },
+    /// The key is no ticket that may still run; the request did not run.
+    TicketNeeded,
     /// The ticket belongs to a request of other content; this one did not run.
     TicketMismatch,
+    /// The request ran, and its answer was not kept.
+    AnswerNotKept,
     /// The request may have run, and its answer is lost.
     OutcomeUnknown,
     /// The request can't be understood; it did not run.
@@ -55,8 +54,9 @@
             Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::DeadlinePassed { .. } => StatusCode::GATEWAY_TIMEOUT,
             Self::StillRunning { .. } => StatusCode::CONFLICT,
-            Self::TicketNeeded { .. } => StatusCode::PRECONDITION_REQUIRED,
+            Self::TicketNeeded => StatusCode::PRECONDITION_REQUIRED,
             Self::TicketMismatch => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::AnswerNotKept => StatusCode::GONE,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::BadRequest { .. } => StatusCode::BAD_REQUEST,
         }
@@ -66,11 +66,12 @@
     pub(crate) fn run_state(&self) -> RunState {
         match self {
             Self::NotRun { .. }
-            | Self::TicketNeeded { .. }
+            | Self::TicketNeeded
             | Self::TicketMismatch
             | Self::BadRequest { .. } => RunState::NotRun,
             Self::DeadlinePassed { state } => *state,
             Self::StillRunning { .. } => RunState::Running,
+            Self::AnswerNotKept => RunState::Ran,
             Self::OutcomeUnknown => RunState::Unknown,
         }
     }
@@ -82,8 +83,9 @@
                 Some(*retry_after)
             }
             Self::DeadlinePassed { .. }
-            | Self::TicketNeeded { .. }
+            | Self::TicketNeeded
             | Self::TicketMismatch
+            | Self::AnswerNotKept
             | Self::OutcomeUnknown
             | Self::BadRequest { .. } => None,
         }
@@ -106,14 +108,7 @@
             not_run: state == RunState::NotRun,
             outcome: state,
             retry_after_millis: self.retry_after().map(SpanMillis::millis),
-            ticket: self.ticket().map(ToOwned::to_owned),
-        }
-    }
-
-    fn ticket(&self) -> Option<&str> {
-        match self {
-            Self::TicketNeeded { ticket } => Some(ticket),
-            _ => None,
+            ticket: None,
         }
     }
 
@@ -122,8 +117,9 @@
             Self::NotRun { .. } => "not-run",
             Self::DeadlinePassed { .. } => "deadline-passed",
             Self::StillRunning { .. } => "still-running",
-            Self::TicketNeeded { .. } => "ticket-needed",
+            Self::TicketNeeded => "ticket-needed",
             Self::TicketMismatch => "ticket-mismatch",
+            Self::AnswerNotKept => "answer-not-kept",
             Self::OutcomeUnknown => "outcome-unknown",
             Self::BadRequest { .. } => "bad-request",
         }
@@ -134,8 +130,9 @@
             Self::NotRun { cause, .. } => cause.detail(),
             Self::DeadlinePassed { .. } => "the deadline passed before the answer was complete",
             Self::StillRunning { .. } => "a request with this ticket is running",
-            Self::TicketNeeded { .. } => "send the enclosed ticket as Idempotency-Key",
+            Self::TicketNeeded => "send the enclosed ticket as Idempotency-Key",
             Self::TicketMismatch => "the ticket was used for a request of other content",
+            Self::AnswerNotKept => "the request ran, and its answer was not kept",
             Self::OutcomeUnknown => "the request may have run and its answer is lost",
             Self::BadRequest { detail } => detail,
         }
--- a/src/agent/outcome/problem_document.rs
+++ b/src/agent/outcome/problem_document.rs
@@ -8,6 +8,8 @@
     NotRun,
     /// A run of it is in progress.
     Running,
+    /// It ran once.
+    Ran,
     /// It may have run.
     Unknown,
 }
@@ -35,3 +37,11 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) ticket: Option<String>,
 }
+
+impl ProblemDocument {
+    /// Encloses a fresh ticket for the next attempt.
+    pub(crate) fn with_ticket(mut self, ticket: String) -> Self {
+        self.ticket = Some(ticket);
+        self
+    }
+}
--- a/src/agent/outcome/tests.rs
+++ b/src/agent/outcome/tests.rs
@@ -13,8 +13,9 @@
 #[case(FinalAnswer::DeadlinePassed { state: RunState::NotRun }, 504, true)]
 #[case(FinalAnswer::DeadlinePassed { state: RunState::Unknown }, 504, false)]
 #[case(FinalAnswer::StillRunning { retry_after: SOON }, 409, false)]
-#[case(FinalAnswer::TicketNeeded { ticket: "t".to_owned() }, 428, true)]
+#[case(FinalAnswer::TicketNeeded, 428, true)]
 #[case(FinalAnswer::TicketMismatch, 422, true)]
+#[case(FinalAnswer::AnswerNotKept, 410, false)]
 #[case(FinalAnswer::OutcomeUnknown, 502, false)]
 #[case(FinalAnswer::BadRequest { detail: "x" }, 400, true)]
 fn each_answer_has_its_status_and_says_whether_it_ran(
--- /dev/null
+++ b/src/agent/retry/mod.rs
@@ -0,0 +1,10 @@
+//! Whether a failed attempt may be made again.
+
+mod retry_budget;
+mod retry_decision;
+
+pub(crate) use retry_budget::{RetryBudget, RetryCounts};
+pub(crate) use retry_decision::{AttemptFailure, RetryDecision, RetryPolicy};
+
+#[cfg(test)]
+mod tests;
