A request that waits claims the first free slot at a peer

Cause: connections live for hours, so balance has to be made per request, and the request itself must never be queued in two places.

Change: claim: SlotBroker joins the own queue, the claims of own requests at two peers and the claims of peers here. Messages carry the sender's run and a number per claim. Lost messages are mended by sending the claim again every 50 ms; a grant that isn't bound within 30 ms, and a claim that went silent for 200 ms, give their place back. A load report only orders the peers that were drawn, so one that is wrong moves little. Claims of peers have their own bound in the queue and are left out of the estimated wait: at three claims a request, counting them would refuse requests three times too early.

Conclusion: over 600 drawn histories with loss, delay, doubling and killed agents each request starts in one place, every slot and claim comes back.

--- /dev/null
+++ b/src/agent/claim/tests.rs
@@ -0,0 +1,376 @@
+//! Agents that claim each other's slots over a network that loses, delays,
+//! doubles and reorders messages, and agents that die.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{Ipv4Addr, SocketAddrV4},
+};
+
+use proptest::prelude::*;
+
+use super::{
+    AgentIdentity, BindVerdict, BrokerOutput, ClaimFrame, ClaimKey, ClaimMessage, ClaimSend,
+    PeerView, SlotBroker, sample_peers,
+};
+use crate::{
+    agent::{
+        slot::{SlotEvent, SlotKey, SlotLimits, SlotOrigin, SlotRequest, SlotVerdict, WaiterKey},
+        tests::fixed_cases,
+    },
+    clock::ClockMillis,
+    key::{IncarnationId, TargetKey},
+    manifest::RequestPriority,
+};
+
+const AGENTS: usize = 3;
+const LIMITS: SlotLimits = SlotLimits {
+    slots: 2,
+    queue: 6,
+    reserve: 0,
+};
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Arrive(usize, u64),
+    Finish(usize),
+    Withdraw(usize),
+    Deliver(usize),
+    Double(usize),
+    Lose(usize),
+    Pass(u64),
+    Kill(usize),
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        5 => (0..AGENTS, 1u64..2_000).prop_map(|(at, left)| Step::Arrive(at, left)),
+        3 => any::<usize>().prop_map(Step::Finish),
+        1 => any::<usize>().prop_map(Step::Withdraw),
+        8 => any::<usize>().prop_map(Step::Deliver),
+        1 => any::<usize>().prop_map(Step::Double),
+        1 => any::<usize>().prop_map(Step::Lose),
+        3 => (1u64..60).prop_map(Step::Pass),
+        1 => (0..AGENTS).prop_map(Step::Kill),
+    ]
+}
+
+/// A request that runs, with the agent whose slot it holds.
+#[derive(Debug, Clone, Copy)]
+struct Running {
+    at: usize,
+    slot: SlotKey,
+}
+
+struct World {
+    brokers: Vec<SlotBroker>,
+    incarnations: Vec<u64>,
+    waiting: BTreeMap<(usize, WaiterKey), u64>,
+    running: Vec<Running>,
+    started: BTreeSet<u64>,
+    network: Vec<ClaimSend>,
+    relays: Vec<(u64, TargetKey, ClaimKey)>,
+    requests: u64,
+    now: ClockMillis,
+}
+
+fn target(index: usize) -> TargetKey {
+    let port = u16::try_from(index).expect("few agents");
+    TargetKey::new(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port))
+}
+
+fn index_of(target: TargetKey) -> usize {
+    usize::from(target.address().port())
+}
+
+fn broker(index: usize, incarnation: u64) -> SlotBroker {
+    let own = AgentIdentity {
+        target: target(index),
+        incarnation: IncarnationId::new(incarnation),
+    };
+    SlotBroker::new(own, LIMITS)
+}
+
+fn views(except: usize) -> Vec<PeerView> {
+    (0..AGENTS)
+        .filter(|index| *index != except)
+        .map(|index| PeerView {
+            target: target(index),
+            work_permille: 0,
+            seen: None,
+        })
+        .collect()
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            brokers: (0..AGENTS).map(|index| broker(index, 0)).collect(),
+            incarnations: vec![0; AGENTS],
+            waiting: BTreeMap::new(),
+            running: Vec::new(),
+            started: BTreeSet::new(),
+            network: Vec::new(),
+            relays: Vec::new(),
+            requests: 0,
+            now: ClockMillis::ORIGIN,
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Arrive(at, left) => self.arrive(at, left),
+            Step::Finish(index) if !self.running.is_empty() => {
+                let run = self.running.swap_remove(index % self.running.len());
+                let output = self.brokers[run.at].release(run.slot, self.now);
+                self.follow(run.at, output);
+            }
+            Step::Withdraw(index) => self.withdraw(index),
+            Step::Deliver(index) => self.deliver(index),
+            Step::Double(index) if !self.network.is_empty() => {
+                self.network.push(self.network[index % self.network.len()]);
+            }
+            Step::Lose(index) if !self.network.is_empty() => {
+                self.network.swap_remove(index % self.network.len());
+            }
+            Step::Pass(span) => self.pass(span),
+            Step::Kill(at) => self.kill(at),
+            Step::Finish(_) | Step::Double(_) | Step::Lose(_) => {}
+        }
+        self.check_slots();
+    }
+
+    fn arrive(&mut self, at: usize, left: u64) {
+        self.requests += 1;
+        let request = SlotRequest {
+            priority: RequestPriority::Normal,
+            deadline: ClockMillis::new(self.now.millis() + left),
+            origin: SlotOrigin::Own,
+        };
+        let draw = self.requests;
+        let (verdict, output) = self.brokers[at].request(request, &views(at), draw, self.now);
+        match verdict {
+            SlotVerdict::Run(slot) => self.start(self.requests, at, slot),
+            SlotVerdict::Wait(waiter) => {
+                self.waiting.insert((at, waiter), self.requests);
+            }
+            SlotVerdict::Refuse(_) => {}
+        }
+        self.follow(at, output);
+    }
+
+    fn deliver(&mut self, index: usize) {
+        let pending = self.network.len() + self.relays.len();
+        if pending == 0 {
+            return;
+        }
+        let at = index % pending;
+        if at < self.network.len() {
+            let send = self.network.swap_remove(at);
+            let to = index_of(send.to);
+            let output = self.brokers[to].receive(send.frame, self.now);
+            self.follow(to, output);
+            return;
+        }
+        let (request, granter, key) = self.relays.swap_remove(at - self.network.len());
+        let to = index_of(granter);
+        // A request that finds no slot was not run and goes back to its caller.
+        if let BindVerdict::Bound(slot) = self.brokers[to].bind(key) {
+            self.start(request, to, slot);
+        }
+    }
+
+    fn withdraw(&mut self, index: usize) {
+        let place = index % self.waiting.len().max(1);
+        let Some((at, waiter)) = self.waiting.keys().copied().nth(place) else {
+            return;
+        };
+        self.waiting.remove(&(at, waiter));
+        let output = self.brokers[at].withdraw(waiter);
+        self.follow(at, output);
+    }
+
+    fn pass(&mut self, span: u64) {
+        self.now = ClockMillis::new(self.now.millis() + span);
+        for at in 0..AGENTS {
+            let output = self.brokers[at].advance(self.now);
+            self.follow(at, output);
+        }
+    }
+
+    fn kill(&mut self, at: usize) {
+        self.incarnations[at] += 1;
+        self.brokers[at] = broker(at, self.incarnations[at]);
+        self.running.retain(|run| run.at != at);
+        self.waiting.retain(|(home, _), _| *home != at);
+    }
+
+    fn follow(&mut self, at: usize, output: BrokerOutput) {
+        self.network.extend(output.sends);
+        for event in output.events {
+            match event {
+                SlotEvent::Started { waiter, slot } => {
+                    let request = self.waiting.remove(&(at, waiter)).expect("it waited");
+                    self.start(request, at, slot);
+                }
+                SlotEvent::Refused { waiter, .. } => {
+                    self.waiting.remove(&(at, waiter)).expect("it waited");
+                }
+            }
+        }
+        for grant in output.grants {
+            let request = self.waiting.remove(&(at, grant.waiter)).expect("it waited");
+            self.relays.push((request, grant.granter, grant.key));
+        }
+    }
+
+    fn start(&mut self, request: u64, at: usize, slot: SlotKey) {
+        assert!(self.started.insert(request), "a request ran in two places");
+        self.running.push(Running { at, slot });
+    }
+
+    fn check_slots(&self) {
+        for at in 0..AGENTS {
+            let running = self.running.iter().filter(|run| run.at == at).count();
+            let counts = self.brokers[at].counts();
+            assert!(running <= 2, "more requests than slots");
+            assert!(
+                running <= usize::from(counts.running),
+                "a run without a slot"
+            );
+            assert!(counts.running <= 2 && counts.waiting <= 6, "limits");
+        }
+    }
+
+    /// Lets everything end: no message is lost any more.
+    fn settle(&mut self) {
+        for _ in 0..200 {
+            while let Some(run) = self.running.pop() {
+                let output = self.brokers[run.at].release(run.slot, self.now);
+                self.follow(run.at, output);
+            }
+            for _ in 0..200 {
+                self.deliver(0);
+            }
+            self.pass(20);
+            self.check_slots();
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_cases(600))]
+
+    #[test]
+    fn one_place_a_request_and_no_slot_is_lost(
+        steps in prop::collection::vec(any_step(), 1..120),
+    ) {
+        let mut world = World::new();
+        for step in steps {
+            world.step(step);
+        }
+        world.settle();
+        prop_assert!(world.waiting.is_empty(), "every request was started or refused");
+        for broker in &world.brokers {
+            prop_assert_eq!(broker.counts().running, 0, "every slot came back");
+            prop_assert_eq!(broker.claims(), (0, 0), "every claim ended");
+        }
+    }
+
+    #[test]
+    fn arbitrary_frames_are_decoded_without_panic(bytes in prop::collection::vec(any::<u8>(), 0..80)) {
+        if let Some(frame) = ClaimFrame::decode(&bytes) {
+            let mut broker = broker(0, 0);
+            broker.receive(frame, ClockMillis::ORIGIN);
+        }
+    }
+
+    #[test]
+    fn samples_are_different_peers_and_prefer_the_lighter(draw: u64, light in 0usize..7) {
+        let peers: Vec<PeerView> = (0..7)
+            .map(|index| PeerView {
+                target: target(index),
+                work_permille: if index == light { 0 } else { 900 },
+                seen: Some(ClockMillis::ORIGIN),
+            })
+            .collect();
+        let chosen = sample_peers(&peers, draw, ClockMillis::ORIGIN);
+        prop_assert_eq!(chosen.len(), 2);
+        prop_assert_ne!(chosen[0], chosen[1]);
+        if let Some(place) = chosen.iter().position(|peer| *peer == target(light)) {
+            prop_assert_eq!(place, 0);
+        }
+    }
+}
+
+#[test]
+fn a_frame_and_a_key_read_back_as_written() {
+    let key = ClaimKey {
+        claimant: AgentIdentity {
+            target: target(5),
+            incarnation: IncarnationId::new(77),
+        },
+        sequence: 9,
+    };
+    let frame = ClaimFrame {
+        sender: key.claimant,
+        key,
+        message: ClaimMessage::Bind,
+    };
+    assert_eq!(ClaimFrame::decode(&frame.encode()), Some(frame));
+    assert_eq!(key.to_string().parse(), Ok(key));
+    assert!("127.0.0.1:1/zz/3".parse::<ClaimKey>().is_err());
+}
+
+#[test]
+fn an_idle_peer_takes_the_request_at_once() {
+    let mut busy = broker(0, 0);
+    let mut idle = broker(1, 0);
+    let now = ClockMillis::ORIGIN;
+    let request = SlotRequest {
+        priority: RequestPriority::Normal,
+        deadline: ClockMillis::new(10_000),
+        origin: SlotOrigin::Own,
+    };
+    for _ in 0..2 {
+        busy.request(request, &[], 1, now);
+    }
+    let (verdict, output) = busy.request(request, &views(0)[..1], 1, now);
+    assert!(matches!(verdict, SlotVerdict::Wait(_)));
+    let [claim] = output.sends.as_slice() else {
+        panic!("one claim at the only peer");
+    };
+    let grants = idle.receive(claim.frame, now).sends;
+    let output = busy.receive(grants[0].frame, now);
+    assert_eq!(output.grants.len(), 1);
+    assert_eq!(busy.counts().waiting, 0);
+    assert!(matches!(
+        idle.bind(output.grants[0].key),
+        BindVerdict::Bound(_)
+    ));
+}
+
+#[test]
+fn a_grant_that_nobody_wants_is_given_back_at_once() {
+    let mut busy = broker(0, 0);
+    let mut idle = broker(1, 0);
+    let now = ClockMillis::ORIGIN;
+    let request = SlotRequest {
+        priority: RequestPriority::Normal,
+        deadline: ClockMillis::new(10_000),
+        origin: SlotOrigin::Own,
+    };
+    for _ in 0..2 {
+        busy.request(request, &[], 1, now);
+    }
+    let (verdict, output) = busy.request(request, &views(0)[..1], 1, now);
+    let SlotVerdict::Wait(waiter) = verdict else {
+        panic!("both slots are taken: {verdict:?}");
+    };
+    let granted = idle.receive(output.sends[0].frame, now).sends;
+    let mut withdrawn = busy.withdraw(waiter).sends;
+    // The release of the withdrawal is lost; the one after the grant arrives.
+    withdrawn.clear();
+    let given_back = busy.receive(granted[0].frame, now).sends;
+    idle.receive(given_back[0].frame, now);
+    assert_eq!(idle.counts().running, 0);
+}
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -14,6 +14,12 @@
     unused_imports,
     reason = "the request path does not call it yet"
 )]
+pub(crate) mod claim;
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "the request path does not call it yet"
+)]
 pub(crate) mod drain;
 #[allow(
     dead_code,
--- a/src/agent/request/request_profile.rs
+++ b/src/agent/request/request_profile.rs
@@ -1,7 +1,10 @@
 use thiserror::Error;
 
 use crate::{
-    agent::{retry::RetryPolicy, slot::SlotRequest},
+    agent::{
+        retry::RetryPolicy,
+        slot::{SlotOrigin, SlotRequest},
+    },
     clock::{ClockMillis, SpanMillis},
     manifest::{RequestPriority, ServiceSpec, TrafficRule},
 };
@@ -87,6 +90,7 @@
         SlotRequest {
             priority: self.priority,
             deadline: self.deadline,
+            origin: SlotOrigin::Own,
         }
     }
 
--- a/src/agent/slot/mod.rs
+++ b/src/agent/slot/mod.rs
@@ -12,7 +12,7 @@
 pub(crate) use slot_limits::SlotLimits;
 pub(crate) use slot_queue::{QueueCounts, SlotQueue};
 pub(crate) use slot_verdict::{
-    RefusalCause, SlotEvent, SlotKey, SlotRefusal, SlotRequest, SlotVerdict, WaiterKey,
+    RefusalCause, SlotEvent, SlotKey, SlotOrigin, SlotRefusal, SlotRequest, SlotVerdict, WaiterKey,
 };
 
 #[cfg(test)]
--- a/src/agent/slot/slot_queue.rs
+++ b/src/agent/slot/slot_queue.rs
@@ -2,8 +2,8 @@
 use slotmap::SlotMap;
 
 use super::{
-    RefusalCause, ServiceTime, SlotEvent, SlotKey, SlotLimits, SlotRefusal, SlotRequest,
-    SlotVerdict, WaiterKey,
+    RefusalCause, ServiceTime, SlotEvent, SlotKey, SlotLimits, SlotOrigin, SlotRefusal,
+    SlotRequest, SlotVerdict, WaiterKey,
     waiting_line::{PRIORITIES, WaitingLine},
 };
 use crate::{
@@ -26,7 +26,7 @@
 pub(crate) struct QueueCounts {
     /// Requests that hold a slot.
     pub(crate) running: u16,
-    /// Requests that wait for one.
+    /// Own requests that wait for one.
     pub(crate) waiting: u16,
     /// Slots in all.
     pub(crate) slots: u16,
@@ -76,8 +76,8 @@
             return (SlotVerdict::Refuse(refusal), Vec::new());
         }
         let mut events = Vec::new();
-        if self.waiting.len() >= usize::from(self.limits.queue) {
-            let Some(waiter) = self.waiting.last_below(request.priority) else {
+        if self.waiting.len(request.origin) >= usize::from(self.limits.queue) {
+            let Some(waiter) = self.displaced_by(request) else {
                 let refusal = self.refusal(request, RefusalCause::QueueFull, now);
                 return (SlotVerdict::Refuse(refusal), events);
             };
@@ -95,6 +95,12 @@
         self.advance(now)
     }
 
+    /// Gives a slot back that no request ran on, and starts what may run now.
+    pub(crate) fn release_unused(&mut self, slot: SlotKey, now: ClockMillis) -> Vec<SlotEvent> {
+        self.running.remove(slot);
+        self.advance(now)
+    }
+
     /// Takes out a waiting request whose caller is gone.
     pub(crate) fn withdraw(&mut self, waiter: WaiterKey) {
         self.waiting.remove(waiter);
@@ -125,7 +131,7 @@
     pub(crate) fn counts(&self) -> QueueCounts {
         QueueCounts {
             running: u16::try_from(self.running.len()).unwrap_or(u16::MAX),
-            waiting: u16::try_from(self.waiting.len()).unwrap_or(u16::MAX),
+            waiting: u16::try_from(self.waiting.len(SlotOrigin::Own)).unwrap_or(u16::MAX),
             slots: self.limits.slots,
         }
     }
@@ -135,6 +141,14 @@
         self.work_before(priority, now).max(LEAST_RETRY_MILLIS)
     }
 
+    /// Returns the own request that makes room for a more urgent one.
+    fn displaced_by(&self, request: SlotRequest) -> Option<WaiterKey> {
+        match request.origin {
+            SlotOrigin::Own => self.waiting.last_below(request.priority),
+            SlotOrigin::Peer => None,
+        }
+    }
+
     fn has_room(&self, priority: RequestPriority) -> bool {
         if self.running.len() >= usize::from(self.limits.slots) {
             return false;
@@ -151,7 +165,7 @@
         PRIORITIES
             .into_iter()
             .filter(|other| *other <= priority)
-            .any(|other| self.waiting.len_of(other) > 0)
+            .any(|other| self.waiting.has(other))
     }
 
     fn next_waiter(&self) -> Option<WaiterKey> {
@@ -169,12 +183,15 @@
     }
 
     /// Estimates when the slots have done all work up to this priority.
+    ///
+    /// Claims of peers are left out: most of their requests run elsewhere, as
+    /// do own requests in return.
     fn work_before(&self, priority: RequestPriority, now: ClockMillis) -> SpanMillis {
         let waiting: u64 = PRIORITIES
             .into_iter()
             .filter(|other| *other <= priority)
             .map(|other| {
-                let count = self.waiting.len_of(other) as u64;
+                let count = self.waiting.own_of(other) as u64;
                 self.service_time.mean(other).times(count).millis()
             })
             .sum();
--- a/src/agent/slot/slot_verdict.rs
+++ b/src/agent/slot/slot_verdict.rs
@@ -10,6 +10,15 @@
     pub(crate) struct WaiterKey;
 }
 
+/// Whose request waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SlotOrigin {
+    /// A request of an own caller.
+    Own,
+    /// A peer's claim; its request waits elsewhere too.
+    Peer,
+}
+
 /// What a request asks of the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct SlotRequest {
@@ -17,6 +26,8 @@
     pub(crate) priority: RequestPriority,
     /// When the answer must be there.
     pub(crate) deadline: ClockMillis,
+    /// Whose request it is.
+    pub(crate) origin: SlotOrigin,
 }
 
 /// The answer to a request for a slot.
--- a/src/agent/slot/tests.rs
+++ b/src/agent/slot/tests.rs
@@ -4,8 +4,8 @@
 use slotmap::SecondaryMap;
 
 use super::{
-    CountVerdict, OpenCount, RefusalCause, SlotEvent, SlotKey, SlotLimits, SlotQueue, SlotRequest,
-    SlotVerdict, WaiterKey,
+    CountVerdict, OpenCount, RefusalCause, SlotEvent, SlotKey, SlotLimits, SlotOrigin, SlotQueue,
+    SlotRequest, SlotVerdict, WaiterKey,
 };
 use crate::{agent::tests::fixed_cases, clock::ClockMillis, manifest::RequestPriority};
 
@@ -19,6 +19,7 @@
     SlotRequest {
         priority,
         deadline: ClockMillis::new(deadline),
+        origin: SlotOrigin::Own,
     }
 }
 
@@ -200,3 +201,26 @@
     count.close();
     assert_eq!(count.open(), CountVerdict::Open);
 }
+
+#[test]
+fn claims_of_peers_take_no_place_from_own_requests() {
+    let mut queue = SlotQueue::new(LIMITS);
+    let now = ClockMillis::ORIGIN;
+    let own = request(RequestPriority::Normal, 60_000);
+    let claim = SlotRequest {
+        origin: SlotOrigin::Peer,
+        ..own
+    };
+    for _ in 0..12 {
+        queue.request(claim, now);
+    }
+    let (verdict, _) = queue.request(claim, now);
+    assert!(matches!(verdict, SlotVerdict::Refuse(_)));
+    for _ in 0..8 {
+        let (verdict, events) = queue.request(own, now);
+        assert!(matches!(verdict, SlotVerdict::Wait(_)) && events.is_empty());
+    }
+    let (verdict, _) = queue.request(own, now);
+    assert!(matches!(verdict, SlotVerdict::Refuse(_)));
+    assert_eq!(queue.counts().waiting, 8);
+}
