--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -4,6 +4,12 @@
 mod agent_event;
 mod agent_run;
 mod agent_settings;
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "the request path does not call it yet"
+)]
+pub(crate) mod claim;
 pub(crate) mod drain;
 mod endpoint;
 mod node;
