Balancers leave in order, and streams are shown to outlive a secret's rotation

Cause: a balancer that was told to stop dropped what was on its way, and agents went on answering by it until three probes were missed. Change: a leaving balancer tells the agents in use, forwards until half a second passes without a datagram, then ends. Tests: planned stop of either balancer, a rotation with the old epoch taken away. The tests' address blocks collided when one file had more than five sites; a block is now held by a bound port.

--- a/src/agent/agent_run.rs
+++ b/src/agent/agent_run.rs
@@ -1,5 +1,8 @@
 use super::{AgentError, AgentEvent, AgentNode, AgentSettings};
-use crate::{event::log_event, program::StopSignal};
+use crate::{
+    event::log_event,
+    program::{StopSignal, start_logs},
+};
 
 /// Runs an agent until it is told to stop, then drains it.
 ///
@@ -7,6 +10,7 @@
 ///
 /// Fails when it can't start.
 pub async fn run_agent(settings: AgentSettings) -> Result<(), AgentError> {
+    start_logs(settings.log_format);
     let signal = StopSignal::listen().map_err(AgentError::Signal)?;
     let mut node = tokio::select! {
         node = AgentNode::start(&settings) => node?,
--- a/src/agent/endpoint/answer_paths.rs
+++ b/src/agent/endpoint/answer_paths.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Forgets a balancer that is about to stop.
+    pub(super) fn forget(&mut self, balancer: SocketAddrV4) {
+        self.paths.retain(|path| path.balancer != balancer);
+    }
+
     /// Returns how to send an answer to `caller`, if any balancer is known.
     pub(super) fn choose(
         &mut self,
--- a/src/agent/endpoint/tunnel_socket.rs
+++ b/src/agent/endpoint/tunnel_socket.rs
@@ -196,6 +196,10 @@
                 self.take_peer(source, payload);
                 None
             }
+            FrameKind::Leave => {
+                self.lock_paths().forget(source);
+                None
+            }
             FrameKind::Answer => {
                 self.counters.add(TunnelCount::BadFrame);
                 None
--- a/src/balancer/balancer_node.rs
+++ b/src/balancer/balancer_node.rs
@@ -25,6 +25,10 @@
 
 /// How often idle paths are forgotten and failed ports are tried again.
 const HOUSEKEEPING_MILLIS: SpanMillis = SpanMillis::new(1_000);
+/// How long a leaving balancer waits for another datagram.
+const LEAVE_ROUND_MILLIS: SpanMillis = SpanMillis::new(500);
+/// The most times that it waits; the fabric should have left it long before.
+const MOST_LEAVE_ROUNDS: u32 = 20;
 /// The pause after a failure of receiving.
 const RECEIVE_PAUSE_MILLIS: SpanMillis = SpanMillis::new(10);
 
@@ -35,6 +39,9 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Secret(#[from] SecretError),
+    /// The signals of the system can't be listened to.
+    #[error("cannot listen to signals: {0}")]
+    Signal(#[source] io::Error),
     /// The tunnel's source ports can't be bound.
     #[error("cannot bind the tunnel at {ip}: {cause}")]
     Tunnel {
@@ -143,6 +150,29 @@
         })
     }
 
+    /// Leaves in order: agents answer by other balancers at once, and what
+    /// callers still send is forwarded until nothing comes any more.
+    pub async fn leave(&self) {
+        let mut scratch = FrameScratch::default();
+        let mut carried = self.carried();
+        for _ in 0..MOST_LEAVE_ROUNDS {
+            // A forwarded datagram makes the balancer known again to its agent.
+            self.path.announce_leave(&mut scratch);
+            tokio::time::sleep(LEAVE_ROUND_MILLIS.duration()).await;
+            let now = self.carried();
+            if now == carried {
+                return;
+            }
+            carried = now;
+        }
+    }
+
+    /// Returns the number of callers' datagrams that were forwarded.
+    fn carried(&self) -> u64 {
+        let packets = self.path.counters().read();
+        packets.known + packets.first
+    }
+
     /// Returns the whole state without stopping the packet path.
     #[must_use]
     pub fn dump(&self) -> BalancerDump {
--- a/src/balancer/packet_path.rs
+++ b/src/balancer/packet_path.rs
@@ -84,6 +84,22 @@
         self.lock_paths().forget_idle(self.clock.now());
     }
 
+    /// Tells the agents in use to answer by other balancers from now on.
+    pub(crate) fn announce_leave(&self, scratch: &mut FrameScratch) {
+        let peers = self.lock_paths().peers();
+        for (agent, port) in peers {
+            FrameHeader::new(FrameKind::Leave, ServiceNumber::new(0), agent).write(
+                &[],
+                &self.secret.keys(),
+                &mut scratch.frame,
+            );
+            let tunnel = &self.tunnels[port];
+            if tunnel.try_send(agent, &scratch.frame, 0, None).is_err() {
+                self.counters.add(PacketCount::Unsent);
+            }
+        }
+    }
+
     /// Asks the agents that answer nowhere whether they are well again.
     pub(crate) fn probe_suspects(&self, scratch: &mut FrameScratch) {
         let probes = self.lock_paths().due_probes(self.clock.now());
@@ -145,7 +161,7 @@
             }
             FrameKind::Echo => self.take_echo(received.source, &header),
             FrameKind::Probe => self.send_echo(port, received.source, &header, scratch),
-            FrameKind::Forward | FrameKind::PassOn | FrameKind::Peer => {
+            FrameKind::Forward | FrameKind::PassOn | FrameKind::Peer | FrameKind::Leave => {
                 self.counters.add(PacketCount::BadFrame);
             }
         }
--- a/src/bin/cyclamen-agent.rs
+++ b/src/bin/cyclamen-agent.rs
@@ -2,12 +2,8 @@
 
 use std::process::ExitCode;
 
-use cyclamenrouter::{
-    agent::run_agent,
-    program::{LogFormat, run_program, start_logs},
-};
+use cyclamenrouter::{agent::run_agent, program::run_program};
 
 fn main() -> ExitCode {
-    start_logs(LogFormat::Text);
     run_program("cyclamen-agent", run_agent)
 }
--- a/src/bin/cyclamen-balancer.rs
+++ b/src/bin/cyclamen-balancer.rs
@@ -2,12 +2,8 @@
 
 use std::process::ExitCode;
 
-use cyclamenrouter::{
-    balancer::run_balancer,
-    program::{LogFormat, run_program, start_logs},
-};
+use cyclamenrouter::{balancer::run_balancer, program::run_program};
 
 fn main() -> ExitCode {
-    start_logs(LogFormat::Text);
     run_program("cyclamen-balancer", run_balancer)
 }
--- a/src/tunnel/frame_header.rs
+++ b/src/tunnel/frame_header.rs
@@ -37,6 +37,8 @@
     Answer,
     /// Answers the echo number of a frame; carries nothing.
     Echo,
+    /// Tells agents that a balancer stops; carries nothing.
+    Leave,
     /// Asks for an echo; carries nothing.
     Probe,
     /// A first packet that an agent passes on to the next candidate.
@@ -174,6 +176,7 @@
             Self::Peer => 4,
             Self::Probe => 5,
             Self::PassOn => 6,
+            Self::Leave => 7,
         }
     }
 
@@ -185,6 +188,7 @@
             4 => Ok(Self::Peer),
             5 => Ok(Self::Probe),
             6 => Ok(Self::PassOn),
+            7 => Ok(Self::Leave),
             _ => Err(FrameError::UnknownKind { kind }),
         }
     }
@@ -192,10 +196,13 @@
     /// Returns how much of a payload of `length` bytes is under the proof.
     fn proved_bytes(self, length: usize) -> usize {
         match self {
-            Self::Forward | Self::Answer | Self::Echo | Self::Probe | Self::PassOn => {
-                length.min(PROVED_PAYLOAD_BYTES)
-            }
             Self::Peer => length,
+            Self::Forward
+            | Self::Answer
+            | Self::Echo
+            | Self::Probe
+            | Self::PassOn
+            | Self::Leave => length.min(PROVED_PAYLOAD_BYTES),
         }
     }
 }
--- a/src/tunnel/path_book.rs
+++ b/src/tunnel/path_book.rs
@@ -116,6 +116,14 @@
             .retain(|_, path| now.since(path.used_at) < IDLE_MILLIS);
     }
 
+    /// Returns the peers in use, each with the source port of its path.
+    pub(crate) fn peers(&self) -> Vec<(SocketAddrV4, usize)> {
+        self.peers
+            .iter()
+            .map(|(peer, path)| (*peer, path.port))
+            .collect()
+    }
+
     /// Returns the number of watched peers.
     pub(crate) fn len(&self) -> usize {
         self.peers.len()
--- a/tests/flows_survive.rs
+++ b/tests/flows_survive.rs
@@ -126,6 +126,46 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_balancer_that_is_told_to_stop_leaves_in_order() {
+    let mut stream = StreamSite::start().await;
+    stream.read_on().await;
+    for index in 0..2 {
+        let rest = [1 - u8::try_from(index).expect("0 or 1"), 2];
+        let joined = stream.site.start_balancer(2);
+        stream.balancers[index].signal("TERM");
+        stream.fabric.set_balancers(stream.site.listeners(0, &rest));
+        stream.read_on().await;
+        let left = &mut stream.balancers[index];
+        support::eventually("the balancer ends", async || {
+            left.try_wait().is_some_and(|status| status.success())
+        })
+        .await;
+        stream.balancers[index] = stream
+            .site
+            .start_balancer(u8::try_from(index).expect("0 or 1"));
+        stream
+            .fabric
+            .set_balancers(stream.site.listeners(0, &[0, 1]));
+        stream.read_on().await;
+        drop(joined);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_a_rotation_of_the_secret() {
+    let mut stream = StreamSite::start().await;
+    stream.read_on().await;
+    // The old epoch stays live for longer than a connection ID, then it goes.
+    stream.site.write_secret(2, &[1, 2]);
+    stream.read_on().await;
+    stream.read_on().await;
+    stream.site.write_secret(2, &[2]);
+    stream.read_on().await;
+    let caller = stream.site.connect(0, "barge-control").await;
+    assert_eq!(get(&caller, "/name").await.body, "camera");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_goes_on_while_control_is_away() {
     let mut stream = StreamSite::start().await;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,11 +4,10 @@
 
 use std::{
     fs,
-    net::{Ipv4Addr, SocketAddrV4},
+    net::{Ipv4Addr, SocketAddrV4, TcpListener},
     os::unix::fs::PermissionsExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU8, Ordering},
     time::Duration,
 };
 
@@ -17,7 +16,7 @@
     control::{api::ApplyRequest, client::ControlClient},
     demo::{FabricStandIn, UpstreamStandIn},
     manifest::Manifest,
-    secret::{DeploymentSecret, SecretStore},
+    secret::{DeploymentSecret, SecretEpoch, SecretStore},
     tls::{CertificateFiles, ServerTrust, TestCertificate},
 };
 use serde_json::{Value, json};
@@ -32,7 +31,10 @@
 /// The port of the first service; the second has the next one.
 pub const FIRST_PORT: u16 = 4433;
 
-static NEXT_BLOCK: AtomicU8 = AtomicU8::new(1);
+/// The port whose holder owns a block of addresses.
+const BLOCK_PORT: u16 = 65_000;
+/// The blocks that are tried before a test gives up.
+const MOST_BLOCKS: u32 = 50_000;
 
 /// A process of the site; it is killed when dropped.
 pub struct SiteProcess {
@@ -77,30 +79,41 @@
     pub folder: TempDir,
     block: (u8, u8),
     certificates: CertificateFiles,
+    _reservation: TcpListener,
 }
 
 impl TestSite {
     /// Prepares files and a block of loopback addresses of its own.
     pub fn new() -> Self {
         let folder = tempfile::tempdir().expect("a temporary folder");
-        let pid = std::process::id();
-        let block = (
-            u8::try_from(1 + pid % 250).expect("below 251"),
-            u8::try_from((pid / 250) % 50).expect("below 50") * 5
-                + NEXT_BLOCK.fetch_add(1, Ordering::Relaxed) % 5,
-        );
+        let (block, reservation) = reserve_block();
         let certificate =
             TestCertificate::new(&["barge-control", "logbook"]).expect("a certificate");
         let certificates = certificate.write(folder.path()).expect("a writable folder");
-        let secret = folder.path().join("secret.json");
-        let text = serde_json::to_string(&DeploymentSecret::random(1)).expect("plain JSON");
-        fs::write(&secret, text).expect("a writable folder");
-        fs::set_permissions(&secret, fs::Permissions::from_mode(0o600)).expect("own file");
-        Self {
+        let site = Self {
             folder,
             block,
             certificates,
-        }
+            _reservation: reservation,
+        };
+        site.write_secret(1, &[1]);
+        site
+    }
+
+    /// Writes a secret with these epochs; each has the same keys every time.
+    pub fn write_secret(&self, active: u8, epochs: &[u8]) {
+        let epochs = epochs
+            .iter()
+            .map(|epoch| SecretEpoch {
+                epoch: *epoch,
+                secret: vec![*epoch; 32],
+            })
+            .collect();
+        let text = serde_json::to_string(&DeploymentSecret { active, epochs });
+        let fresh = self.folder.path().join("secret.fresh");
+        fs::write(&fresh, text.expect("plain JSON")).expect("a writable folder");
+        fs::set_permissions(&fresh, fs::Permissions::from_mode(0o600)).expect("own file");
+        fs::rename(&fresh, self.secret_file()).expect("own file");
     }
 
     pub fn ip(&self, last: u8) -> Ipv4Addr {
@@ -199,6 +212,7 @@
             "secret_file": self.secret_file(),
             "tls": self.certificates,
             "admin_listen": self.address(100 + index, 7200),
+            "connection_id_millis": 1000,
         });
         let path = env!("CARGO_BIN_EXE_cyclamen-agent");
         self.start("cyclamen-agent", path, &name, &settings)
@@ -306,6 +320,19 @@
         .unwrap_or_else(|error| panic!("GET {path}: {error}"))
 }
 
+/// Finds a block of loopback addresses that no other test holds.
+fn reserve_block() -> ((u8, u8), TcpListener) {
+    let start = std::process::id();
+    for attempt in 0..MOST_BLOCKS {
+        let [_, _, high, low] = (start.wrapping_add(attempt) % MOST_BLOCKS + 256).to_be_bytes();
+        let address = (Ipv4Addr::new(127, high, low, 254), BLOCK_PORT);
+        if let Ok(reservation) = TcpListener::bind(address) {
+            return ((high, low), reservation);
+        }
+    }
+    panic!("every block of loopback addresses is taken");
+}
+
 fn domain(index: u8) -> Value {
     json!({ "region": "vestland", "failure_domain": DOMAINS[usize::from(index) % 3] })
 }
