Operators apply manifests, ask for status, dumps and drains

Cause: a pipeline could check a manifest and not put it in force, and nothing showed where it is in force. Asking only the leader was ruled out: it misses watchers of the followers.

--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,24 @@
+//! What every process offers an operator: its dump, its drain, its metrics.
+
+mod admin_call;
+mod admin_client;
+mod admin_error;
+mod admin_refusal;
+mod admin_server;
+#[allow(dead_code, reason = "the agent does not hand over its drain yet")]
+mod admin_source;
+mod drain_command;
+mod metrics_listener;
+
+pub use admin_error::AdminError;
+pub use admin_refusal::AdminRefusal;
+pub use admin_server::AdminServer;
+pub use admin_source::AdminSource;
+pub use metrics_listener::start_metrics;
+
+pub(crate) use admin_call::AdminCall;
+pub(crate) use admin_client::AdminClient;
+pub(crate) use drain_command::{DrainCommand, DrainRequest};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/admin/tests/calls.rs
@@ -0,0 +1,83 @@
+//! Proven calls are answered by the source.
+
+use tokio::sync::mpsc;
+
+use super::{ANY_PORT, sample_secret, sample_source, start};
+use crate::{
+    admin::{AdminClient, AdminError, AdminRefusal, AdminServer, DrainCommand, DrainRequest},
+    agent::drain::{DrainReport, DrainStage, OpenWork},
+    clock::{ClockMillis, SpanMillis},
+};
+
+fn sample_report() -> DrainReport {
+    DrainReport {
+        stage: DrainStage::Leaving {
+            since: ClockMillis::new(5),
+            cut_at: None,
+        },
+        announced: true,
+        open: OpenWork {
+            streams: 2,
+            ..OpenWork::default()
+        },
+    }
+}
+
+#[tokio::test]
+async fn a_dump_is_the_state_as_json() {
+    let secret = sample_secret();
+    let (server, address) = start(&secret, sample_source()).await;
+    let client = AdminClient::new(address, secret).expect("a client");
+    let state = client.dump().await.expect("a dump");
+    assert_eq!(state["packets"], 7);
+    server.stop().await;
+}
+
+#[tokio::test]
+async fn a_drain_goes_to_the_agent_and_its_report_comes_back() {
+    let secret = sample_secret();
+    let (commands, mut seen) = mpsc::unbounded_channel();
+    let source = sample_source().with_drain(move |command| {
+        commands.send(command).expect("the test listens");
+        async { Some(sample_report()) }
+    });
+    let (_server, address) = start(&secret, source).await;
+    let client = AdminClient::new(address, secret).expect("a client");
+    let request = DrainRequest {
+        deadline: Some(SpanMillis::new(5_000)),
+    };
+    assert_eq!(
+        client.drain(request).await.expect("a report"),
+        sample_report()
+    );
+    client.cancel_drain().await.expect("a report");
+    client.drain_status().await.expect("a report");
+    assert_eq!(seen.recv().await, Some(DrainCommand::Begin(request)));
+    assert_eq!(seen.recv().await, Some(DrainCommand::Cancel));
+    assert_eq!(seen.recv().await, Some(DrainCommand::Report));
+}
+
+#[tokio::test]
+async fn a_process_without_a_drain_says_so() {
+    let secret = sample_secret();
+    let (_server, address) = start(&secret, sample_source()).await;
+    let client = AdminClient::new(address, secret).expect("a client");
+    let error = client.drain_status().await.expect_err("no agent");
+    assert!(matches!(
+        error,
+        AdminError::Refused {
+            refusal: AdminRefusal::NothingToDrain,
+            ..
+        }
+    ));
+}
+
+#[tokio::test]
+async fn an_address_in_use_is_named() {
+    let secret = sample_secret();
+    let (_server, address) = start(&secret, sample_source()).await;
+    assert_eq!(address.ip(), ANY_PORT.ip());
+    let error = AdminServer::start(address, secret, sample_source()).await;
+    let error = error.expect_err("the port is taken");
+    assert!(error.to_string().contains(&address.to_string()));
+}
--- a/src/agent/drain/drain_report.rs
+++ b/src/agent/drain/drain_report.rs
@@ -23,7 +23,7 @@
 }
 
 /// How far a drain has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "stage")]
 pub(crate) enum DrainStage {
     /// No drain runs.
@@ -45,7 +45,7 @@
 }
 
 /// What an operator sees of a drain.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct DrainReport {
     /// How far it has come.
     pub(crate) stage: DrainStage,
--- a/src/cli/cli_error.rs
+++ b/src/cli/cli_error.rs
@@ -4,8 +4,9 @@
 use thiserror::Error;
 
 use crate::{
-    caller::CallerError, manifest::ManifestError, program::ExitStatus, secret::SecretError,
-    settings::SettingsError, tls::TlsError,
+    admin::AdminError, caller::CallerError, control::client::ControlClientError,
+    manifest::ManifestError, program::ExitStatus, secret::SecretError, settings::SettingsError,
+    tls::TlsError,
 };
 
 /// Why a command failed.
@@ -39,6 +40,14 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Caller(#[from] CallerError),
+    /// The control group refused a call or was not reached.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Control(#[from] ControlClientError),
+    /// A process gave no answer, or refused.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Admin(#[from] AdminError),
     /// The time that the operator gave has passed.
     #[error("no answer within {seconds} s")]
     TimedOut {
--- a/src/cli/cli_options.rs
+++ b/src/cli/cli_options.rs
@@ -4,7 +4,10 @@
 
 use super::{
     OutputFormat,
-    command::{CallOptions, CertificateOptions, CheckOptions, SecretOptions},
+    command::{
+        ApplyOptions, CallOptions, CertificateOptions, CheckOptions, DrainOptions, DumpOptions,
+        SecretOptions, StatusOptions,
+    },
 };
 
 /// The command line of `cyclamen`.
@@ -33,6 +36,18 @@
     /// Checks a manifest.
     #[options(help = "check a manifest")]
     Check(CheckOptions),
+    /// Hands a manifest over.
+    #[options(help = "put a manifest in force")]
+    Apply(ApplyOptions),
+    /// Prints how control does.
+    #[options(help = "print how control does and where the manifest is in force")]
+    Status(StatusOptions),
+    /// Prints the state of a process.
+    #[options(help = "print the whole state of one process")]
+    Dump(DumpOptions),
+    /// Leads a target through a planned stop.
+    #[options(help = "drain an upstream, cancel that, or look at it")]
+    Drain(DrainOptions),
     /// Sends a request to a service.
     #[options(help = "send one HTTP/3 request to a service")]
     Call(CallOptions),
@@ -49,6 +64,10 @@
     pub(crate) const fn output(&self) -> OutputFormat {
         let json = match self {
             Self::Check(options) => options.json,
+            Self::Apply(options) => options.json,
+            Self::Status(options) => options.json,
+            Self::Dump(options) => options.json,
+            Self::Drain(options) => options.json,
             Self::Call(options) => options.json,
             Self::Secret(options) => options.json,
             Self::TlsTestCertificate(options) => options.json,
--- a/src/cli/cli_run.rs
+++ b/src/cli/cli_run.rs
@@ -1,14 +1,19 @@
-use std::{env, process::ExitCode};
+use std::{
+    env,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use gumdrop::Options;
 
 use super::{
-    CliError, CliEvent, OutputFormat, UsageFault,
+    CliError, CliEvent, OperatorSettings, OutputFormat, UsageFault,
     cli_options::{CliCommand, CliOptions},
 };
 use crate::{
     event::log_event,
     program::{ExitStatus, LogFormat, start_logs},
+    settings::load_settings,
 };
 
 /// Runs the operator's command line.
@@ -39,19 +44,42 @@
         println!("cyclamen {}", env!("CARGO_PKG_VERSION"));
         return ExitStatus::Done;
     }
+    if options.check_settings {
+        return check_settings(options.settings.as_deref());
+    }
     let Some(command) = &options.command else {
         let fault = UsageFault::Missing { name: "COMMAND" };
         return fail(OutputFormat::Text, &fault.into());
     };
-    match run_command(command) {
+    match run_command(command, options.settings.clone()) {
         Ok(status) => status,
         Err(error) => fail(command.output(), &error),
     }
 }
 
-fn run_command(command: &CliCommand) -> Result<ExitStatus, CliError> {
+fn check_settings(path: Option<&Path>) -> ExitStatus {
+    let Some(path) = path else {
+        let fault = UsageFault::Missing {
+            name: "--settings FILE",
+        };
+        return fail(OutputFormat::Text, &fault.into());
+    };
+    match load_settings::<OperatorSettings>(path) {
+        Ok(_) => {
+            println!("{}: settings are good", path.display());
+            ExitStatus::Done
+        }
+        Err(error) => fail(OutputFormat::Text, &error.into()),
+    }
+}
+
+fn run_command(command: &CliCommand, settings: Option<PathBuf>) -> Result<ExitStatus, CliError> {
     match command {
         CliCommand::Check(options) => options.run(),
+        CliCommand::Apply(options) => block_on(options.run(settings)),
+        CliCommand::Status(options) => block_on(options.run(settings)),
+        CliCommand::Dump(options) => block_on(options.run(settings)),
+        CliCommand::Drain(options) => block_on(options.run(settings)),
         CliCommand::Call(options) => block_on(options.run()),
         CliCommand::Secret(options) => options.run(),
         CliCommand::TlsTestCertificate(options) => options.run(),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,12 +5,20 @@
 mod cli_options;
 mod cli_run;
 mod command;
+mod group_view;
+mod in_force_report;
+mod operator_access;
+mod operator_settings;
 mod output_format;
 
 pub use cli_run::run_cli;
+pub use operator_settings::OperatorSettings;
 
 pub(crate) use cli_error::{CliError, UsageFault};
 pub(crate) use cli_event::CliEvent;
+pub(crate) use group_view::GroupView;
+pub(crate) use in_force_report::InForceReport;
+pub(crate) use operator_access::{AddressList, OperatorAccess, parse_address};
 pub(crate) use output_format::OutputFormat;
 
 #[cfg(test)]
--- /dev/null
+++ b/src/cli/operator_settings.rs
@@ -0,0 +1,34 @@
+use std::{
+    net::SocketAddrV4,
+    path::{Path, PathBuf},
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::settings::{SettingsCheck, SettingsError};
+
+/// The settings of `cyclamen`, so that they need not be typed each time.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorSettings {
+    /// The call addresses of the control replicas.
+    #[serde(default)]
+    pub control: Vec<SocketAddrV4>,
+    /// The file of the deployment secret.
+    #[serde(default)]
+    pub secret: Option<PathBuf>,
+}
+
+impl SettingsCheck for OperatorSettings {
+    fn check(&self, path: &Path) -> Result<(), SettingsError> {
+        match self.control.iter().find(|address| address.port() == 0) {
+            Some(address) => Err(SettingsError::OutOfRange {
+                path: path.to_owned(),
+                field: "control",
+                value: address.to_string(),
+                allowed: "addresses with a port other than 0",
+            }),
+            None => Ok(()),
+        }
+    }
+}
--- a/src/cli/tests/mod.rs
+++ b/src/cli/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the command line, without any network.
 
 mod arguments;
+mod in_force;
 mod secrets;
 
 use super::cli_run::run_arguments;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each duty has its folder; `docs/DESIGN.md` tells how they act together.
 
+pub mod admin;
 pub mod agent;
 pub mod balancer;
 pub mod caller;
@@ -12,6 +13,7 @@
 pub mod key;
 pub mod manifest;
 pub mod program;
+pub mod proof;
 pub mod route;
 pub mod secret;
 pub mod settings;
--- a/src/manifest/manifest_text.rs
+++ b/src/manifest/manifest_text.rs
@@ -98,6 +98,8 @@
 }
 
 fn malformed(place: &str, error: &serde_json::Error) -> ManifestError {
+    // The decoder names no place within text that breaks off.
+    let place = if place == "?" { "." } else { place };
     ManifestError::Malformed {
         place: place.to_owned(),
         line: error.line(),
