Calls that a process doesn't know are told apart from silence

Cause: a drain sent to a control replica was reported as no proven answer. Change: a JSON-RPC error without a refusal names the process's message.

--- a/src/admin/admin_client.rs
+++ b/src/admin/admin_client.rs
@@ -82,9 +82,15 @@
 
     fn explain(&self, error: ClientError) -> AdminError {
         let address = self.address;
-        match read_refusal(&error) {
-            Some(refusal) => AdminError::Refused { address, refusal },
-            None => AdminError::Unanswered {
+        if let Some(refusal) = read_refusal(&error) {
+            return AdminError::Refused { address, refusal };
+        }
+        match error {
+            ClientError::Call(object) => AdminError::UnknownCall {
+                address,
+                message: object.message().to_owned(),
+            },
+            error => AdminError::Unanswered {
                 address,
                 cause: Box::new(error),
             },
--- a/src/admin/admin_error.rs
+++ b/src/admin/admin_error.rs
@@ -49,6 +49,14 @@
         #[source]
         cause: Box<jsonrpsee::core::ClientError>,
     },
+    /// The process knows no such call.
+    #[error("{address} answers, but not this call: {message}")]
+    UnknownCall {
+        /// The address that was called.
+        address: SocketAddr,
+        /// What the process answered.
+        message: String,
+    },
     /// The process refused the call.
     #[error("{address}: {refusal}")]
     Refused {
--- a/src/admin/admin_source.rs
+++ b/src/admin/admin_source.rs
@@ -8,12 +8,14 @@
 
 type Pending<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 type DumpAnswer = Result<Value, AdminRefusal>;
+type DumpFunction = dyn Fn() -> Pending<DumpAnswer> + Send + Sync;
+type DrainFunction = dyn Fn(DrainCommand) -> Pending<Option<DrainReport>> + Send + Sync;
 
 /// Where an admin server gets its answers within the process.
 #[derive(Clone)]
 pub struct AdminSource {
-    dump: Arc<dyn Fn() -> Pending<DumpAnswer> + Send + Sync>,
-    drain: Option<Arc<dyn Fn(DrainCommand) -> Pending<Option<DrainReport>> + Send + Sync>>,
+    dump: Arc<DumpFunction>,
+    drain: Option<Arc<DrainFunction>>,
 }
 
 impl AdminSource {
