Properties hold the state, the leases, the feed, proofs and the client

Cause: the control service had only calls over loopback as tests. With TargetRemoved left out for a target that changed its service, the convergence properties fail, as they should.

--- a/src/control/client/control_client.rs
+++ b/src/control/client/control_client.rs
@@ -295,7 +295,7 @@
         }
     }
 
-    fn known_leader(&self) -> Option<SocketAddrV4> {
+    pub(super) fn known_leader(&self) -> Option<SocketAddrV4> {
         *lock(&self.shared.leader)
     }
 
--- a/src/control/client/tests.rs
+++ b/src/control/client/tests/mod.rs
@@ -1,1 +1,4 @@
 //! Tests of the client.
+
+mod plan;
+mod silence;
--- a/src/control/feed/tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Tests of the feed.
--- /dev/null
+++ b/src/control/feed/tests/convergence.rs
@@ -0,0 +1,176 @@
+//! Deltas from any point lead to the same routes as a snapshot.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+
+use crate::{
+    control::{
+        api::FeedReply,
+        feed::{ChangeHistory, FeedAnswer, FeedScope, ReplicaState},
+        state::tests::generator::{any_commands, fixed_cases},
+    },
+    key::{FeedRevision, ServiceNumber, TargetKey},
+    route::{RouteChange, RouteDelta, RouteSnapshot, ServiceRoute, TargetRoute},
+};
+
+/// The routes as a watcher holds them.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+struct WatchedRoutes {
+    services: BTreeMap<ServiceNumber, ServiceRoute>,
+    targets: BTreeMap<TargetKey, TargetRoute>,
+}
+
+impl WatchedRoutes {
+    fn from_snapshot(snapshot: RouteSnapshot) -> Self {
+        let services = snapshot.services.into_iter();
+        let targets = snapshot.targets.into_iter();
+        Self {
+            services: services.map(|route| (route.number, route)).collect(),
+            targets: targets.map(|route| (route.key, route)).collect(),
+        }
+    }
+
+    fn execute(&mut self, delta: RouteDelta) {
+        for change in delta.changes {
+            match change {
+                RouteChange::ServiceSet(route) => {
+                    self.services.insert(route.number, route);
+                }
+                RouteChange::ServiceRemoved(number) => {
+                    self.services.remove(&number);
+                }
+                RouteChange::TargetSet(route) => {
+                    self.targets.insert(route.key, route);
+                }
+                RouteChange::TargetRemoved(key) => {
+                    self.targets.remove(&key);
+                }
+            }
+        }
+    }
+}
+
+fn any_scope() -> impl Strategy<Value = FeedScope> {
+    prop_oneof![
+        Just(FeedScope::All),
+        (1_u16..5).prop_map(|number| FeedScope::Service(ServiceNumber::new(number))),
+    ]
+}
+
+/// Asks until nothing is left, as a watcher does; returns the replies.
+fn catch_up(
+    replica: &mut ReplicaState,
+    scope: FeedScope,
+    routes: &mut WatchedRoutes,
+    in_force: &mut FeedRevision,
+) -> usize {
+    for replies in 0.. {
+        let reply = match replica.answer(scope, *in_force) {
+            FeedAnswer::Unchanged(revision) => {
+                *in_force = revision;
+                return replies;
+            }
+            FeedAnswer::Behind => panic!("the replica can't be behind its own feed"),
+            FeedAnswer::News(reply) => reply,
+        };
+        match serde_json::from_str(reply.text.get()).expect("a reply") {
+            FeedReply::Delta(delta) => {
+                assert_eq!(delta.after, *in_force);
+                assert!(delta.revision > *in_force);
+                *in_force = delta.revision;
+                routes.execute(delta);
+            }
+            FeedReply::Snapshot(snapshot) => {
+                assert!(snapshot.revision > *in_force);
+                *in_force = snapshot.revision;
+                *routes = WatchedRoutes::from_snapshot(snapshot);
+            }
+            FeedReply::Unchanged { .. } => panic!("news are a delta or a snapshot"),
+        }
+    }
+    unreachable!("the loop returns")
+}
+
+proptest! {
+    #![proptest_config(fixed_cases(256, 31))]
+
+    #[test]
+    fn a_watcher_that_looks_in_now_and_then_holds_what_a_snapshot_shows(
+        commands in any_commands(60),
+        scope in any_scope(),
+        looks in prop::collection::vec(any::<bool>(), 60),
+        most_changes in 1_usize..30,
+    ) {
+        let history = ChangeHistory::new(FeedRevision::EMPTY).with_most_changes(most_changes);
+        let mut replica = ReplicaState::new().with_history(history);
+        let mut routes = WatchedRoutes::default();
+        let mut in_force = FeedRevision::EMPTY;
+        for (command, look) in commands.iter().zip(looks) {
+            replica.apply(&command.encode().expect("a command has bytes"));
+            if look {
+                catch_up(&mut replica, scope, &mut routes, &mut in_force);
+            }
+        }
+        catch_up(&mut replica, scope, &mut routes, &mut in_force);
+        prop_assert_eq!(in_force, replica.state().revision());
+        prop_assert_eq!(routes, WatchedRoutes::from_snapshot(replica.routes(scope)));
+    }
+
+    #[test]
+    fn a_delta_cut_anywhere_leads_to_the_same_routes(
+        commands in any_commands(60),
+        scope in any_scope(),
+        start in 0_usize..60,
+        byte_limit in 1_usize..200,
+    ) {
+        let mut replica = ReplicaState::new();
+        let start = start.min(commands.len());
+        for command in &commands[..start] {
+            replica.apply(&command.encode().expect("a command has bytes"));
+        }
+        let mut routes = WatchedRoutes::from_snapshot(replica.routes(scope));
+        let mut in_force = replica.state().revision();
+        for command in &commands[start..] {
+            replica.apply(&command.encode().expect("a command has bytes"));
+        }
+        let newest = replica.state().revision();
+        while in_force < newest {
+            let delta = replica.history().delta(scope, in_force, byte_limit).expect("all held");
+            prop_assert!(delta.revision > in_force);
+            in_force = delta.revision;
+            routes.execute(delta);
+        }
+        prop_assert_eq!(routes, WatchedRoutes::from_snapshot(replica.routes(scope)));
+    }
+
+    #[test]
+    fn a_restored_replica_serves_watchers_of_the_former_one(
+        commands in any_commands(40),
+        scope in any_scope(),
+        cut in 0_usize..40,
+    ) {
+        let mut replica = ReplicaState::new();
+        let mut routes = WatchedRoutes::default();
+        let mut in_force = FeedRevision::EMPTY;
+        let cut = cut.min(commands.len());
+        for command in &commands[..cut] {
+            replica.apply(&command.encode().expect("a command has bytes"));
+        }
+        catch_up(&mut replica, scope, &mut routes, &mut in_force);
+        let mut other = ReplicaState::new();
+        other.restore(&replica.snapshot().expect("bytes")).expect("its own bytes");
+        for command in &commands[cut..] {
+            other.apply(&command.encode().expect("a command has bytes"));
+        }
+        catch_up(&mut other, scope, &mut routes, &mut in_force);
+        prop_assert_eq!(routes, WatchedRoutes::from_snapshot(other.routes(scope)));
+    }
+}
+
+#[test]
+fn a_replica_never_answers_below_what_the_watcher_has() {
+    let mut replica = ReplicaState::new();
+    let answer = replica.answer(FeedScope::All, FeedRevision::new(1));
+    assert!(matches!(answer, FeedAnswer::Behind));
+}
--- /dev/null
+++ b/src/control/feed/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of the feed.
+
+mod budget;
+mod convergence;
+mod watchers;
--- a/src/control/lease/lease_record.rs
+++ b/src/control/lease/lease_record.rs
@@ -4,7 +4,7 @@
 };
 
 /// A registered run whose lease is kept.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct LeaseClaim {
     /// The target's address.
     pub(crate) target: TargetKey,
--- /dev/null
+++ b/src/control/lease/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of the leases.
+
+mod mass_expiry;
+mod renewal;
--- a/src/control/server/mod.rs
+++ b/src/control/server/mod.rs
@@ -19,4 +19,4 @@
 use lease_driver::drive_leases;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -22,4 +22,4 @@
 pub(crate) use state_step::{FeedChange, StateStep};
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/proof/tests/mod.rs
+++ b/src/proof/tests/mod.rs
@@ -1,1 +1,4 @@
 //! Tests of call proofs.
+
+mod layer;
+mod proof;
