--- a/src/control/store/tests/mod.rs
+++ b/src/control/store/tests/mod.rs
@@ -37,8 +37,8 @@
         })
         .collect();
     for asker in askers {
-        let confirmed = asker.await.expect("no panic");
-        assert_eq!(confirmed, Ok(FeedRevision::new(2)));
+        let answer = asker.await.expect("no panic");
+        assert_eq!(answer, Ok(FeedRevision::new(2)));
     }
 }
 
