Property tests of the log draw the same cases in every run

Cause: a landing must not fail by a case that no earlier run has drawn. Conclusion: new cases are drawn by changing the seed on purpose.

--- a/src/control/journal/tests/damage.rs
+++ b/src/control/journal/tests/damage.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use tempfile::{TempDir, tempdir};
 
-use super::{DISK, entries_batch, entry, files, open, snapshot_batch};
+use super::{DISK, entries_batch, entry, files, fixed_cases, open, snapshot_batch};
 use crate::control::{
     journal::{
         JournalError, ReplicaJournal,
@@ -100,7 +100,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(48))]
+    #![proptest_config(fixed_cases(48))]
 
     #[test]
     fn a_torn_end_loses_only_what_was_not_synced(
--- a/src/control/journal/tests/folder.rs
+++ b/src/control/journal/tests/folder.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 use tempfile::tempdir;
 
-use super::{DISK, entries_batch, entry, files, open, snapshot_batch, state_batch};
+use super::{DISK, entries_batch, entry, files, fixed_cases, open, snapshot_batch, state_batch};
 use crate::control::{
     journal::{JournalError, ReplicaJournal},
     replica::{DiskId, LogIndex, RecoveredState, TermNumber},
@@ -143,7 +143,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(32))]
+    #![proptest_config(fixed_cases(32))]
 
     #[test]
     fn a_restart_finds_every_batch(
--- a/src/control/journal/tests/mod.rs
+++ b/src/control/journal/tests/mod.rs
@@ -6,6 +6,10 @@
 
 use std::{fs, path::PathBuf};
 
+use proptest::{
+    prelude::ProptestConfig,
+    test_runner::{RngAlgorithm, RngSeed},
+};
 use tempfile::TempDir;
 
 use super::ReplicaJournal;
@@ -16,6 +20,20 @@
 
 const DISK: DiskId = DiskId::new(7);
 
+/// The seed of every property test of this folder.
+const SEED: u64 = 31;
+
+/// Returns a configuration that draws the same cases in every run.
+fn fixed_cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..ProptestConfig::default()
+    }
+}
+
 fn open(folder: &TempDir) -> (ReplicaJournal, RecoveredState) {
     ReplicaJournal::open(folder.path(), DISK).expect("a whole folder")
 }
--- a/src/control/replica/tests/mod.rs
+++ b/src/control/replica/tests/mod.rs
@@ -7,3 +7,22 @@
 mod shuffler;
 mod single_core;
 mod test_node;
+
+use proptest::{
+    prelude::ProptestConfig,
+    test_runner::{RngAlgorithm, RngSeed},
+};
+
+/// The seed of every property test of this folder.
+const SEED: u64 = 31;
+
+/// Returns a configuration that draws the same cases in every run.
+fn fixed_cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..ProptestConfig::default()
+    }
+}
--- a/src/control/replica/tests/promises.rs
+++ b/src/control/replica/tests/promises.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 
-use super::shuffler::Shuffler;
+use super::{fixed_cases, shuffler::Shuffler};
 use crate::{
     clock::SpanMillis,
     control::replica::{PeerMessage, ReplicaReport, limits::ELECTION_MAX_MILLIS},
@@ -122,7 +122,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(96))]
+    #![proptest_config(fixed_cases(96))]
 
     #[test]
     fn nothing_accepted_is_lost_with_three(
