cyclamen-control runs on the replicated log

Cause: control kept its state in memory only; a restart lost every manifest.

Change: `ControlStore::Replicated` hands commands and reads to a driver that owns the core; a thread syncs the data folder, so syncs don't hold the runtime, and what is proposed meanwhile shares the next sync. Settings: `replica` (own place, 1 by default), `link_listen`, and `peers` with `replica`, `link` and `calls` each, in place of bare call addresses. A failed write or sync stops the process with the file's name. The store without a log is left to tests.

Ruled out: a kameo actor for the driver. Its mailbox would add a queue between ticks, messages and syncs without bounds of its own; the lease keeper stays one.

Tests: tests/control_durability.rs starts the built program: SIGKILL amid accepted changes, eight times; three replicas with the leader killed, thrice; a frozen leader that wakes with a call waiting; a majority frozen; a second disk lost right after the repair of the first is reported.

--- a/src/control/control_run.rs
+++ b/src/control/control_run.rs
@@ -8,8 +8,9 @@
 use super::{
     ControlEvent, ControlSettings,
     feed::ReplicaState,
+    replica_shell::{ReplicaShellError, start_replica},
     server::{ControlServer, ControlService, ServerError, write_listening},
-    store::{ControlStore, MemoryStore, StateHandle},
+    store::{ControlStore, StateHandle},
 };
 use crate::{
     event::log_event,
@@ -31,6 +32,10 @@
     /// The data folder can't be written.
     #[error("cannot write into the data folder: {0}")]
     DataFolder(#[source] io::Error),
+    /// The replica of the log can't start, or can't go on.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Replica(#[from] ReplicaShellError),
     /// Metrics can't be offered.
     #[error("cannot offer metrics: {0}")]
     Metrics(#[from] BuildError),
@@ -52,19 +57,27 @@
             .with_http_listener(address)
             .install()?;
     }
+    let options = settings.replica_options();
     let secret = SecretStore::open(settings.secret_file)?;
     let (listener, address) = ControlServer::bind(settings.listen)?;
     let state = StateHandle::new(ReplicaState::new());
-    let store = ControlStore::Memory(MemoryStore::new(state.clone()));
+    let replica = start_replica(options, state.clone(), secret.clone()).await?;
+    let store = ControlStore::Replicated(replica.handle);
     let service = ControlService::new(settings.name.clone(), address, state, store);
     let server = ControlServer::start(listener, service, secret)?;
     write_listening(&settings.data_folder, address).map_err(ControlError::DataFolder)?;
     log_event!(info, ControlEvent::Started, name = settings.name, %address);
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = tokio::signal::ctrl_c() => {}
-    }
+    let failure = tokio::select! {
+        _ = terminate.recv() => None,
+        _ = tokio::signal::ctrl_c() => None,
+        ended = replica.task => Some(ended.unwrap_or(ReplicaShellError::Ended)),
+    };
     server.stop().await;
+    if let Some(error) = failure {
+        // Nothing may be acknowledged any more.
+        log_event!(error, ControlEvent::ReplicaFailed, %error);
+        return Err(error.into());
+    }
     log_event!(info, ControlEvent::Stopped);
     Ok(())
 }
--- a/src/control/journal/mod.rs
+++ b/src/control/journal/mod.rs
@@ -9,7 +9,7 @@
 mod replica_journal;
 mod segment_file;
 
-pub(crate) use journal_error::JournalError;
+pub use journal_error::{DamageFault, JournalError};
 pub(crate) use replica_journal::ReplicaJournal;
 
 #[cfg(test)]
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,33 +7,23 @@
 mod control_settings;
 #[allow(dead_code, reason = "bounds are set by tests alone")]
 pub(crate) mod feed;
-#[allow(
-    dead_code,
-    unused_imports,
-    reason = "wired with the shell of the replica"
-)]
 mod journal;
 #[allow(dead_code, reason = "counts are read by the bench alone")]
 pub(crate) mod lease;
-#[allow(
-    dead_code,
-    unused_imports,
-    reason = "wired with the shell of the replica"
-)]
+mod peer_settings;
 mod replica;
-#[allow(
-    dead_code,
-    unused_imports,
-    reason = "wired with the shell of the replica"
-)]
 mod replica_link;
+mod replica_shell;
 pub(crate) mod server;
-#[allow(dead_code, reason = "snapshots are used by the replicated store")]
 pub(crate) mod state;
-#[allow(dead_code, reason = "snapshots are used by the replicated store")]
 pub(crate) mod store;
 
 pub use control_run::{ControlError, run_control};
 pub use control_settings::ControlSettings;
+pub use journal::{DamageFault, JournalError};
+pub use peer_settings::PeerSettings;
+pub use replica_link::LinkError;
+pub use replica_shell::ReplicaShellError;
+pub use state::StateError;
 
 pub(crate) use control_event::ControlEvent;
--- a/src/control/replica/hard_state.rs
+++ b/src/control/replica/hard_state.rs
@@ -52,6 +52,7 @@
     }
 
     /// Creates what an empty data folder holds.
+    #[cfg(test)]
     pub(crate) const fn new(disk: DiskId) -> Self {
         Self {
             hard_state: HardState::new(disk),
--- a/src/control/replica/identity.rs
+++ b/src/control/replica/identity.rs
@@ -14,6 +14,7 @@
     }
 
     /// Returns the plain number.
+    #[cfg(test)]
     pub(crate) const fn number(self) -> u8 {
         self.0
     }
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -29,19 +29,18 @@
 mod snapshots;
 
 pub(crate) use disk_queue::{DiskBatch, SyncToken};
-pub(crate) use group_members::{GroupMember, GroupMembers, MemberVote};
+pub(crate) use group_members::{GroupMembers, MemberVote};
 pub(crate) use group_snapshot::GroupSnapshot;
 pub(crate) use hard_state::{HardState, RecoveredState};
 pub(crate) use identity::{DiskId, GroupId, ReplicaId, ReplicaSeat};
-pub(crate) use limits::{MAX_ENTRY_BYTES, MAX_SNAPSHOT_BYTES, SNAPSHOT_CHUNK_BYTES, TICK_MILLIS};
+pub(crate) use limits::{MAX_ENTRY_BYTES, TICK_MILLIS};
 pub(crate) use log_entry::{EntryBody, EntryPayload, LogEntry};
 pub(crate) use log_position::{LogIndex, TermNumber};
 pub(crate) use peer_message::{PeerBody, PeerMessage};
 pub(crate) use replica_action::{ProposalOutcome, ReadOutcome, ReplicaAction, ReplicaReport};
 pub(crate) use replica_core::{ReplicaCore, ReplicaPeers};
 pub(crate) use replica_event::{ProposalKey, ReadKey, ReplicaEvent};
-pub(crate) use replica_log::LogCompaction;
-pub(crate) use replica_view::{MemberView, ReplicaView};
+pub(crate) use replica_view::ReplicaView;
 
 #[cfg(test)]
 mod tests;
--- a/src/control/replica/replica_action.rs
+++ b/src/control/replica/replica_action.rs
@@ -106,8 +106,6 @@
     },
     /// Replace the state machine's state.
     Restore {
-        /// The last entry that the state includes.
-        index: LogIndex,
         /// The state.
         payload: EntryPayload,
     },
--- a/src/control/replica/replica_core.rs
+++ b/src/control/replica/replica_core.rs
@@ -94,6 +94,7 @@
     }
 
     /// Sets when the log is compacted.
+    #[cfg(test)]
     pub(crate) fn with_compaction(mut self, compaction: LogCompaction) -> Self {
         self.compaction = compaction;
         self
--- a/src/control/replica/snapshots.rs
+++ b/src/control/replica/snapshots.rs
@@ -66,10 +66,8 @@
     /// Has the state machine restored from the newest snapshot.
     pub(super) fn restore_snapshot(&mut self) {
         if let Some(snapshot) = self.log.snapshot() {
-            self.actions.push(ReplicaAction::Restore {
-                index: snapshot.index,
-                payload: snapshot.payload.clone(),
-            });
+            let payload = snapshot.payload.clone();
+            self.actions.push(ReplicaAction::Restore { payload });
         }
     }
 
--- a/src/control/replica/tests/shuffler.rs
+++ b/src/control/replica/tests/shuffler.rs
@@ -1,6 +1,6 @@
 //! Some replicas, their disks and the messages between them, in any order.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -10,8 +10,9 @@
     control::{
         api::ReplicaRole,
         replica::{
-            EntryPayload, LogCompaction, PeerMessage, ProposalKey, ReadKey, ReplicaAction,
-            ReplicaCore, ReplicaEvent, ReplicaId, ReplicaPeers, ReplicaView, TICK_MILLIS,
+            EntryPayload, PeerMessage, ProposalKey, ReadKey, ReplicaAction, ReplicaCore,
+            ReplicaEvent, ReplicaId, ReplicaPeers, ReplicaView, TICK_MILLIS,
+            replica_log::LogCompaction,
         },
     },
 };
@@ -270,7 +271,7 @@
                 self.record.note_apply(index.number(), &bytes);
                 self.nodes[node].state.insert(index.number(), bytes);
             }
-            ReplicaAction::Restore { payload, .. } => {
+            ReplicaAction::Restore { payload } => {
                 self.nodes[node].state = postcard::from_bytes(payload.bytes()).expect("a state");
             }
             ReplicaAction::TakeSnapshot { index } => {
--- a/src/control/replica_link/mod.rs
+++ b/src/control/replica_link/mod.rs
@@ -10,7 +10,7 @@
 mod link_sender;
 mod session_key;
 
-pub(crate) use link_error::LinkError;
+pub use link_error::LinkError;
 pub(crate) use link_listener::LinkListener;
 pub(crate) use link_sender::LinkSender;
 
--- /dev/null
+++ b/src/control/replica_shell/mod.rs
@@ -0,0 +1,14 @@
+//! The shell of a replica: it owns the core and the data folder, syncs apart
+//! from the runtime, and answers the calls that need the log.
+
+mod disk_writer;
+mod replica_driver;
+mod replica_handle;
+mod replica_options;
+mod report_log;
+mod shell_error;
+
+pub(crate) use replica_driver::start_replica;
+pub(crate) use replica_handle::ReplicaHandle;
+pub(crate) use replica_options::{PeerAddress, ReplicaOptions};
+pub use shell_error::ReplicaShellError;
--- /dev/null
+++ b/src/control/replica_shell/replica_driver.rs
@@ -0,0 +1,259 @@
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::JoinHandle,
+    time::{MissedTickBehavior, interval},
+};
+
+use super::{
+    ReplicaHandle, ReplicaOptions, ReplicaShellError,
+    disk_writer::{DiskWriter, SyncReport},
+    replica_handle::{ProposalAnswer, ReadAnswer, ReplicaCommand, overloaded, too_large},
+    report_log::log_report,
+};
+use crate::{
+    clock::ProcessClock,
+    control::{
+        ControlEvent,
+        api::CallRefusal,
+        journal::ReplicaJournal,
+        replica::{
+            DiskId, EntryPayload, LogIndex, PeerMessage, ProposalKey, ProposalOutcome, ReadKey,
+            ReadOutcome, ReplicaAction, ReplicaCore, ReplicaEvent, ReplicaId, ReplicaView,
+            TICK_MILLIS,
+        },
+        replica_link::{LinkListener, LinkSender},
+        store::StateHandle,
+    },
+    event::log_event,
+    secret::SecretStore,
+};
+
+/// The calls that wait until the driver takes them.
+const MAX_QUEUED_COMMANDS: usize = 8_192;
+/// The messages of other replicas that wait until the driver takes them.
+const MAX_QUEUED_MESSAGES: usize = 64;
+
+/// A replica that runs; the task ends only with an error.
+#[derive(Debug)]
+pub(crate) struct RunningReplica {
+    /// Hands work to the replica.
+    pub(crate) handle: ReplicaHandle,
+    /// The driver's task.
+    pub(crate) task: JoinHandle<ReplicaShellError>,
+}
+
+/// Opens the data folder and starts the replica.
+///
+/// # Errors
+///
+/// Fails when the folder is damaged or in use, or when the address for the
+/// other replicas can't be had.
+pub(crate) async fn start_replica(
+    options: ReplicaOptions,
+    state: StateHandle,
+    secret: SecretStore,
+) -> Result<RunningReplica, ReplicaShellError> {
+    let (journal, recovered) = ReplicaJournal::open(&options.folder, DiskId::new(rand::random()))?;
+    let clock = ProcessClock::new();
+    let core = ReplicaCore::new(options.places(), recovered, rand::random(), clock.now());
+    let (disk, synced) = DiskWriter::start(journal).map_err(ReplicaShellError::Thread)?;
+    let (inbox, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
+    if let Some(address) = options.listen {
+        let listener = LinkListener::bind(address).await?;
+        log_event!(info, ControlEvent::LinkListening, address = %listener.address());
+        tokio::spawn(listener.run(inbox.clone(), secret.clone()));
+    }
+    let links = options.peers.iter().map(|peer| {
+        let sender = LinkSender::start(peer.replica, peer.link, secret.clone());
+        (peer.replica, sender)
+    });
+    let calls = options.peers.iter().map(|peer| (peer.replica, peer.calls));
+    let (commands, queue) = mpsc::channel(MAX_QUEUED_COMMANDS);
+    let (publisher, view) = watch::channel(core.view(clock.now()));
+    let handle = ReplicaHandle {
+        commands,
+        view,
+        calls: Arc::new(calls.collect()),
+        state: state.clone(),
+    };
+    let driver = ReplicaDriver {
+        core,
+        state,
+        disk,
+        links: links.collect(),
+        handle: handle.clone(),
+        publisher,
+        clock,
+        keys: 0,
+        proposals: HashMap::new(),
+        reads: HashMap::new(),
+    };
+    let inputs = DriverInputs {
+        commands: queue,
+        messages,
+        synced,
+        _inbox: inbox,
+    };
+    let task = tokio::spawn(driver.run(inputs));
+    Ok(RunningReplica { handle, task })
+}
+
+/// What the driver waits for.
+struct DriverInputs {
+    commands: mpsc::Receiver<ReplicaCommand>,
+    messages: mpsc::Receiver<PeerMessage>,
+    synced: mpsc::UnboundedReceiver<SyncReport>,
+    /// Keeps `messages` open in a group of one.
+    _inbox: mpsc::Sender<PeerMessage>,
+}
+
+/// Feeds the core and does what it asks for.
+struct ReplicaDriver {
+    core: ReplicaCore,
+    state: StateHandle,
+    disk: DiskWriter,
+    links: BTreeMap<ReplicaId, LinkSender>,
+    handle: ReplicaHandle,
+    publisher: watch::Sender<ReplicaView>,
+    clock: ProcessClock,
+    keys: u64,
+    proposals: HashMap<ProposalKey, oneshot::Sender<ProposalAnswer>>,
+    reads: HashMap<ReadKey, oneshot::Sender<ReadAnswer>>,
+}
+
+impl ReplicaDriver {
+    async fn run(mut self, mut inputs: DriverInputs) -> ReplicaShellError {
+        let mut ticks = interval(TICK_MILLIS.duration());
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let event = tokio::select! {
+                _ = ticks.tick() => ReplicaEvent::Tick,
+                Some(message) = inputs.messages.recv() => ReplicaEvent::Received(message),
+                Some(report) = inputs.synced.recv() => match report {
+                    Ok(token) => ReplicaEvent::Synced { token },
+                    Err(error) => return error.into(),
+                },
+                Some(command) = inputs.commands.recv() => self.accept(command),
+                else => return ReplicaShellError::Ended,
+            };
+            let ticked = matches!(event, ReplicaEvent::Tick);
+            if let Err(error) = self.handle(event) {
+                return error;
+            }
+            self.publish(ticked);
+        }
+    }
+
+    /// Notes who waits for a command; returns its event.
+    fn accept(&mut self, command: ReplicaCommand) -> ReplicaEvent {
+        self.keys += 1;
+        match command {
+            ReplicaCommand::Propose { payload, answer } => {
+                let key = ProposalKey(self.keys);
+                self.proposals.insert(key, answer);
+                ReplicaEvent::Proposed { key, payload }
+            }
+            ReplicaCommand::Read { answer } => {
+                let key = ReadKey(self.keys);
+                self.reads.insert(key, answer);
+                ReplicaEvent::ReadAsked { key }
+            }
+        }
+    }
+
+    fn handle(&mut self, event: ReplicaEvent) -> Result<(), ReplicaShellError> {
+        let actions = self.core.handle(event, self.clock.now());
+        let mut outcomes = BTreeMap::new();
+        for action in actions {
+            self.act(action, &mut outcomes)?;
+        }
+        Ok(())
+    }
+
+    /// Does what the core asks for; `outcomes` holds what was just applied.
+    fn act(
+        &mut self,
+        action: ReplicaAction,
+        outcomes: &mut BTreeMap<LogIndex, Vec<u8>>,
+    ) -> Result<(), ReplicaShellError> {
+        match action {
+            ReplicaAction::Send { to, message } => {
+                if let Some(link) = self.links.get(&to) {
+                    link.send(message);
+                }
+            }
+            ReplicaAction::Persist(batch) => self.disk.write(batch),
+            ReplicaAction::Apply { index, payload } => {
+                outcomes.insert(index, self.state.apply(payload.bytes()));
+            }
+            ReplicaAction::Restore { payload } => self.state.restore(payload.bytes())?,
+            ReplicaAction::TakeSnapshot { index } => {
+                let payload = EntryPayload::new(self.state.snapshot()?);
+                self.handle(ReplicaEvent::SnapshotTaken { index, payload })?;
+            }
+            ReplicaAction::AnswerProposal { key, outcome } => {
+                self.answer_proposal(key, outcome, outcomes);
+            }
+            ReplicaAction::AnswerRead { key, outcome } => self.answer_read(key, outcome),
+            ReplicaAction::Report(report) => log_report(report),
+        }
+        Ok(())
+    }
+
+    fn answer_proposal(
+        &mut self,
+        key: ProposalKey,
+        outcome: ProposalOutcome,
+        outcomes: &mut BTreeMap<LogIndex, Vec<u8>>,
+    ) {
+        let Some(answer) = self.proposals.remove(&key) else {
+            return;
+        };
+        let result = match outcome {
+            ProposalOutcome::Committed { index } => {
+                outcomes.remove(&index).ok_or(CallRefusal::OutcomeUnknown)
+            }
+            ProposalOutcome::OutcomeUnknown => Err(CallRefusal::OutcomeUnknown),
+            ProposalOutcome::NotLeader { leader } => Err(CallRefusal::NotLeader {
+                leader: self.handle.call_address(leader),
+            }),
+            ProposalOutcome::NoQuorum => Err(CallRefusal::NoQuorum),
+            ProposalOutcome::Overloaded => Err(overloaded()),
+            ProposalOutcome::TooLarge => Err(too_large()),
+        };
+        // A caller that went away needs no answer.
+        let _ = answer.send(result);
+    }
+
+    fn answer_read(&mut self, key: ReadKey, outcome: ReadOutcome) {
+        let Some(answer) = self.reads.remove(&key) else {
+            return;
+        };
+        let result = match outcome {
+            ReadOutcome::Confirmed { .. } => Ok(()),
+            ReadOutcome::Refused => Err(CallRefusal::NoQuorum),
+            ReadOutcome::Overloaded => Err(overloaded()),
+        };
+        // A caller that went away needs no answer.
+        let _ = answer.send(result);
+    }
+
+    /// Shows the replica's state, at once when its part in the group changed.
+    fn publish(&self, ticked: bool) {
+        let view = self.core.view(self.clock.now());
+        self.publisher.send_if_modified(|shown| {
+            let same =
+                shown.role == view.role && shown.term == view.term && shown.leader == view.leader;
+            if same && !ticked {
+                return false;
+            }
+            *shown = view;
+            true
+        });
+    }
+}
--- /dev/null
+++ b/src/control/replica_shell/replica_handle.rs
@@ -0,0 +1,143 @@
+use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc};
+
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::timeout,
+};
+
+use crate::{
+    clock::SpanMillis,
+    control::{
+        api::{CallRefusal, ReplicaRole, ReplicaStatus},
+        replica::{EntryPayload, MAX_ENTRY_BYTES, MemberVote, ReplicaId, ReplicaView},
+        store::{LeadView, StateHandle},
+    },
+    key::FeedRevision,
+};
+
+/// The time after which a proposal's outcome counts as unknown.
+const PROPOSAL_MILLIS: SpanMillis = SpanMillis::new(5_000);
+/// The time after which a read counts as not confirmed.
+const READ_MILLIS: SpanMillis = SpanMillis::new(2_000);
+/// When a refused client may come back.
+const RETRY_MILLIS: SpanMillis = SpanMillis::new(200);
+
+/// What became of a proposal: the state machine's answer, or why there is none.
+pub(super) type ProposalAnswer = Result<Vec<u8>, CallRefusal>;
+/// Whether the state holds everything that was accepted before the read.
+pub(super) type ReadAnswer = Result<(), CallRefusal>;
+
+/// What the calls want of the driver.
+#[derive(Debug)]
+pub(super) enum ReplicaCommand {
+    /// Commit and execute a change.
+    Propose {
+        payload: EntryPayload,
+        answer: oneshot::Sender<ProposalAnswer>,
+    },
+    /// Confirm that the state is current.
+    Read { answer: oneshot::Sender<ReadAnswer> },
+}
+
+/// Hands the calls' work to the replica; clones share it.
+#[derive(Debug, Clone)]
+pub(crate) struct ReplicaHandle {
+    pub(super) commands: mpsc::Sender<ReplicaCommand>,
+    pub(super) view: watch::Receiver<ReplicaView>,
+    pub(super) calls: Arc<BTreeMap<ReplicaId, SocketAddrV4>>,
+    pub(super) state: StateHandle,
+}
+
+/// Returns the refusal of a replica that has too much to do.
+pub(super) fn overloaded() -> CallRefusal {
+    CallRefusal::Overloaded {
+        retry_after_millis: RETRY_MILLIS.millis(),
+    }
+}
+
+/// Returns the refusal of a change that the log can't take.
+pub(super) fn too_large() -> CallRefusal {
+    CallRefusal::InvalidManifest {
+        faults: vec![format!("the change has more than {MAX_ENTRY_BYTES} bytes")],
+    }
+}
+
+impl ReplicaHandle {
+    /// Commits a change; returns the state machine's answer.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when it was not taken, or when its outcome is unknown.
+    pub(crate) async fn propose(&self, bytes: Vec<u8>) -> Result<Vec<u8>, CallRefusal> {
+        let (answer, receiver) = oneshot::channel();
+        let payload = EntryPayload::new(bytes);
+        self.commands
+            .try_send(ReplicaCommand::Propose { payload, answer })
+            .map_err(|_| overloaded())?;
+        match timeout(PROPOSAL_MILLIS.duration(), receiver).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) | Err(_) => Err(CallRefusal::OutcomeUnknown),
+        }
+    }
+
+    /// Returns the revision of a state that holds everything accepted so far.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when no majority confirms it in time.
+    pub(crate) async fn confirm_read(&self) -> Result<FeedRevision, CallRefusal> {
+        let (answer, receiver) = oneshot::channel();
+        self.commands
+            .try_send(ReplicaCommand::Read { answer })
+            .map_err(|_| overloaded())?;
+        match timeout(READ_MILLIS.duration(), receiver).await {
+            Ok(Ok(outcome)) => outcome.map(|()| self.state.revision()),
+            Ok(Err(_)) | Err(_) => Err(CallRefusal::NoQuorum),
+        }
+    }
+
+    /// Returns what this replica knows of the leader.
+    pub(crate) fn lead(&self) -> LeadView {
+        let view = self.view.borrow();
+        match view.role {
+            ReplicaRole::Leader => LeadView::Leading {
+                term: view.term.number(),
+            },
+            ReplicaRole::Follower | ReplicaRole::Learner => LeadView::Following {
+                leader: view.leader.and_then(|seat| self.call_address(seat.replica)),
+            },
+        }
+    }
+
+    /// Returns the replicas of the group; `address` is this one's.
+    pub(crate) fn replicas(&self, address: SocketAddrV4) -> Vec<ReplicaStatus> {
+        let view = self.view.borrow();
+        let leader = view.leader.map(|seat| seat.disk);
+        let members = view.members.iter();
+        members
+            .filter_map(|member| {
+                let replica = member.seat.replica;
+                let own = replica == view.seat.replica;
+                let role = match member.vote {
+                    _ if leader == Some(member.seat.disk) => ReplicaRole::Leader,
+                    MemberVote::Voter => ReplicaRole::Follower,
+                    MemberVote::Learner => ReplicaRole::Learner,
+                };
+                Some(ReplicaStatus {
+                    address: if own {
+                        address
+                    } else {
+                        self.call_address(replica)?
+                    },
+                    role,
+                    held: member.held.number(),
+                })
+            })
+            .collect()
+    }
+
+    /// Returns where a replica answers calls.
+    pub(super) fn call_address(&self, replica: ReplicaId) -> Option<SocketAddrV4> {
+        self.calls.get(&replica).copied()
+    }
+}
--- /dev/null
+++ b/src/control/replica_shell/report_log.rs
@@ -0,0 +1,40 @@
+use metrics::{counter, gauge};
+
+use crate::{
+    control::{ControlEvent, replica::ReplicaReport},
+    event::log_event,
+};
+
+/// Logs and counts a change of the replica's state.
+pub(super) fn log_report(report: ReplicaReport) {
+    match report {
+        ReplicaReport::GroupFormed { group } => {
+            log_event!(info, ControlEvent::GroupFormed, %group);
+        }
+        ReplicaReport::LeaderElected { term } => {
+            counter!("cyclamen_control_elections_total").increment(1);
+            gauge!("cyclamen_control_leading").set(1.0);
+            log_event!(info, ControlEvent::LeaderElected, %term);
+        }
+        ReplicaReport::LeaderDeposed { term } => {
+            gauge!("cyclamen_control_leading").set(0.0);
+            log_event!(warn, ControlEvent::LeaderDeposed, %term);
+        }
+        ReplicaReport::QuorumLost { term } => {
+            gauge!("cyclamen_control_leading").set(0.0);
+            log_event!(error, ControlEvent::QuorumLost, %term);
+        }
+        ReplicaReport::LearnerAdded { seat } => {
+            log_event!(info, ControlEvent::LearnerAdded, replica = %seat.replica, disk = %seat.disk);
+        }
+        ReplicaReport::VoterRemoved { seat } => {
+            log_event!(warn, ControlEvent::VoterRemoved, replica = %seat.replica, disk = %seat.disk);
+        }
+        ReplicaReport::RepairDone { seat } => {
+            log_event!(info, ControlEvent::RepairDone, replica = %seat.replica, disk = %seat.disk);
+        }
+        ReplicaReport::ForeignGroup { replica } => {
+            log_event!(error, ControlEvent::ForeignGroup, %replica);
+        }
+    }
+}
--- a/src/control/store/control_store.rs
+++ b/src/control/store/control_store.rs
@@ -1,9 +1,12 @@
 use std::net::SocketAddrV4;
 
-use super::{LeadView, MemoryStore};
+use super::LeadView;
+#[cfg(test)]
+use super::MemoryStore;
 use crate::{
     control::{
-        api::{CallRefusal, ReplicaRole, ReplicaStatus},
+        api::{CallRefusal, ReplicaStatus},
+        replica_shell::ReplicaHandle,
         state::{ControlCommand, ControlOutcome},
     },
     key::FeedRevision,
@@ -13,7 +16,10 @@
 #[derive(Debug, Clone)]
 pub(crate) enum ControlStore {
     /// A single replica without a log.
+    #[cfg(test)]
     Memory(MemoryStore),
+    /// A replica of the replicated log.
+    Replicated(ReplicaHandle),
 }
 
 impl ControlStore {
@@ -29,7 +35,9 @@
         // A command that can't be encoded was never sent anywhere.
         let bytes = command.encode().map_err(|_| CallRefusal::NoQuorum)?;
         let outcome = match self {
+            #[cfg(test)]
             Self::Memory(store) => std::future::ready(store.propose(&bytes)).await,
+            Self::Replicated(handle) => handle.propose(bytes).await?,
         };
         ControlOutcome::decode(&outcome).map_err(|_| CallRefusal::OutcomeUnknown)
     }
@@ -43,25 +51,31 @@
     /// Fails when no majority confirms it.
     pub(crate) async fn confirm_read(&self) -> Result<FeedRevision, CallRefusal> {
         match self {
+            #[cfg(test)]
             Self::Memory(store) => std::future::ready(Ok(store.confirm_read())).await,
+            Self::Replicated(handle) => handle.confirm_read().await,
         }
     }
 
     /// Returns what this replica knows of the leader.
     pub(crate) fn lead(&self) -> LeadView {
         match self {
+            #[cfg(test)]
             Self::Memory(_) => LeadView::Leading { term: 1 },
+            Self::Replicated(handle) => handle.lead(),
         }
     }
 
     /// Returns the replicas of the group; `address` is this one's.
     pub(crate) fn replicas(&self, address: SocketAddrV4) -> Vec<ReplicaStatus> {
         match self {
+            #[cfg(test)]
             Self::Memory(store) => vec![ReplicaStatus {
                 address,
-                role: ReplicaRole::Leader,
+                role: crate::control::api::ReplicaRole::Leader,
                 held: store.confirm_read().count(),
             }],
+            Self::Replicated(handle) => handle.replicas(address),
         }
     }
 }
--- a/src/control/store/mod.rs
+++ b/src/control/store/mod.rs
@@ -2,12 +2,14 @@
 
 mod control_store;
 mod lead_view;
+#[cfg(test)]
 mod memory_store;
 mod read_confirmer;
 mod state_handle;
 
 pub(crate) use control_store::ControlStore;
 pub(crate) use lead_view::LeadView;
+#[cfg(test)]
 pub(crate) use memory_store::MemoryStore;
 pub(crate) use read_confirmer::ReadConfirmer;
 pub(crate) use state_handle::{RegistrationChanges, StateHandle};
