A quiet caller keeps its connection alive and learns of a lost one

Ruled out: a missing or wrong reset token; with any packet the reset came. Change: our caller sends a keep-alive every 3 s.

--- a/src/caller/service_caller.rs
+++ b/src/caller/service_caller.rs
@@ -7,10 +7,21 @@
 use bytes::Bytes;
 use h3::client::SendRequest;
 use h3_quinn::OpenStreams;
-use quinn::{ClientConfig, Connection, Endpoint, crypto::rustls::QuicClientConfig};
+use quinn::{
+    ClientConfig, Connection, Endpoint, TransportConfig, crypto::rustls::QuicClientConfig,
+};
 
 use super::{AnswerStream, CallAnswer, CallRequest, CallerError};
-use crate::tls::{ServerTrust, client_config};
+use crate::{
+    clock::SpanMillis,
+    tls::{ServerTrust, client_config},
+};
+
+/// How often a quiet caller asks whether its connection still stands.
+///
+/// A restarted agent can tell of a lost connection only in answer to a packet,
+/// and a caller that only listens sends none by itself.
+const KEEP_ALIVE_MILLIS: SpanMillis = SpanMillis::new(3_000);
 
 /// One connection to a service, from a socket of its own.
 pub struct ServiceCaller {
@@ -93,6 +104,10 @@
     let any_port = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
     let mut endpoint = Endpoint::client(any_port).map_err(CallerError::Socket)?;
     let config = QuicClientConfig::try_from(client_config(trust)?).map_err(CallerError::Cipher)?;
-    endpoint.set_default_client_config(ClientConfig::new(Arc::new(config)));
+    let mut transport = TransportConfig::default();
+    transport.keep_alive_interval(Some(KEEP_ALIVE_MILLIS.duration()));
+    let mut config = ClientConfig::new(Arc::new(config));
+    config.transport_config(Arc::new(transport));
+    endpoint.set_default_client_config(config);
     Ok(endpoint)
 }
--- a/tests/flows_survive.rs
+++ b/tests/flows_survive.rs
@@ -214,7 +214,8 @@
     stream.agents[0].kill();
     let upstream = stream.upstreams[0].address();
     stream.agents[0] = stream.site.start_agent(0, "barge-control", upstream);
-    // The idle timeout would end the connection too, but with another fault.
+    // The caller's keep-alive brings the reset; the idle timeout would end the
+    // connection too, but with another fault.
     let fault = stream
         .lines
         .read(1_000)
