--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -1,10 +1,5 @@
-//! The agent.
+//! The agent beside an upstream: ends connections, decides, relays, drains.
 
-#[allow(
-    dead_code,
-    unused_imports,
-    reason = "the request path does not call it yet"
-)]
 pub(crate) mod admission;
 mod agent_event;
 mod agent_run;
@@ -15,18 +10,16 @@
     reason = "the request path does not call it yet"
 )]
 pub(crate) mod claim;
-#[allow(
-    dead_code,
-    unused_imports,
-    reason = "the request path does not call it yet"
-)]
 pub(crate) mod drain;
+mod endpoint;
+mod node;
 #[allow(
     dead_code,
     unused_imports,
     reason = "the request path does not call it yet"
 )]
 pub(crate) mod outcome;
+mod relay;
 #[allow(
     dead_code,
     unused_imports,
@@ -52,8 +45,9 @@
 )]
 pub(crate) mod ticket;
 
-pub use agent_run::{AgentError, run_agent};
+pub use agent_run::run_agent;
 pub use agent_settings::AgentSettings;
+pub use node::{AgentDump, AgentError, AgentNode};
 
 pub(crate) use agent_event::AgentEvent;
 
