--- a/src/agent/agent_event.rs
+++ b/src/agent/agent_event.rs
@@ -18,6 +18,10 @@
         Renumbered = 3013 => "service has another number; restart the agent",
         DrainBegun = 3015 => "drain begun; new connections are passed on",
         Drained = 3016 => "drained; nothing is open any more",
+        PeerRefused = 3018 => "request of another agent refused",
+        TicketsTaken = 3019 => "tickets of a leaving agent taken over",
+        TicketsHandedOver = 3020 => "tickets handed over to another agent",
+        HandoverFailed = 3021 => "handing the tickets over failed",
         WorkCut = 3017 => "open work cut on the operator's word",
         WithdrawFailed = 3014 => "withdrawing the target failed; its lease will expire",
     }
--- a/src/agent/endpoint/mod.rs
+++ b/src/agent/endpoint/mod.rs
@@ -15,7 +15,7 @@
 pub(crate) use load_gauge::LoadGauge;
 pub(crate) use target_identity::TargetIdentity;
 pub(crate) use tunnel_counters::{TunnelCounters, TunnelCounts};
-pub(crate) use tunnel_socket::{PEER_INBOX, TunnelSocket};
+pub(crate) use tunnel_socket::{PEER_INBOX, PeerDatagram, TunnelSocket};
 
 use answer_paths::AnswerPaths;
 use epoch_reset_key::EpochResetKey;
--- a/src/agent/endpoint/tunnel_socket.rs
+++ b/src/agent/endpoint/tunnel_socket.rs
@@ -132,6 +132,11 @@
         self.lock_loads().insert(peer, load);
     }
 
+    /// Returns what a peer last told of its load.
+    pub(crate) fn peer_load(&self, peer: TargetKey) -> Option<PeerLoad> {
+        self.lock_loads().get(&peer).copied()
+    }
+
     /// Forgets what peers told that are no longer registered.
     pub(crate) fn keep_peers(&self, is_registered: impl Fn(TargetKey) -> bool) {
         self.lock_loads().retain(|peer, _| is_registered(*peer));
--- a/src/agent/node/agent_dump.rs
+++ b/src/agent/node/agent_dump.rs
@@ -7,6 +7,7 @@
         admission::{AdmissionCounts, AgentPhase, TargetLoad},
         drain::DrainReport,
         endpoint::TunnelCounts,
+        relay::DeskCounts,
     },
     key::{DomainName, IncarnationId},
 };
@@ -34,6 +35,8 @@
     pub(crate) load: TargetLoad,
     /// How far a planned stop has come.
     pub(crate) drain: Option<DrainReport>,
+    /// Slots, queue, tickets and retries.
+    pub(crate) requests: DeskCounts,
     /// How new connections were decided on.
     pub(crate) admission: AdmissionCounts,
     /// The balancers that answers go by, with whether each answers.
--- a/src/agent/node/agent_error.rs
+++ b/src/agent/node/agent_error.rs
@@ -3,7 +3,11 @@
 use miette::Diagnostic;
 use thiserror::Error;
 
-use crate::{agent::endpoint::EndpointError, secret::SecretError, tls::TlsError};
+use crate::{
+    agent::{endpoint::EndpointError, relay::PeerServerError},
+    secret::SecretError,
+    tls::TlsError,
+};
 
 /// Why an agent could not start.
 #[derive(Debug, Error, Diagnostic)]
@@ -29,6 +33,10 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Endpoint(#[from] EndpointError),
+    /// The address for other agents can't be had.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Peer(#[from] PeerServerError),
     /// The signals of the system can't be listened to.
     #[error("cannot listen to signals: {0}")]
     Signal(#[source] io::Error),
--- a/src/agent/node/agent_node.rs
+++ b/src/agent/node/agent_node.rs
@@ -18,7 +18,7 @@
         admission::{AcceptRule, AdmissionGate, AdmissionVerdict, AgentPhase},
         drain::{DrainEvent, DrainGoal, DrainReport},
         endpoint::{LoadGauge, PEER_INBOX, TargetIdentity, TunnelSocket, open_endpoint},
-        relay::{ServeContext, UpstreamClient, serve_connection},
+        relay::{PeerExchange, PeerServer, RequestDesk, ServeContext, serve_connection},
     },
     clock::{ClockMillis, SpanMillis},
     control::{
@@ -27,13 +27,15 @@
     },
     event::log_event,
     key::{DomainName, IncarnationId, TargetKey},
-    manifest::ServiceLimits,
+    manifest::{ServiceLimits, ServiceSpec},
     route::TargetPhase,
     secret::SecretStore,
     tls::CertificateStore,
     watch::{RouteWatch, WatchState},
 };
 
+/// The deadline of requests before the feed tells of the service.
+const INITIAL_DEADLINE_MILLIS: SpanMillis = SpanMillis::new(10_000);
 /// How often open work is counted and paths are looked after.
 const HOUSEKEEPING_MILLIS: SpanMillis = SpanMillis::new(250);
 
@@ -46,6 +48,7 @@
     socket: Arc<TunnelSocket>,
     endpoint: Endpoint,
     gauge: Arc<LoadGauge>,
+    desk: Arc<RequestDesk>,
     state: Arc<WatchState>,
     drain: ActorRef<DrainActor>,
     exit: watch::Receiver<bool>,
@@ -81,7 +84,7 @@
             incarnation: announcement.incarnation,
         };
         let gauge = Arc::new(LoadGauge::new(ServiceLimits::default()));
-        let (inbox, _peer_datagrams) = mpsc::channel(PEER_INBOX);
+        let (inbox, peer_datagrams) = mpsc::channel(PEER_INBOX);
         let phase_now = AgentPhase::Warming {
             since: ClockMillis::ORIGIN,
         };
@@ -100,20 +103,29 @@
             settings.connection_id_life,
         )?;
         let open = OpenGauge::new();
+        let state = WatchState::new();
+        let desk = RequestDesk::new(
+            identity,
+            initial_spec(settings),
+            settings.upstream,
+            secret.clone(),
+            Arc::clone(&state),
+            (Arc::clone(&socket), Arc::clone(&gauge), Arc::clone(&open)),
+        );
+        let peers = PeerServer::bind(settings.peer_listen, Arc::clone(&desk)).await?;
         let (go_away, go_away_seen) = watch::channel(0);
         let (exit, exit_seen) = watch::channel(false);
         let drain = DrainActor::spawn(DrainActor::new(DrainDuty {
             socket: Arc::clone(&socket),
             endpoint: endpoint.clone(),
+            desk: Arc::clone(&desk),
             open: Arc::clone(&open),
             phase,
             go_away,
             exit,
         }));
-        let state = WatchState::new();
         let context = Arc::new(ServeContext {
-            upstream: UpstreamClient::new(settings.upstream),
-            open: Arc::clone(&open),
+            desk: Arc::clone(&desk),
             go_away: go_away_seen,
         });
         let watch = RouteWatch::new(
@@ -126,6 +138,8 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(keeper.run(receipt));
         tasks.spawn(watch.run());
+        tasks.spawn(peers.run());
+        tasks.spawn(PeerExchange::new(Arc::clone(&desk), peer_datagrams).run());
         tasks.spawn(accept_connections(
             endpoint.clone(),
             Arc::clone(&socket),
@@ -137,6 +151,7 @@
                 socket: Arc::clone(&socket),
                 endpoint: endpoint.clone(),
                 gauge: Arc::clone(&gauge),
+                desk: Arc::clone(&desk),
                 open,
                 state: Arc::clone(&state),
                 drain: drain.clone(),
@@ -151,6 +166,7 @@
             socket,
             endpoint,
             gauge,
+            desk,
             state,
             drain,
             exit: exit_seen,
@@ -201,6 +217,7 @@
             phase: self.socket.phase(),
             load: self.gauge.read(),
             drain: self.drain.ask(DrainQuery).await.ok(),
+            requests: self.desk.counts(),
             admission: self.socket.admission(),
             balancers: self.socket.list_paths(),
             tunnel: self.socket.counters().read(),
@@ -220,6 +237,18 @@
     }
 }
 
+/// Returns what is assumed of the service before the feed tells of it.
+fn initial_spec(settings: &AgentSettings) -> ServiceSpec {
+    ServiceSpec {
+        name: settings.service.clone(),
+        address: settings.tunnel_listen,
+        limits: ServiceLimits::default(),
+        deadline: INITIAL_DEADLINE_MILLIS,
+        retry_percent: 0,
+        rules: Vec::new(),
+    }
+}
+
 async fn bind_tunnel(address: SocketAddrV4) -> Result<UdpSocket, AgentError> {
     UdpSocket::bind(address)
         .await
@@ -264,6 +293,7 @@
     socket: Arc<TunnelSocket>,
     endpoint: Endpoint,
     gauge: Arc<LoadGauge>,
+    desk: Arc<RequestDesk>,
     open: Arc<OpenGauge>,
     state: Arc<WatchState>,
     drain: ActorRef<DrainActor>,
@@ -287,7 +317,9 @@
         let table = self.state.table().load();
         let number = self.socket.identity().service;
         if let Some(pool) = table.pool(number) {
-            self.gauge.set_limits(pool.route().spec.limits);
+            let spec = &pool.route().spec;
+            self.gauge.set_limits(spec.limits);
+            self.desk.set_service(spec);
         }
     }
 }
--- a/src/agent/node/drain_actor.rs
+++ b/src/agent/node/drain_actor.rs
@@ -11,6 +11,7 @@
         admission::AgentPhase,
         drain::{DrainAction, DrainEvent, DrainMachine, DrainReport},
         endpoint::TunnelSocket,
+        relay::{RequestDesk, hand_over_tickets},
     },
     event::log_event,
     route::TargetPhase,
@@ -26,6 +27,8 @@
     pub(crate) socket: Arc<TunnelSocket>,
     /// Where open connections end.
     pub(crate) endpoint: Endpoint,
+    /// Where requests are decided on.
+    pub(crate) desk: Arc<RequestDesk>,
     /// What is open.
     pub(crate) open: Arc<OpenGauge>,
     /// The phase that the lease keeper announces.
@@ -60,7 +63,7 @@
         }
     }
 
-    fn perform(&self, action: DrainAction) {
+    async fn perform(&self, action: DrainAction) {
         match action {
             DrainAction::SetPhase(phase) => self.duty.socket.set_phase(agent_phase(phase)),
             DrainAction::Announce(phase) => {
@@ -70,9 +73,13 @@
                 log_event!(info, AgentEvent::DrainBegun);
                 self.duty.go_away.send_modify(|count| *count += 1);
             }
-            DrainAction::HandOverTickets => log_event!(info, AgentEvent::Drained),
+            DrainAction::HandOverTickets => {
+                log_event!(info, AgentEvent::Drained);
+                hand_over_tickets(&self.duty.desk).await;
+            }
             DrainAction::CutOpenWork => {
                 log_event!(warn, AgentEvent::WorkCut);
+                self.duty.desk.cut();
                 self.duty
                     .endpoint
                     .close(NO_ERROR, b"stopped on the operator's word");
@@ -94,7 +101,7 @@
     ) -> DrainReport {
         let now = self.duty.socket.clock().now();
         for action in self.machine.handle(order.0, now) {
-            self.perform(action);
+            self.perform(action).await;
         }
         self.machine.report()
     }
--- a/src/agent/node/mod.rs
+++ b/src/agent/node/mod.rs
@@ -13,4 +13,4 @@
 
 pub(crate) use drain_actor::{DrainActor, DrainDuty, DrainOrder, DrainQuery};
 pub(crate) use lease_keeper::{LeaseKeeper, withdraw_target};
-pub(crate) use open_gauge::{OpenGauge, OpenKind};
+pub(crate) use open_gauge::{OpenGauge, OpenGuard, OpenKind};
--- a/src/agent/outcome/not_run_cause.rs
+++ b/src/agent/outcome/not_run_cause.rs
@@ -22,6 +22,8 @@
     LedgerFull,
     /// Too many recent requests were retries.
     RetryBudgetSpent,
+    /// The slot that a peer granted was taken back.
+    GrantLost,
     /// The body is larger than a request may bring here.
     BodyTooLarge,
 }
@@ -38,6 +40,7 @@
             Self::UpstreamUnreachable => "the upstream accepts no connection",
             Self::LedgerFull => "the ledger of tickets is full",
             Self::RetryBudgetSpent => "too many recent requests were retries",
+            Self::GrantLost => "the granted slot was taken back",
             Self::BodyTooLarge => "the request body is too large",
         }
     }
--- a/src/agent/relay/connection_server.rs
+++ b/src/agent/relay/connection_server.rs
@@ -2,25 +2,18 @@
 
 use bytes::Bytes;
 use h3::{error::ConnectionError, server::RequestResolver};
+use tokio::sync::{oneshot, watch};
 
-use tokio::sync::watch;
-
-use super::{UpstreamClient, relay_request};
-use crate::{
-    agent::{
-        AgentEvent,
-        node::{OpenGauge, OpenKind},
-    },
-    event::log_event,
+use super::{
+    AnswerSink, BodySource, CallerWatch, IncomingRequest, PeerHead, RequestDesk, serve_request,
 };
+use crate::{agent::AgentEvent, event::log_event};
 
 /// What every connection's requests share.
 #[derive(Debug)]
 pub(crate) struct ServeContext {
-    /// Asks the upstream.
-    pub(crate) upstream: UpstreamClient,
-    /// Counts open work.
-    pub(crate) open: Arc<OpenGauge>,
+    /// Holds slots, tickets and retries.
+    pub(crate) desk: Arc<RequestDesk>,
     /// Changes when open connections are to bring no new requests.
     pub(crate) go_away: watch::Receiver<u32>,
 }
@@ -38,14 +31,15 @@
     connection: quinn::Connection,
     context: Arc<ServeContext>,
 ) -> Result<(), ConnectionError> {
-    let transport = h3_quinn::Connection::new(connection);
+    let transport = h3_quinn::Connection::new(connection.clone());
     let mut server = h3::server::Connection::<_, Bytes>::new(transport).await?;
     let mut go_away = context.go_away.clone();
     loop {
         tokio::select! {
             accepted = server.accept() => match accepted? {
                 Some(resolver) => {
-                    tokio::spawn(serve_request(resolver, Arc::clone(&context)));
+                    let desk = Arc::clone(&context.desk);
+                    tokio::spawn(resolve_request(resolver, connection.clone(), desk));
                 }
                 None => return Ok(()),
             },
@@ -54,14 +48,28 @@
     }
 }
 
-async fn serve_request(
+async fn resolve_request(
     resolver: RequestResolver<h3_quinn::Connection, Bytes>,
-    context: Arc<ServeContext>,
+    connection: quinn::Connection,
+    desk: Arc<RequestDesk>,
 ) {
     // A request whose head never arrives whole, or whose caller is gone.
     let Ok((request, stream)) = resolver.resolve_request().await else {
         return;
     };
-    let _guard = context.open.open(OpenKind::Running);
-    let _ = relay_request(request, stream, &context).await;
+    let (answers, body) = stream.split();
+    let (cancelled, cancellation) = oneshot::channel();
+    let (mut head, ()) = request.into_parts();
+    PeerHead::strip(&mut head.headers);
+    let incoming = IncomingRequest {
+        head,
+        body: BodySource::Caller {
+            stream: body,
+            cancelled: Some(cancelled),
+        },
+        sink: AnswerSink::caller(answers),
+        watch: CallerWatch::caller(connection, cancellation),
+        purpose: None,
+    };
+    serve_request(incoming, desk).await;
 }
--- /dev/null
+++ b/src/agent/relay/request_head.rs
@@ -0,0 +1,77 @@
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Uri, header, request::Parts};
+
+use super::{PeerHead, PeerPurpose, RequestBody};
+use crate::{clock::SpanMillis, secret::KeyRing};
+
+/// Headers that concern one hop alone (RFC 9110, section 7.6.1).
+const HOP_HEADERS: [HeaderName; 6] = [
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+/// The header that carries the time left, in milliseconds.
+pub(super) const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-deadline-millis");
+
+/// Returns the request as the own upstream gets it.
+pub(super) fn upstream_request(
+    head: &Parts,
+    body: RequestBody,
+    left: SpanMillis,
+) -> Request<RequestBody> {
+    let mut request = Request::new(body);
+    *request.method_mut() = head.method.clone();
+    *request.uri_mut() = path_only(&head.uri);
+    *request.headers_mut() = forwarded_headers(head);
+    if request.body().length().is_some() {
+        // The length is that of the body, whatever the caller said.
+        request.headers_mut().remove(header::CONTENT_LENGTH);
+    }
+    let left = HeaderValue::from(left.millis());
+    request.headers_mut().insert(DEADLINE_HEADER, left);
+    request
+}
+
+/// Returns the request as another agent gets it.
+pub(super) fn peer_request(
+    head: &Parts,
+    body: RequestBody,
+    left: SpanMillis,
+    purpose: PeerPurpose,
+    ring: &KeyRing,
+) -> Request<RequestBody> {
+    let mut request = upstream_request(head, body, left);
+    let uri = request.uri().clone();
+    let method = request.method().clone();
+    PeerHead::sign(purpose, (&method, &uri, request.headers_mut()), b"", ring);
+    request
+}
+
+/// Takes off an answer's head what concerns one hop alone.
+pub(super) fn strip_hop_headers(headers: &mut HeaderMap) {
+    for name in &HOP_HEADERS {
+        headers.remove(name);
+    }
+}
+
+fn path_only(uri: &Uri) -> Uri {
+    uri.path_and_query()
+        .cloned()
+        .map(Uri::from)
+        .unwrap_or_default()
+}
+
+fn forwarded_headers(head: &Parts) -> HeaderMap {
+    let mut headers = head.headers.clone();
+    strip_hop_headers(&mut headers);
+    PeerHead::strip(&mut headers);
+    if !headers.contains_key(header::HOST) {
+        let host = head.uri.authority().map_or("", |host| host.as_str());
+        if let Ok(host) = HeaderValue::from_str(host) {
+            headers.insert(header::HOST, host);
+        }
+    }
+    headers
+}
--- /dev/null
+++ b/src/agent/relay/ticket_handover.rs
@@ -0,0 +1,83 @@
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, StatusCode, header};
+use http_body_util::Full;
+use hyper::client::conn::http1::handshake;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use super::{PeerHead, PeerPurpose, RequestDesk};
+use crate::{
+    agent::{AgentEvent, ticket::choose_heirs},
+    event::log_event,
+    key::TargetKey,
+    route::TargetPhase,
+    secret::KeyRing,
+};
+
+/// How long a peer may take to take over.
+const HANDOVER_PATIENCE: Duration = Duration::from_secs(5);
+/// The path of the call; no upstream is asked for it.
+const HANDOVER_PATH: &str = "/cyclamen/handover";
+
+/// Hands the tickets of an agent that stops over to its heirs.
+pub(crate) async fn hand_over_tickets(desk: &Arc<RequestDesk>) {
+    let handover = desk.close_ledger();
+    let Ok(body) = serde_json::to_vec(&handover) else {
+        return;
+    };
+    let body = Bytes::from(body);
+    for heir in heirs(desk) {
+        let Some(peer) = desk.peer(heir) else {
+            continue;
+        };
+        let call = send_handover(peer.peer_address, body.clone(), desk);
+        let is_taken = tokio::time::timeout(HANDOVER_PATIENCE, call).await;
+        if is_taken.is_ok_and(|status| status == Some(StatusCode::NO_CONTENT)) {
+            log_event!(info, AgentEvent::TicketsHandedOver, %heir);
+        } else {
+            log_event!(warn, AgentEvent::HandoverFailed, %heir);
+        }
+    }
+}
+
+fn heirs(desk: &RequestDesk) -> Vec<TargetKey> {
+    let own = desk.own();
+    let peers = desk.peers();
+    let staying = peers
+        .iter()
+        .filter(|entry| entry.phase != TargetPhase::Leaving)
+        .map(|entry| entry.key);
+    choose_heirs(own.incarnation, staying)
+}
+
+async fn send_handover(
+    address: SocketAddrV4,
+    body: Bytes,
+    desk: &RequestDesk,
+) -> Option<StatusCode> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    let driver = tokio::spawn(connection);
+    let request = handover_request(body, &desk.secret().keys());
+    let response = sender.send_request(request).await.ok();
+    driver.abort();
+    response.map(|response| response.status())
+}
+
+fn handover_request(body: Bytes, ring: &KeyRing) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body.clone()));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = http::Uri::from_static(HANDOVER_PATH);
+    let uri = request.uri().clone();
+    let headers = request.headers_mut();
+    headers.insert(header::HOST, HeaderValue::from_static("cyclamen-agent"));
+    PeerHead::sign(
+        PeerPurpose::Handover,
+        (&Method::POST, &uri, headers),
+        &body,
+        ring,
+    );
+    request
+}
--- a/src/agent/request/request_profile.rs
+++ b/src/agent/request/request_profile.rs
@@ -6,7 +6,7 @@
         slot::{SlotOrigin, SlotRequest},
     },
     clock::{ClockMillis, SpanMillis},
-    manifest::{RequestPriority, ServiceSpec, TrafficRule},
+    manifest::{RequestPriority, ServiceSpec},
 };
 
 /// The longest deadline that a request may bring.
@@ -61,19 +61,21 @@
         deadline_field: Option<&str>,
         now: ClockMillis,
     ) -> Result<Self, ProfileError> {
-        let rule = spec.rules.iter().find(|rule| applies(rule, method, path));
-        let ruled = rule.and_then(|rule| rule.deadline).unwrap_or(spec.deadline);
+        let treatment = spec.treatment_for(method, path);
         let span = match deadline_field {
             Some(text) => parse_deadline(text)?,
-            None => ruled,
+            None => treatment.deadline,
+        };
+        let kind = if treatment.stream {
+            RequestKind::Stream
+        } else {
+            RequestKind::Slotted
         };
         Ok(Self {
-            priority: rule.map(|rule| rule.priority).unwrap_or_default(),
+            priority: treatment.priority,
             deadline: now.after(span.min(LONGEST_DEADLINE)),
-            idempotent: rule
-                .and_then(|rule| rule.idempotent)
-                .unwrap_or_else(|| is_idempotent(method)),
-            kind: rule.map_or(RequestKind::Slotted, kind_of),
+            idempotent: treatment.idempotent,
+            kind,
             ticketed: false,
             replayable: true,
         })
@@ -104,27 +106,6 @@
     }
 }
 
-fn applies(rule: &TrafficRule, method: &str, path: &str) -> bool {
-    let methods = &rule.methods;
-    let method_fits = methods.is_empty() || methods.iter().any(|name| name == method);
-    method_fits && path.starts_with(&rule.path_prefix)
-}
-
-fn kind_of(rule: &TrafficRule) -> RequestKind {
-    if rule.stream {
-        RequestKind::Stream
-    } else {
-        RequestKind::Slotted
-    }
-}
-
-fn is_idempotent(method: &str) -> bool {
-    matches!(
-        method,
-        "GET" | "HEAD" | "PUT" | "DELETE" | "OPTIONS" | "TRACE"
-    )
-}
-
 fn parse_deadline(text: &str) -> Result<SpanMillis, ProfileError> {
     text.trim()
         .parse()
--- a/src/route/target_entry.rs
+++ b/src/route/target_entry.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddrV4;
+
 use super::{TargetPhase, TargetRoute};
 use crate::key::{IncarnationId, TargetKey};
 
@@ -8,6 +10,8 @@
     pub key: TargetKey,
     /// The run of the agent that registered.
     pub incarnation: IncarnationId,
+    /// The address at which the agent answers other agents.
+    pub peer_address: SocketAddrV4,
     /// The share of new connections.
     pub weight: u16,
     /// Whether the target takes new work.
@@ -21,6 +25,7 @@
         Self {
             key: route.key,
             incarnation: route.incarnation,
+            peer_address: route.peer_address,
             weight: route.weight.max(1),
             phase: route.phase,
         }
