--- a/src/agent/claim/claim_frame.rs
+++ b/src/agent/claim/claim_frame.rs
@@ -97,19 +97,6 @@
     pub(crate) message: ClaimMessage,
 }
 
-impl ClaimFrame {
-    /// Returns the frame's bytes.
-    pub(crate) fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default()
-    }
-
-    /// Reads a frame; returns nothing if the bytes hold none.
-    pub(crate) fn decode(bytes: &[u8]) -> Option<Self> {
-        let (frame, rest) = postcard::take_from_bytes(bytes).ok()?;
-        rest.is_empty().then_some(frame)
-    }
-}
-
 /// A frame and the target whose agent is to get it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ClaimSend {
--- a/src/agent/node/agent_node.rs
+++ b/src/agent/node/agent_node.rs
@@ -17,12 +17,14 @@
         AgentEvent, AgentSettings,
         admission::{AcceptRule, AdmissionGate, AdmissionVerdict, AgentPhase},
         drain::{DrainEvent, DrainGoal, DrainReport},
-        endpoint::{LoadGauge, PEER_INBOX, TargetIdentity, TunnelSocket, open_endpoint},
+        endpoint::{
+            LoadGauge, PEER_INBOX, PeerDatagram, TargetIdentity, TunnelSocket, open_endpoint,
+        },
         relay::{PeerExchange, PeerServer, RequestDesk, ServeContext, serve_connection},
     },
     clock::{ClockMillis, SpanMillis},
     control::{
-        api::{AnnounceRequest, WatchScope, WatcherName},
+        api::{AnnounceReceipt, AnnounceRequest, WatchScope, WatcherName},
         client::ControlClient,
     },
     event::log_event,
@@ -36,6 +38,8 @@
 
 /// The deadline of requests before the feed tells of the service.
 const INITIAL_DEADLINE_MILLIS: SpanMillis = SpanMillis::new(10_000);
+/// How long callers get to take the last answers and close.
+const LINGER_MILLIS: SpanMillis = SpanMillis::new(3_000);
 /// How often open work is counted and paths are looked after.
 const HOUSEKEEPING_MILLIS: SpanMillis = SpanMillis::new(250);
 
@@ -48,13 +52,14 @@
     socket: Arc<TunnelSocket>,
     endpoint: Endpoint,
     gauge: Arc<LoadGauge>,
+    open: Arc<OpenGauge>,
     desk: Arc<RequestDesk>,
     state: Arc<WatchState>,
     drain: ActorRef<DrainActor>,
     exit: watch::Receiver<bool>,
     client: Arc<ControlClient>,
     announcement: AnnounceRequest,
-    _tasks: JoinSet<()>,
+    tasks: JoinSet<()>,
 }
 
 impl AgentNode {
@@ -72,7 +77,7 @@
         let (phase, phase_seen) = watch::channel(TargetPhase::Serving);
         let (committed, committed_seen) = watch::channel(TargetPhase::Serving);
         let mut keeper = LeaseKeeper::new(
-            ControlClient::new(settings.control.clone(), secret.clone()),
+            Arc::clone(&client),
             announcement.clone(),
             phase_seen,
             committed,
@@ -85,23 +90,7 @@
         };
         let gauge = Arc::new(LoadGauge::new(ServiceLimits::default()));
         let (inbox, peer_datagrams) = mpsc::channel(PEER_INBOX);
-        let phase_now = AgentPhase::Warming {
-            since: ClockMillis::ORIGIN,
-        };
-        let socket = Arc::new(TunnelSocket::new(
-            io,
-            identity,
-            secret.clone(),
-            AdmissionGate::new(AcceptRule::DEFAULT, phase_now),
-            Arc::clone(&gauge),
-            inbox,
-        ));
-        let endpoint = open_endpoint(
-            Arc::clone(&socket),
-            secret.clone(),
-            certificates,
-            settings.connection_id_life,
-        )?;
+        let socket = open_socket(io, identity, &secret, &gauge, inbox);
         let open = OpenGauge::new();
         let state = WatchState::new();
         let desk = RequestDesk::new(
@@ -113,67 +102,100 @@
             (Arc::clone(&socket), Arc::clone(&gauge), Arc::clone(&open)),
         );
         let peers = PeerServer::bind(settings.peer_listen, Arc::clone(&desk)).await?;
+        let endpoint = open_endpoint(
+            Arc::clone(&socket),
+            secret,
+            certificates,
+            settings.connection_id_life,
+        )?;
         let (go_away, go_away_seen) = watch::channel(0);
         let (exit, exit_seen) = watch::channel(false);
         let drain = DrainActor::spawn(DrainActor::new(DrainDuty {
             socket: Arc::clone(&socket),
             endpoint: endpoint.clone(),
             desk: Arc::clone(&desk),
-            open: Arc::clone(&open),
             phase,
             go_away,
             exit,
         }));
-        let context = Arc::new(ServeContext {
-            desk: Arc::clone(&desk),
-            go_away: go_away_seen,
-        });
-        let watch = RouteWatch::new(
-            ControlClient::new(settings.control.clone(), secret),
-            WatcherName::Agent(settings.name.clone()),
-            settings.domain.clone(),
-            WatchScope::Service(settings.service.clone()),
-            Arc::clone(&state),
-        );
-        let mut tasks = JoinSet::new();
-        tasks.spawn(keeper.run(receipt));
-        tasks.spawn(watch.run());
-        tasks.spawn(peers.run());
-        tasks.spawn(PeerExchange::new(Arc::clone(&desk), peer_datagrams).run());
-        tasks.spawn(accept_connections(
-            endpoint.clone(),
-            Arc::clone(&socket),
-            context,
-        ));
-        tasks.spawn(report_commits(committed_seen, drain.clone()));
-        tasks.spawn(
-            Housekeeping {
-                socket: Arc::clone(&socket),
-                endpoint: endpoint.clone(),
-                gauge: Arc::clone(&gauge),
-                desk: Arc::clone(&desk),
-                open,
-                state: Arc::clone(&state),
-                drain: drain.clone(),
-            }
-            .run(),
-        );
-        log_event!(info, AgentEvent::Started, name = settings.name, domain = %settings.domain);
-        Ok(Self {
+        let node = Self {
             name: settings.name.clone(),
             service: settings.service.clone(),
             domain: settings.domain.clone(),
             socket,
             endpoint,
             gauge,
-            desk,
+            open,
+            desk: Arc::clone(&desk),
             state,
             drain,
             exit: exit_seen,
             client,
             announcement,
-            _tasks: tasks,
-        })
+            tasks: JoinSet::new(),
+        };
+        let context = Arc::new(ServeContext {
+            desk,
+            go_away: go_away_seen,
+        });
+        log_event!(info, AgentEvent::Started, name = settings.name, domain = %settings.domain);
+        Ok(node
+            .with_service_tasks(context)
+            .with_peer_tasks(peers, peer_datagrams)
+            .with_control_tasks(keeper, receipt, committed_seen))
+    }
+
+    /// Starts the tasks that serve callers.
+    fn with_service_tasks(mut self, context: Arc<ServeContext>) -> Self {
+        self.tasks.spawn(accept_connections(
+            self.endpoint.clone(),
+            Arc::clone(&self.socket),
+            context,
+        ));
+        let housekeeping = Housekeeping {
+            socket: Arc::clone(&self.socket),
+            endpoint: self.endpoint.clone(),
+            gauge: Arc::clone(&self.gauge),
+            open: Arc::clone(&self.open),
+            desk: Arc::clone(&self.desk),
+            state: Arc::clone(&self.state),
+            drain: self.drain.clone(),
+        };
+        self.tasks.spawn(housekeeping.run());
+        self
+    }
+
+    /// Starts the tasks that talk with other agents.
+    fn with_peer_tasks(
+        mut self,
+        peers: Arc<PeerServer>,
+        datagrams: mpsc::Receiver<PeerDatagram>,
+    ) -> Self {
+        let exchange = PeerExchange::new(Arc::clone(&self.desk), datagrams);
+        self.tasks.spawn(peers.run());
+        self.tasks.spawn(exchange.run());
+        self
+    }
+
+    /// Starts the tasks that talk with control.
+    fn with_control_tasks(
+        mut self,
+        keeper: LeaseKeeper,
+        receipt: AnnounceReceipt,
+        committed: watch::Receiver<TargetPhase>,
+    ) -> Self {
+        let route_watch = RouteWatch::new(
+            ControlClient::clone(&self.client),
+            WatcherName::Agent(self.name.clone()),
+            self.domain.clone(),
+            WatchScope::Service(self.service.clone()),
+            Arc::clone(&self.state),
+        );
+        self.tasks.spawn(keeper.run(receipt));
+        self.tasks.spawn(route_watch.run());
+        self.tasks
+            .spawn(report_commits(committed, self.drain.clone()));
+        self
     }
 
     /// Begins a planned stop, cancels it, or stops without waiting.
@@ -197,6 +219,8 @@
         // The sender lives as long as the drain actor.
         let _ = self.exit.wait_for(|is_over| *is_over).await;
         withdraw_target(&self.client, &self.announcement).await;
+        // An answer that was sent may still be on its way.
+        let _ = tokio::time::timeout(LINGER_MILLIS.duration(), self.endpoint.wait_idle()).await;
         self.endpoint
             .close(quinn::VarInt::from_u32(0x100), b"stopped");
         self.endpoint.wait_idle().await;
@@ -237,6 +261,22 @@
     }
 }
 
+/// Wraps the tunnel's socket with a gate that lets a new target warm up.
+fn open_socket(
+    io: UdpSocket,
+    identity: TargetIdentity,
+    secret: &SecretStore,
+    gauge: &Arc<LoadGauge>,
+    inbox: mpsc::Sender<PeerDatagram>,
+) -> Arc<TunnelSocket> {
+    let phase = AgentPhase::Warming {
+        since: ClockMillis::ORIGIN,
+    };
+    let gate = AdmissionGate::new(AcceptRule::DEFAULT, phase);
+    let socket = TunnelSocket::new(io, identity, secret.clone(), gate, Arc::clone(gauge), inbox);
+    Arc::new(socket)
+}
+
 /// Returns what is assumed of the service before the feed tells of it.
 fn initial_spec(settings: &AgentSettings) -> ServiceSpec {
     ServiceSpec {
@@ -293,8 +333,8 @@
     socket: Arc<TunnelSocket>,
     endpoint: Endpoint,
     gauge: Arc<LoadGauge>,
-    desk: Arc<RequestDesk>,
     open: Arc<OpenGauge>,
+    desk: Arc<RequestDesk>,
     state: Arc<WatchState>,
     drain: ActorRef<DrainActor>,
 }
--- a/src/agent/node/drain_actor.rs
+++ b/src/agent/node/drain_actor.rs
@@ -4,7 +4,6 @@
 use quinn::{Endpoint, VarInt};
 use tokio::sync::watch;
 
-use super::OpenGauge;
 use crate::{
     agent::{
         AgentEvent,
@@ -29,8 +28,6 @@
     pub(crate) endpoint: Endpoint,
     /// Where requests are decided on.
     pub(crate) desk: Arc<RequestDesk>,
-    /// What is open.
-    pub(crate) open: Arc<OpenGauge>,
     /// The phase that the lease keeper announces.
     pub(crate) phase: watch::Sender<TargetPhase>,
     /// Counts the announcements of leaving to open connections.
--- a/src/agent/outcome/not_run_cause.rs
+++ b/src/agent/outcome/not_run_cause.rs
@@ -24,8 +24,6 @@
     RetryBudgetSpent,
     /// The slot that a peer granted was taken back.
     GrantLost,
-    /// The body is larger than a request may bring here.
-    BodyTooLarge,
 }
 
 impl NotRunCause {
@@ -41,7 +39,6 @@
             Self::LedgerFull => "the ledger of tickets is full",
             Self::RetryBudgetSpent => "too many recent requests were retries",
             Self::GrantLost => "the granted slot was taken back",
-            Self::BodyTooLarge => "the request body is too large",
         }
     }
 }
--- a/src/agent/relay/answer_sink.rs
+++ b/src/agent/relay/answer_sink.rs
@@ -39,7 +39,7 @@
 /// What the answer is sent over.
 enum SinkLine {
     /// A stream of HTTP/3 to a caller.
-    Caller(RequestStream<h3_quinn::SendStream<Bytes>, Bytes>),
+    Caller(Box<RequestStream<h3_quinn::SendStream<Bytes>, Bytes>>),
     /// An answer of HTTP/1.1 to another agent.
     Peer {
         head: Option<oneshot::Sender<Response<()>>>,
@@ -51,7 +51,7 @@
     /// Sends the answer to a caller.
     pub(super) fn caller(stream: RequestStream<h3_quinn::SendStream<Bytes>, Bytes>) -> Self {
         Self {
-            line: SinkLine::Caller(stream),
+            line: SinkLine::Caller(Box::new(stream)),
             ended: false,
         }
     }
--- a/src/agent/relay/caller_watch.rs
+++ b/src/agent/relay/caller_watch.rs
@@ -82,5 +82,5 @@
         return;
     }
     *cancelled = None;
-    pending().await
+    pending::<()>().await;
 }
--- a/src/agent/relay/ticket_handover.rs
+++ b/src/agent/relay/ticket_handover.rs
@@ -60,13 +60,13 @@
     let stream = TcpStream::connect(address).await.ok()?;
     let (mut sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
     let driver = tokio::spawn(connection);
-    let request = handover_request(body, &desk.secret().keys());
+    let request = handover_request(&body, &desk.secret().keys());
     let response = sender.send_request(request).await.ok();
     driver.abort();
     response.map(|response| response.status())
 }
 
-fn handover_request(body: Bytes, ring: &KeyRing) -> Request<Full<Bytes>> {
+fn handover_request(body: &Bytes, ring: &KeyRing) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(body.clone()));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = http::Uri::from_static(HANDOVER_PATH);
@@ -76,7 +76,7 @@
     PeerHead::sign(
         PeerPurpose::Handover,
         (&Method::POST, &uri, headers),
-        &body,
+        body,
         ring,
     );
     request
