--- a/src/agent/relay/request_run.rs
+++ b/src/agent/relay/request_run.rs
@@ -20,17 +20,21 @@
         node::{OpenGuard, OpenKind},
         outcome::FinalAnswer,
         request::{
-            CallerDeparture, RequestAction, RequestEvent, RequestKind, RequestMachine,
+            AnswerDeadline, CallerDeparture, RequestAction, RequestEvent, RequestMachine,
             RequestProfile, RequestStage, RunPlace, SettledRun,
         },
         retry::AttemptFailure,
         ticket::{RunKey, RunOutcome},
     },
+    clock::SpanMillis,
     event::log_event,
     key::TargetKey,
     route::TargetPhase,
 };
 
+/// How long a caller that holds a slot may take no data.
+const STALL_MILLIS: SpanMillis = SpanMillis::new(30_000);
+
 /// Leads one request through its machine's stages, with sockets and timers.
 pub(super) struct RequestRun {
     desk: Arc<RequestDesk>,
@@ -271,14 +275,17 @@
             return;
         };
         let deadline = self.profile.deadline;
-        let is_timed = self.profile.kind == RequestKind::Slotted;
+        let is_timed = self.profile.answer_deadline == AnswerDeadline::Whole;
+        let holds_slot = self.permit.is_some();
         let sent = tokio::select! {
-            sent = sink.send_data(data) => sent,
+            sent = sink.send_data(data) => sent.is_ok(),
             () = sleep_until(&self.desk, deadline), if is_timed => {
                 return self.handle(RequestEvent::Deadline).await;
             }
+            // A caller that reads nothing must not keep a slot for ever.
+            () = tokio::time::sleep(STALL_MILLIS.duration()), if holds_slot => false,
         };
-        if sent.is_err() {
+        if !sent {
             self.lose_sink().await;
         }
     }
@@ -451,9 +458,9 @@
     }
 
     fn answer_deadline(&self) -> DeadlineUse {
-        match self.profile.kind {
-            RequestKind::Slotted => DeadlineUse::Holds,
-            RequestKind::Stream => DeadlineUse::Past,
+        match self.profile.answer_deadline {
+            AnswerDeadline::Whole => DeadlineUse::Holds,
+            AnswerDeadline::Begun => DeadlineUse::Past,
         }
     }
 }
--- a/src/agent/request/mod.rs
+++ b/src/agent/request/mod.rs
@@ -9,7 +9,7 @@
 pub(crate) use request_action::{RequestAction, SettledRun};
 pub(crate) use request_event::{CallerDeparture, RequestEvent};
 pub(crate) use request_machine::RequestMachine;
-pub(crate) use request_profile::{ProfileError, RequestKind, RequestProfile};
+pub(crate) use request_profile::{AnswerDeadline, ProfileError, RequestKind, RequestProfile};
 pub(crate) use request_stage::{RequestStage, RunPlace};
 
 #[cfg(test)]
--- a/src/agent/request/request_machine.rs
+++ b/src/agent/request/request_machine.rs
@@ -1,5 +1,5 @@
 use super::{
-    CallerDeparture, RequestAction, RequestEvent, RequestKind, RequestProfile, RequestStage,
+    AnswerDeadline, CallerDeparture, RequestAction, RequestEvent, RequestProfile, RequestStage,
     RunPlace, SettledRun,
 };
 use crate::{
@@ -205,8 +205,10 @@
     fn pass_deadline(&mut self) -> Vec<RequestAction> {
         match self.stage {
             RequestStage::Closed => Vec::new(),
-            // A stream that was answered lasts as long as it likes.
-            RequestStage::Answering(_) if self.profile.kind == RequestKind::Stream => Vec::new(),
+            RequestStage::Answering(_) if self.profile.answer_deadline == AnswerDeadline::Begun => {
+                Vec::new()
+            }
+
             RequestStage::Answering(_) => self.abort_answer(),
             RequestStage::Waiting | RequestStage::Opening(_) | RequestStage::Sent(_) => {
                 self.end_without_answer(|state| FinalAnswer::DeadlinePassed { state })
--- a/src/agent/request/request_profile.rs
+++ b/src/agent/request/request_profile.rs
@@ -29,6 +29,15 @@
     Stream,
 }
 
+/// What a deadline means for an answer that is on its way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AnswerDeadline {
+    /// All of the answer must be there by then.
+    Whole,
+    /// The answer must have begun by then.
+    Begun,
+}
+
 /// How a request is to be treated, by its rule and its header fields.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct RequestProfile {
@@ -36,6 +45,8 @@
     pub(crate) priority: RequestPriority,
     /// When the answer must be there.
     pub(crate) deadline: ClockMillis,
+    /// What that means for an answer that is on its way.
+    pub(crate) answer_deadline: AnswerDeadline,
     /// Whether the request may run twice.
     pub(crate) idempotent: bool,
     /// Whether it holds a slot.
@@ -71,9 +82,18 @@
         } else {
             RequestKind::Slotted
         };
+        // The service's default says nothing of how long an answer may be.
+        let rule = spec.rule_for(method, path);
+        let is_asked = deadline_field.is_some() || rule.is_some_and(|rule| rule.deadline.is_some());
+        let answer_deadline = if is_asked && !treatment.stream {
+            AnswerDeadline::Whole
+        } else {
+            AnswerDeadline::Begun
+        };
         Ok(Self {
             priority: treatment.priority,
             deadline: now.after(span.min(LONGEST_DEADLINE)),
+            answer_deadline,
             idempotent: treatment.idempotent,
             kind,
             ticketed: false,
--- a/src/agent/request/tests/single_request.rs
+++ b/src/agent/request/tests/single_request.rs
@@ -6,8 +6,8 @@
 use slotmap::SlotMap;
 
 use super::super::{
-    CallerDeparture, RequestAction, RequestEvent, RequestKind, RequestMachine, RequestProfile,
-    RequestStage, RunPlace, SettledRun,
+    AnswerDeadline, CallerDeparture, RequestAction, RequestEvent, RequestKind, RequestMachine,
+    RequestProfile, RequestStage, RunPlace, SettledRun,
 };
 use crate::{
     agent::{
@@ -30,6 +30,7 @@
         priority: RequestPriority::Normal,
         deadline: ClockMillis::new(1_000_000),
         idempotent,
+        answer_deadline: AnswerDeadline::Whole,
         kind: RequestKind::Slotted,
         ticketed,
         replayable: true,
@@ -172,3 +173,23 @@
         assert_eq!(actions.contains(&RequestAction::DropAttempt), drops);
     }
 }
+
+#[test]
+fn only_a_deadline_that_was_asked_for_cuts_an_answer_on_its_way() {
+    for (answer_deadline, cuts) in [
+        (AnswerDeadline::Whole, true),
+        (AnswerDeadline::Begun, false),
+    ] {
+        let mut budget = RetryBudget::new(10);
+        let mut machine = RequestMachine::new(RequestProfile {
+            answer_deadline,
+            ..profile(true, false)
+        });
+        machine.start_at(RunPlace::Own);
+        for event in [RequestEvent::Connected, RequestEvent::AnswerHead] {
+            machine.handle(event, &mut budget, ClockMillis::ORIGIN);
+        }
+        let actions = machine.handle(RequestEvent::Deadline, &mut budget, ClockMillis::ORIGIN);
+        assert_eq!(actions.contains(&RequestAction::ResetAnswer), cuts);
+    }
+}
