--- a/src/agent/node/agent_node.rs
+++ b/src/agent/node/agent_node.rs
@@ -17,8 +17,10 @@
         AgentEvent, AgentSettings,
         admission::{AcceptRule, AdmissionGate, AdmissionVerdict, AgentPhase},
         drain::{DrainEvent, DrainGoal, DrainReport},
-        endpoint::{LoadGauge, PEER_INBOX, TargetIdentity, TunnelSocket, open_endpoint},
-        relay::{ServeContext, UpstreamClient, serve_connection},
+        endpoint::{
+            LoadGauge, PEER_INBOX, PeerDatagram, TargetIdentity, TunnelSocket, open_endpoint,
+        },
+        relay::{PeerExchange, PeerServer, RequestDesk, ServeContext, serve_connection},
     },
     clock::{ClockMillis, SpanMillis},
     control::{
@@ -27,13 +29,17 @@
     },
     event::log_event,
     key::{DomainName, IncarnationId, TargetKey},
-    manifest::ServiceLimits,
+    manifest::{ServiceLimits, ServiceSpec},
     route::TargetPhase,
     secret::SecretStore,
     tls::CertificateStore,
     watch::{RouteWatch, WatchState},
 };
 
+/// The deadline of requests before the feed tells of the service.
+const INITIAL_DEADLINE_MILLIS: SpanMillis = SpanMillis::new(10_000);
+/// How long callers get to take the last answers and close.
+const LINGER_MILLIS: SpanMillis = SpanMillis::new(3_000);
 /// How often open work is counted and paths are looked after.
 const HOUSEKEEPING_MILLIS: SpanMillis = SpanMillis::new(250);
 
@@ -47,6 +53,7 @@
     endpoint: Endpoint,
     gauge: Arc<LoadGauge>,
     open: Arc<OpenGauge>,
+    desk: Arc<RequestDesk>,
     state: Arc<WatchState>,
     drain: ActorRef<DrainActor>,
     exit: watch::Receiver<bool>,
@@ -82,19 +89,31 @@
             incarnation: announcement.incarnation,
         };
         let gauge = Arc::new(LoadGauge::new(ServiceLimits::default()));
-        let socket = open_socket(io, identity, &secret, &gauge);
+        let (inbox, peer_datagrams) = mpsc::channel(PEER_INBOX);
+        let socket = open_socket(io, identity, &secret, &gauge, inbox);
+        let open = OpenGauge::new();
+        let state = WatchState::new();
+        let desk = RequestDesk::new(
+            identity,
+            initial_spec(settings),
+            settings.upstream,
+            secret.clone(),
+            Arc::clone(&state),
+            (Arc::clone(&socket), Arc::clone(&gauge), Arc::clone(&open)),
+        );
+        let peers = PeerServer::bind(settings.peer_listen, Arc::clone(&desk)).await?;
         let endpoint = open_endpoint(
             Arc::clone(&socket),
             secret,
             certificates,
             settings.connection_id_life,
         )?;
-        let open = OpenGauge::new();
         let (go_away, go_away_seen) = watch::channel(0);
         let (exit, exit_seen) = watch::channel(false);
         let drain = DrainActor::spawn(DrainActor::new(DrainDuty {
             socket: Arc::clone(&socket),
             endpoint: endpoint.clone(),
+            desk: Arc::clone(&desk),
             phase,
             go_away,
             exit,
@@ -106,8 +125,9 @@
             socket,
             endpoint,
             gauge,
-            open: Arc::clone(&open),
-            state: WatchState::new(),
+            open,
+            desk: Arc::clone(&desk),
+            state,
             drain,
             exit: exit_seen,
             client,
@@ -115,13 +135,13 @@
             tasks: JoinSet::new(),
         };
         let context = Arc::new(ServeContext {
-            upstream: UpstreamClient::new(settings.upstream),
-            open,
+            desk,
             go_away: go_away_seen,
         });
         log_event!(info, AgentEvent::Started, name = settings.name, domain = %settings.domain);
         Ok(node
             .with_service_tasks(context)
+            .with_peer_tasks(peers, peer_datagrams)
             .with_control_tasks(keeper, receipt, committed_seen))
     }
 
@@ -137,6 +157,7 @@
             endpoint: self.endpoint.clone(),
             gauge: Arc::clone(&self.gauge),
             open: Arc::clone(&self.open),
+            desk: Arc::clone(&self.desk),
             state: Arc::clone(&self.state),
             drain: self.drain.clone(),
         };
@@ -144,6 +165,18 @@
         self
     }
 
+    /// Starts the tasks that talk with other agents.
+    fn with_peer_tasks(
+        mut self,
+        peers: Arc<PeerServer>,
+        datagrams: mpsc::Receiver<PeerDatagram>,
+    ) -> Self {
+        let exchange = PeerExchange::new(Arc::clone(&self.desk), datagrams);
+        self.tasks.spawn(peers.run());
+        self.tasks.spawn(exchange.run());
+        self
+    }
+
     /// Starts the tasks that talk with control.
     fn with_control_tasks(
         mut self,
@@ -186,6 +219,8 @@
         // The sender lives as long as the drain actor.
         let _ = self.exit.wait_for(|is_over| *is_over).await;
         withdraw_target(&self.client, &self.announcement).await;
+        // An answer that was sent may still be on its way.
+        let _ = tokio::time::timeout(LINGER_MILLIS.duration(), self.endpoint.wait_idle()).await;
         self.endpoint
             .close(quinn::VarInt::from_u32(0x100), b"stopped");
         self.endpoint.wait_idle().await;
@@ -206,6 +241,7 @@
             phase: self.socket.phase(),
             load: self.gauge.read(),
             drain: self.drain.ask(DrainQuery).await.ok(),
+            requests: self.desk.counts(),
             admission: self.socket.admission(),
             balancers: self.socket.list_paths(),
             tunnel: self.socket.counters().read(),
@@ -231,8 +267,8 @@
     identity: TargetIdentity,
     secret: &SecretStore,
     gauge: &Arc<LoadGauge>,
+    inbox: mpsc::Sender<PeerDatagram>,
 ) -> Arc<TunnelSocket> {
-    let (inbox, _peer_datagrams) = mpsc::channel(PEER_INBOX);
     let phase = AgentPhase::Warming {
         since: ClockMillis::ORIGIN,
     };
@@ -241,6 +277,18 @@
     Arc::new(socket)
 }
 
+/// Returns what is assumed of the service before the feed tells of it.
+fn initial_spec(settings: &AgentSettings) -> ServiceSpec {
+    ServiceSpec {
+        name: settings.service.clone(),
+        address: settings.tunnel_listen,
+        limits: ServiceLimits::default(),
+        deadline: INITIAL_DEADLINE_MILLIS,
+        retry_percent: 0,
+        rules: Vec::new(),
+    }
+}
+
 async fn bind_tunnel(address: SocketAddrV4) -> Result<UdpSocket, AgentError> {
     UdpSocket::bind(address)
         .await
@@ -286,6 +334,7 @@
     endpoint: Endpoint,
     gauge: Arc<LoadGauge>,
     open: Arc<OpenGauge>,
+    desk: Arc<RequestDesk>,
     state: Arc<WatchState>,
     drain: ActorRef<DrainActor>,
 }
@@ -308,7 +357,9 @@
         let table = self.state.table().load();
         let number = self.socket.identity().service;
         if let Some(pool) = table.pool(number) {
-            self.gauge.set_limits(pool.route().spec.limits);
+            let spec = &pool.route().spec;
+            self.gauge.set_limits(spec.limits);
+            self.desk.set_service(spec);
         }
     }
 }
--- a/src/agent/outcome/final_answer.rs
+++ b/src/agent/outcome/final_answer.rs
@@ -47,10 +47,6 @@
     /// Returns the HTTP status.
     pub(crate) fn status(&self) -> StatusCode {
         match self {
-            Self::NotRun {
-                cause: NotRunCause::BodyTooLarge,
-                ..
-            } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::DeadlinePassed { .. } => StatusCode::GATEWAY_TIMEOUT,
             Self::StillRunning { .. } => StatusCode::CONFLICT,
--- a/src/agent/request/request_profile.rs
+++ b/src/agent/request/request_profile.rs
@@ -6,7 +6,7 @@
         slot::{SlotOrigin, SlotRequest},
     },
     clock::{ClockMillis, SpanMillis},
-    manifest::{RequestPriority, ServiceSpec, TrafficRule},
+    manifest::{RequestPriority, ServiceSpec},
 };
 
 /// The longest deadline that a request may bring.
@@ -29,6 +29,15 @@
     Stream,
 }
 
+/// What a deadline means for an answer that is on its way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AnswerDeadline {
+    /// All of the answer must be there by then.
+    Whole,
+    /// The answer must have begun by then.
+    Begun,
+}
+
 /// How a request is to be treated, by its rule and its header fields.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct RequestProfile {
@@ -36,6 +45,8 @@
     pub(crate) priority: RequestPriority,
     /// When the answer must be there.
     pub(crate) deadline: ClockMillis,
+    /// What that means for an answer that is on its way.
+    pub(crate) answer_deadline: AnswerDeadline,
     /// Whether the request may run twice.
     pub(crate) idempotent: bool,
     /// Whether it holds a slot.
@@ -61,19 +72,30 @@
         deadline_field: Option<&str>,
         now: ClockMillis,
     ) -> Result<Self, ProfileError> {
-        let rule = spec.rules.iter().find(|rule| applies(rule, method, path));
-        let ruled = rule.and_then(|rule| rule.deadline).unwrap_or(spec.deadline);
+        let treatment = spec.treatment_for(method, path);
         let span = match deadline_field {
             Some(text) => parse_deadline(text)?,
-            None => ruled,
+            None => treatment.deadline,
+        };
+        let kind = if treatment.stream {
+            RequestKind::Stream
+        } else {
+            RequestKind::Slotted
+        };
+        // The service's default says nothing of how long an answer may be.
+        let rule = spec.rule_for(method, path);
+        let is_asked = deadline_field.is_some() || rule.is_some_and(|rule| rule.deadline.is_some());
+        let answer_deadline = if is_asked && !treatment.stream {
+            AnswerDeadline::Whole
+        } else {
+            AnswerDeadline::Begun
         };
         Ok(Self {
-            priority: rule.map(|rule| rule.priority).unwrap_or_default(),
+            priority: treatment.priority,
             deadline: now.after(span.min(LONGEST_DEADLINE)),
-            idempotent: rule
-                .and_then(|rule| rule.idempotent)
-                .unwrap_or_else(|| is_idempotent(method)),
-            kind: rule.map_or(RequestKind::Slotted, kind_of),
+            answer_deadline,
+            idempotent: treatment.idempotent,
+            kind,
             ticketed: false,
             replayable: true,
         })
@@ -104,27 +126,6 @@
     }
 }
 
-fn applies(rule: &TrafficRule, method: &str, path: &str) -> bool {
-    let methods = &rule.methods;
-    let method_fits = methods.is_empty() || methods.iter().any(|name| name == method);
-    method_fits && path.starts_with(&rule.path_prefix)
-}
-
-fn kind_of(rule: &TrafficRule) -> RequestKind {
-    if rule.stream {
-        RequestKind::Stream
-    } else {
-        RequestKind::Slotted
-    }
-}
-
-fn is_idempotent(method: &str) -> bool {
-    matches!(
-        method,
-        "GET" | "HEAD" | "PUT" | "DELETE" | "OPTIONS" | "TRACE"
-    )
-}
-
 fn parse_deadline(text: &str) -> Result<SpanMillis, ProfileError> {
     text.trim()
         .parse()
