A caller is told when another service took over its target's address

Cause: an agent of another service at a reused address dropped the packets of the old connections in silence, and callers waited for their idle timeout; a connection refused for load was refused without a time to come back. The tunnel's socket is split into state, intake and the endpoint's side; loads of departed peers are forgotten; a registered peer is found without a list of all.

--- /dev/null
+++ b/src/agent/endpoint/frame_intake.rs
@@ -0,0 +1,202 @@
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use super::{FirstVerdict, PeerDatagram, TunnelSocket, tunnel_counters::TunnelCount};
+use crate::{
+    agent::AgentEvent,
+    event::log_event,
+    key::TargetKey,
+    route::{ConnectionRoute, PacketHeader, PacketKind, TargetChain},
+    tunnel::{FrameHeader, FrameKind},
+};
+
+/// The bytes of a balancer's address before a passed-on datagram.
+const ADDRESS_BYTES: usize = 6;
+
+/// What the agent does with the frames that it receives.
+impl TunnelSocket {
+    /// Takes a frame; returns the caller and the bytes for the endpoint.
+    pub(super) fn take_frame<'a>(
+        &self,
+        source: SocketAddrV4,
+        frame: &'a [u8],
+    ) -> Option<(FrameHeader, &'a [u8])> {
+        let read = FrameHeader::read(frame, &self.secret.keys());
+        let (header, payload) = match read {
+            Ok(frame) => frame,
+            Err(error) => {
+                self.counters.add(TunnelCount::BadFrame);
+                log_event!(debug, AgentEvent::FrameRefused, %source, %error);
+                return None;
+            }
+        };
+        match header.kind {
+            FrameKind::Forward => self.take_forward(source, header, payload),
+            FrameKind::PassOn => self.take_passed_on(header, payload),
+            FrameKind::Probe => {
+                self.send_echo(source, &header);
+                None
+            }
+            FrameKind::Echo => {
+                self.take_echo(source, &header);
+                None
+            }
+            FrameKind::Peer => {
+                self.take_peer(source, payload);
+                None
+            }
+            FrameKind::Leave => {
+                self.lock_paths().forget(source);
+                None
+            }
+            FrameKind::Answer => {
+                self.counters.add(TunnelCount::BadFrame);
+                None
+            }
+        }
+    }
+
+    fn take_forward<'a>(
+        &self,
+        balancer: SocketAddrV4,
+        header: FrameHeader,
+        datagram: &'a [u8],
+    ) -> Option<(FrameHeader, &'a [u8])> {
+        self.lock_paths().hear(balancer, self.clock.now());
+        self.send_echo(balancer, &header);
+        self.route_datagram(balancer, header, datagram)
+    }
+
+    fn take_passed_on<'a>(
+        &self,
+        header: FrameHeader,
+        payload: &'a [u8],
+    ) -> Option<(FrameHeader, &'a [u8])> {
+        let (address, datagram) = payload.split_at_checked(ADDRESS_BYTES)?;
+        let balancer = read_address(address);
+        self.lock_paths().hear(balancer, self.clock.now());
+        self.route_datagram(balancer, header, datagram)
+    }
+
+    /// Checks that a datagram belongs here, and applies the admission gate.
+    fn route_datagram<'a>(
+        &self,
+        balancer: SocketAddrV4,
+        header: FrameHeader,
+        datagram: &'a [u8],
+    ) -> Option<(FrameHeader, &'a [u8])> {
+        let packet = PacketHeader::read(datagram)?;
+        let route = ConnectionRoute::open(packet.destination, &self.secret.keys());
+        if header.service != self.identity.service {
+            self.refuse_service(balancer, &header, route, datagram);
+            return None;
+        }
+        match route {
+            Some(route) => self.check_route(route).then_some((header, datagram)),
+            None => self.gate_first(balancer, header, &packet, datagram),
+        }
+    }
+
+    /// Refuses a datagram of another service.
+    ///
+    /// If its connection ended at this address before, the target is gone for
+    /// good, and the caller is told so.
+    fn refuse_service(
+        &self,
+        balancer: SocketAddrV4,
+        header: &FrameHeader,
+        route: Option<ConnectionRoute>,
+        datagram: &[u8],
+    ) {
+        self.counters.add(TunnelCount::OtherService);
+        log_event!(debug, AgentEvent::OtherService, service = %header.service);
+        let ended_here = route.is_some_and(|route| {
+            route.service == header.service && route.target == self.identity.target
+        });
+        if ended_here {
+            self.send_reset(balancer, header, datagram);
+        }
+    }
+
+    fn check_route(&self, route: ConnectionRoute) -> bool {
+        if route.service != self.identity.service || route.target != self.identity.target {
+            self.counters.add(TunnelCount::OtherTarget);
+            log_event!(debug, AgentEvent::OtherTarget, target = %route.target);
+            return false;
+        }
+        if route.incarnation_tag != self.identity.incarnation.tag() {
+            // The endpoint does not know the ID and answers with a reset.
+            self.counters.add(TunnelCount::OtherIncarnation);
+        }
+        true
+    }
+
+    fn gate_first<'a>(
+        &self,
+        balancer: SocketAddrV4,
+        header: FrameHeader,
+        packet: &PacketHeader<'_>,
+        datagram: &'a [u8],
+    ) -> Option<(FrameHeader, &'a [u8])> {
+        if packet.kind == PacketKind::Short {
+            return Some((header, datagram));
+        }
+        let next_load = header
+            .chain
+            .split_first()
+            .and_then(|(next, _)| self.lock_loads().get(&next).copied());
+        let verdict = self.gate.decide(
+            packet.destination,
+            header.chain,
+            next_load,
+            &self.gauge,
+            self.clock.now(),
+        );
+        match verdict {
+            FirstVerdict::Deliver => Some((header, datagram)),
+            FirstVerdict::PassOn { next, rest } => {
+                self.pass_on(balancer, &header, next, rest, datagram);
+                None
+            }
+        }
+    }
+
+    fn pass_on(
+        &self,
+        balancer: SocketAddrV4,
+        header: &FrameHeader,
+        next: TargetKey,
+        rest: TargetChain,
+        datagram: &[u8],
+    ) {
+        let mut payload = Vec::with_capacity(ADDRESS_BYTES + datagram.len());
+        payload.extend_from_slice(&balancer.ip().octets());
+        payload.extend_from_slice(&balancer.port().to_be_bytes());
+        payload.extend_from_slice(datagram);
+        let header = FrameHeader::new(FrameKind::PassOn, header.service, header.caller)
+            .with_chain(rest)
+            .with_ecn(header.ecn);
+        self.send_frame(next.address(), &header, &payload);
+        self.counters.add(TunnelCount::PassedOn);
+    }
+
+    fn take_echo(&self, balancer: SocketAddrV4, header: &FrameHeader) {
+        if let Some(number) = header.echo {
+            self.lock_paths().take_echo(balancer, number);
+        }
+    }
+
+    fn take_peer(&self, source: SocketAddrV4, payload: &[u8]) {
+        let datagram = PeerDatagram {
+            source: TargetKey::new(source),
+            payload: payload.to_vec(),
+        };
+        if self.inbox.try_send(datagram).is_err() {
+            self.counters.add(TunnelCount::Unsent);
+        }
+    }
+}
+
+fn read_address(bytes: &[u8]) -> SocketAddrV4 {
+    let ip = Ipv4Addr::new(bytes[0], bytes[1], bytes[2], bytes[3]);
+    SocketAddrV4::new(ip, u16::from_be_bytes([bytes[4], bytes[5]]))
+}
--- a/src/agent/endpoint/mod.rs
+++ b/src/agent/endpoint/mod.rs
@@ -1,16 +1,21 @@
 //! The QUIC endpoint behind the tunnel: connection IDs, resets, paths.
 
 mod answer_paths;
+mod connection_refusal;
 mod endpoint_config;
+mod endpoint_socket;
 mod epoch_reset_key;
 mod first_packet;
+mod frame_intake;
 mod load_gauge;
+mod reset_writer;
 mod route_id_generator;
 mod target_identity;
 mod tunnel_counters;
 mod tunnel_poller;
 mod tunnel_socket;
 
+pub(crate) use connection_refusal::RefusalDesk;
 pub(crate) use endpoint_config::{EndpointError, open_endpoint};
 pub(crate) use load_gauge::LoadGauge;
 pub(crate) use target_identity::TargetIdentity;
@@ -20,6 +25,7 @@
 use answer_paths::AnswerPaths;
 use epoch_reset_key::EpochResetKey;
 use first_packet::{FirstPacketGate, FirstVerdict};
+use reset_writer::ResetWriter;
 use route_id_generator::RouteIdGenerator;
 use tunnel_poller::TunnelPoller;
 
--- a/src/agent/endpoint/tunnel_counters.rs
+++ b/src/agent/endpoint/tunnel_counters.rs
@@ -29,6 +29,8 @@
     Unsent,
     /// A silent path to a balancer was left.
     LeftPath,
+    /// A caller was told that a connection at this address is gone.
+    Reset,
 }
 
 /// The counts at one moment.
@@ -52,11 +54,13 @@
     pub unsent: u64,
     /// Silent paths that were left.
     pub left_paths: u64,
+    /// Callers that were told that a connection at this address is gone.
+    pub resets: u64,
 }
 
 impl TunnelCount {
     /// The number of kinds.
-    const ALL: usize = 9;
+    const ALL: usize = 10;
 }
 
 impl TunnelCounters {
@@ -78,6 +82,7 @@
             other_incarnation: read(TunnelCount::OtherIncarnation),
             unsent: read(TunnelCount::Unsent),
             left_paths: read(TunnelCount::LeftPath),
+            resets: read(TunnelCount::Reset),
         }
     }
 }
--- a/src/agent/node/agent_node.rs
+++ b/src/agent/node/agent_node.rs
@@ -18,7 +18,8 @@
         admission::{AcceptRule, AdmissionGate, AdmissionVerdict, AgentPhase},
         drain::{DrainEvent, DrainGoal, DrainReport},
         endpoint::{
-            LoadGauge, PEER_INBOX, PeerDatagram, TargetIdentity, TunnelSocket, open_endpoint,
+            LoadGauge, PEER_INBOX, PeerDatagram, RefusalDesk, TargetIdentity, TunnelSocket,
+            open_endpoint,
         },
         relay::{PeerExchange, PeerServer, RequestDesk, ServeContext, serve_connection},
     },
@@ -301,6 +302,7 @@
     socket: Arc<TunnelSocket>,
     context: Arc<ServeContext>,
 ) {
+    let refusals = RefusalDesk::new();
     while let Some(incoming) = endpoint.accept().await {
         match socket.verdict(&incoming.orig_dst_cid()) {
             AdmissionVerdict::Accept | AdmissionVerdict::PassOn => {
@@ -312,7 +314,7 @@
                     }
                 });
             }
-            AdmissionVerdict::Refuse { .. } => incoming.refuse(),
+            AdmissionVerdict::Refuse { retry_after } => refusals.refuse(incoming, retry_after),
         }
     }
 }
@@ -360,6 +362,8 @@
             let spec = &pool.route().spec;
             self.gauge.set_limits(spec.limits);
             self.desk.set_service(spec);
+            self.socket
+                .keep_peers(|peer| table.target(number, peer).is_some());
         }
     }
 }
--- a/src/agent/relay/request_desk.rs
+++ b/src/agent/relay/request_desk.rs
@@ -207,7 +207,10 @@
 
     /// Returns a registered peer.
     pub(super) fn peer(&self, target: TargetKey) -> Option<TargetEntry> {
-        self.peers().into_iter().find(|entry| entry.key == target)
+        let table = self.routes.table().load();
+        table
+            .target(self.service, target)
+            .filter(|entry| entry.key != self.own.target)
     }
 
     /// Counts a request that came from a caller.
--- a/src/route/route_table.rs
+++ b/src/route/route_table.rs
@@ -76,6 +76,17 @@
             })
     }
 
+    /// Returns a target of a service, if it is registered there.
+    #[must_use]
+    pub fn target(&self, service: ServiceNumber, key: TargetKey) -> Option<TargetEntry> {
+        let (home, domain) = self.homes.get(&key)?;
+        if *home != service {
+            return None;
+        }
+        let members = self.members.get(home)?;
+        members.get(domain)?.get(&key).copied()
+    }
+
     /// Returns the number of targets of all services.
     #[must_use]
     pub fn target_count(&self) -> usize {
--- a/tests/flows_survive.rs
+++ b/tests/flows_survive.rs
@@ -223,3 +223,19 @@
         .expect_err("the connection is gone");
     assert!(fault.contains("reset"), "{fault}\n{}", stream.site.logs());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_address_that_another_service_took_over_tells_the_caller_and_serves_nothing() {
+    let mut stream = StreamSite::start().await;
+    stream.read_on().await;
+    stream.agents[0].kill();
+    let logbook = stream.site.start_upstream(1, "logbook").await;
+    stream.agents[0] = stream.site.start_agent(0, "logbook", logbook.address());
+    let fault = stream
+        .lines
+        .read(1_000)
+        .await
+        .expect_err("the connection is gone");
+    assert!(fault.contains("reset"), "{fault}\n{}", stream.site.logs());
+    assert_eq!(logbook.requests(), 0);
+}
