A data folder that lacks its first entries is refused

A missing segment was found only by the gap that it left: with the oldest one gone, the entries were taken for those of a replacement that was cut short, and dropped in silence.

The names of new parent folders are synced. A group of one that grows to three has its test.

Measurements: the histograms held at most 2,047 and recorded larger values as 2. They hold 100,000,000 now.

--- a/src/control/journal/recovery.rs
+++ b/src/control/journal/recovery.rs
@@ -79,6 +79,10 @@
         recovered,
         segments,
     };
+    if content.recovered.lacks_entries() {
+        let path = segment_paths.first().map_or(folder, |(_, path)| path);
+        return Err(JournalError::damaged(path, 0, DamageFault::Gap));
+    }
     if !content.recovered.entries_connect() {
         // The replacement of the log by a snapshot was cut short.
         content.recovered.entries.clear();
--- a/src/control/journal/replica_journal.rs
+++ b/src/control/journal/replica_journal.rs
@@ -1,11 +1,11 @@
 use std::{
     fs,
-    path::{Path, PathBuf},
+    path::{self, Path, PathBuf},
 };
 
 use super::{
     JournalError,
-    atomic_file::replace_file,
+    atomic_file::{replace_file, sync_folder},
     folder_lock::FolderLock,
     recovery::{HARD_STATE_NAME, read_folder, remove_segments, write_snapshot},
     segment_file::SegmentFile,
@@ -37,7 +37,7 @@
         folder: &Path,
         fresh: DiskId,
     ) -> Result<(Self, RecoveredState), JournalError> {
-        fs::create_dir_all(folder).map_err(JournalError::storage("create", folder))?;
+        create_folder(folder)?;
         let lock = FolderLock::acquire(folder)?;
         let content = read_folder(folder, fresh)?;
         let journal = Self {
@@ -116,3 +116,14 @@
         Ok(())
     }
 }
+
+/// Creates a folder with those above it, so that their names last.
+fn create_folder(folder: &Path) -> Result<(), JournalError> {
+    let folder = path::absolute(folder).map_err(JournalError::storage("find", folder))?;
+    let missing: Vec<&Path> = folder
+        .ancestors()
+        .take_while(|ancestor| !ancestor.exists())
+        .collect();
+    fs::create_dir_all(&folder).map_err(JournalError::storage("create", &folder))?;
+    missing.into_iter().try_for_each(sync_folder)
+}
--- a/src/control/journal/tests/damage.rs
+++ b/src/control/journal/tests/damage.rs
@@ -3,6 +3,7 @@
 use std::fs;
 
 use proptest::prelude::*;
+use rstest::rstest;
 use tempfile::{TempDir, tempdir};
 
 use super::{DISK, entries_batch, entry, files, fixed_cases, open, snapshot_batch};
@@ -58,18 +59,27 @@
     assert_eq!(offset, lengths[0] as u64);
 }
 
-#[test]
-fn a_missing_segment_is_refused() {
+#[rstest]
+#[case(false, 0)]
+#[case(false, 1)]
+#[case(true, 0)]
+#[case(true, 1)]
+fn a_missing_segment_is_refused(#[case] snapshot: bool, #[case] missing: usize) {
     let folder = tempdir().expect("a temporary folder");
     let (journal, _) = open(&folder);
     let mut journal = journal.with_segment_bytes(1);
-    for index in 1..=3 {
+    for index in 1..=6 {
         journal
             .write_batch(&entries_batch(vec![entry(index, 1, 10)]))
             .expect("room");
     }
+    if snapshot {
+        journal
+            .write_batch(&snapshot_batch(2, 1, false, 2))
+            .expect("room");
+    }
     drop(journal);
-    fs::remove_file(&files(&folder, ".segment")[1]).expect("own file");
+    fs::remove_file(&files(&folder, ".segment")[missing]).expect("own file");
     assert!(refused(&folder));
 }
 
@@ -99,6 +109,30 @@
     assert_eq!(open(&folder).1.entries, written);
 }
 
+#[rstest]
+#[case("hard-state")]
+#[case(".snapshot")]
+#[case(".segment")]
+fn no_changed_byte_is_read_as_whole(#[case] ending: &str) {
+    let folder = tempdir().expect("a temporary folder");
+    write_entries(&folder, &[0, 40, 7]);
+    let (mut journal, _) = open(&folder);
+    journal
+        .write_batch(&snapshot_batch(1, 1, false, 0))
+        .expect("room");
+    drop(journal);
+    let path = files(&folder, ending)[0].clone();
+    let whole = fs::read(&path).expect("a file");
+    for place in 0..whole.len() {
+        for flip in [0x01, 0x80, 0xff] {
+            let mut bytes = whole.clone();
+            bytes[place] ^= flip;
+            fs::write(&path, bytes).expect("own file");
+            assert!(refused(&folder), "byte {place} of {ending}, flip {flip}");
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(fixed_cases(48))]
 
@@ -133,30 +167,6 @@
         prop_assert_eq!(recovered.entries.last(), Some(&next));
     }
 
-    #[test]
-    fn a_changed_byte_is_never_read_as_whole(
-        sizes in prop::collection::vec(0..200_usize, 1..6),
-        place in 0..4_000_usize,
-        flip in 1..=255_u8,
-        which in 0..3_usize,
-    ) {
-        let folder = tempdir().expect("a temporary folder");
-        write_entries(&folder, &sizes);
-        let (mut journal, _) = open(&folder);
-        journal.write_batch(&snapshot_batch(1, 1, false, 0)).expect("room");
-        drop(journal);
-        let path = match which {
-            0 => folder.path().join("hard-state"),
-            1 => files(&folder, ".snapshot")[0].clone(),
-            _ => files(&folder, ".segment")[0].clone(),
-        };
-        let mut bytes = fs::read(&path).expect("a file");
-        let place = place % bytes.len();
-        bytes[place] ^= flip;
-        fs::write(&path, bytes).expect("own file");
-        prop_assert!(refused(&folder));
-    }
-
     #[test]
     fn arbitrary_bytes_never_break_the_reader(
         bytes in prop::collection::vec(any::<u8>(), 0..300),
--- a/src/control/journal/tests/measures.rs
+++ b/src/control/journal/tests/measures.rs
@@ -8,6 +8,8 @@
 use super::{entries_batch, entry};
 use crate::control::{journal::ReplicaJournal, replica::DiskId};
 
+/// The largest time that a measurement records, in its unit.
+const MOST_RECORDED: u64 = 100_000_000;
 const ENTRIES: u64 = 2_000;
 const ENTRY_BYTES: usize = 300;
 
@@ -19,7 +21,8 @@
         let folder = tempdir_in("target").expect("a temporary folder");
         let (mut journal, _) =
             ReplicaJournal::open(folder.path(), DiskId::new(1)).expect("a whole folder");
-        let mut latencies = Histogram::<u64>::new(3).expect("a valid precision");
+        let mut latencies =
+            Histogram::<u64>::new_with_max(MOST_RECORDED, 3).expect("a valid range");
         let start = Instant::now();
         let mut index = 1;
         while index <= ENTRIES {
--- a/src/control/replica/hard_state.rs
+++ b/src/control/replica/hard_state.rs
@@ -51,6 +51,14 @@
         first == Some(snapshot.index.next()) || self.entries.iter().any(overlap)
     }
 
+    /// Returns whether entries are missing between the snapshot, or the
+    /// beginning of the log, and the first entry.
+    pub(crate) fn lacks_entries(&self) -> bool {
+        let held = self.snapshot.as_ref().map(|snapshot| snapshot.index);
+        let next = held.unwrap_or_default().next();
+        self.entries.first().is_some_and(|first| first.index > next)
+    }
+
     /// Creates what an empty data folder holds.
     #[cfg(test)]
     pub(crate) const fn new(disk: DiskId) -> Self {
--- a/src/control/replica/tests/measures.rs
+++ b/src/control/replica/tests/measures.rs
@@ -5,6 +5,8 @@
 use super::shuffler::Shuffler;
 use crate::clock::SpanMillis;
 
+/// The largest time that a measurement records, in its unit.
+const MOST_RECORDED: u64 = 100_000_000;
 const SEEDS: u64 = 200;
 const MISSED_ENTRIES: usize = 500;
 const SETTLE_MILLIS: SpanMillis = SpanMillis::new(4_000);
@@ -14,7 +16,7 @@
 #[ignore = "a measurement, not a check"]
 fn measure_the_time_without_a_leader() {
     for count in [3, 5] {
-        let mut spans = Histogram::<u64>::new(3).expect("a valid precision");
+        let mut spans = Histogram::<u64>::new_with_max(MOST_RECORDED, 3).expect("a valid range");
         for seed in 0..SEEDS {
             let mut shuffler = Shuffler::new(count, seed);
             shuffler.run(SETTLE_MILLIS);
--- a/src/control/replica/tests/scenarios.rs
+++ b/src/control/replica/tests/scenarios.rs
@@ -207,3 +207,15 @@
     assert_eq!(view.role, ReplicaRole::Follower);
     assert!(view.snapshot.number() > 50);
 }
+
+#[test]
+fn a_group_of_one_grows_to_three() {
+    let (mut shuffler, _) = start(1);
+    shuffler.grow(2);
+    shuffler.run(SpanMillis::new(8_000));
+    assert_eq!(repairs(&shuffler), 2);
+    shuffler.crash(0, 0);
+    shuffler.run(SETTLE_MILLIS);
+    let leader = shuffler.leader().expect("two of three answer");
+    shuffler.assert_holds_accepted(leader);
+}
--- a/src/control/replica/tests/shuffler.rs
+++ b/src/control/replica/tests/shuffler.rs
@@ -94,6 +94,19 @@
         self.nodes[node].state.clear();
     }
 
+    /// Adds replicas with empty disks; the others start again and know of them.
+    pub(super) fn grow(&mut self, count: usize) {
+        for node in 0..self.nodes.len() {
+            self.crash(node, 0);
+        }
+        for _ in 0..count {
+            self.nodes.push(TestNode::new(&mut self.generator));
+        }
+        for node in 0..self.nodes.len() {
+            self.restart(node);
+        }
+    }
+
     /// Kills a replica; `kept` entries of the batch under way reach the disk.
     pub(super) fn crash(&mut self, node: usize, kept: usize) {
         let node = &mut self.nodes[node];
--- a/src/control/replica_link/frame_stream.rs
+++ b/src/control/replica_link/frame_stream.rs
@@ -14,7 +14,7 @@
 /// The time after which a connection without a sign of life is closed.
 pub(super) const SILENCE_MILLIS: SpanMillis = SpanMillis::new(2_000);
 /// Length, epoch and proof.
-const HEADER_BYTES: usize = 4 + 1 + PROOF_BYTES;
+pub(super) const HEADER_BYTES: usize = 4 + 1 + PROOF_BYTES;
 /// The bytes that are read at once.
 const READ_BYTES: usize = 64 << 10;
 
--- a/src/control/replica_link/tests/mod.rs
+++ b/src/control/replica_link/tests/mod.rs
@@ -2,14 +2,20 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+use rstest::rstest;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
     sync::mpsc,
     time::timeout,
 };
 
-use super::{LinkListener, LinkSender};
+use super::{
+    LinkError, LinkListener, LinkSender,
+    frame_codec::{FIRST_PAYLOAD_BYTES, MAX_PAYLOAD_BYTES},
+    frame_stream::{FrameReader, HEADER_BYTES},
+    session_key::{FrameWay, SessionKey},
+};
 use crate::{
     clock::SpanMillis,
     control::replica::{DiskId, PeerBody, PeerMessage, ReplicaId, ReplicaSeat, TermNumber},
@@ -85,29 +91,30 @@
     }
 }
 
+#[rstest]
+#[case(FIRST_PAYLOAD_BYTES, false)]
+#[case(FIRST_PAYLOAD_BYTES + 1, true)]
+#[case(MAX_PAYLOAD_BYTES, true)]
 #[tokio::test]
-async fn a_long_first_frame_is_refused_before_it_is_read() {
-    let (address, _messages) = listen(&store()).await;
-    let mut stream = TcpStream::connect(address).await.expect("it listens");
-    let mut nonce = [0; 16];
-    stream.read_exact(&mut nonce).await.expect("a nonce");
-    let mut frame = vec![0; 16];
-    frame.extend_from_slice(&u32::to_be_bytes(1 << 20));
-    frame.resize(16 + 37, 0);
-    stream.write_all(&frame).await.expect("it reads");
-    let closed = async {
-        let mut rest = Vec::new();
-        // A reset is as good as an end.
-        let _ = stream.read_to_end(&mut rest).await;
-        rest.len()
-    };
-    let answered = timeout(PATIENCE_MILLIS.duration(), closed).await;
-    assert_eq!(answered.expect("the connection is closed"), 0);
+async fn a_long_first_frame_is_refused_by_its_length(#[case] length: usize, #[case] refused: bool) {
+    let listener = TcpListener::bind(ANY_PORT).await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    let mut dialler = TcpStream::connect(address).await.expect("it listens");
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let (half, _rest) = stream.into_split();
+    let key = SessionKey::new(store(), [1; 16], [2; 16]);
+    let mut reader = FrameReader::new(half, key, FrameWay::Forward);
+    let length = u32::try_from(length).expect("a frame's length");
+    let mut frame = length.to_be_bytes().to_vec();
+    frame.resize(HEADER_BYTES, 0);
+    dialler.write_all(&frame).await.expect("it reads");
+    // No payload follows: a length that is allowed is waited for.
+    let error = reader.read().await.expect_err("it is no frame");
+    assert_eq!(matches!(error, LinkError::TooLong { .. }), refused);
 }
 
 #[test]
 fn a_frame_can_not_be_replayed_or_turned_round() {
-    use super::session_key::{FrameWay, SessionKey};
     let secret = store();
     let key = SessionKey::new(secret.clone(), [1; 16], [2; 16]);
     let (epoch, proof) = key.prove(FrameWay::Forward, 3, b"payload");
--- a/tests/control_durability.rs
+++ b/tests/control_durability.rs
@@ -3,9 +3,15 @@
 
 mod control_group;
 
-use std::time::Duration;
+use std::{net::SocketAddrV4, time::Duration};
 
 use control_group::{ControlGroup, PATIENCE, accept, manifest, offer, wait_until};
+use cyclamenrouter::{
+    control::{api::AnnounceRequest, client::ControlClient},
+    key::{DomainName, IncarnationId, TargetKey},
+    route::TargetPhase,
+};
+use hdrhistogram::Histogram;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::time::{Instant, sleep};
 
@@ -13,6 +19,8 @@
 const REPAIR_DONE: u16 = 1126;
 /// The event of a majority that does not answer.
 const QUORUM_LOST: u16 = 1123;
+/// The largest time that a measurement records, in its unit.
+const MOST_RECORDED: u64 = 100_000_000;
 /// How often a process is killed amid accepted changes.
 const KILLS: usize = 8;
 
@@ -174,3 +182,81 @@
     wait_until("the second repair is done", || repairs(&group) == 2).await;
     assert_eq!(group.status().await.manifest_version, 6);
 }
+
+/// Measures the built program; run with `--release -- --ignored --nocapture`.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "a measurement, not a check"]
+async fn measure_accepted_changes() {
+    const SPAN: Duration = Duration::from_secs(5);
+    for (replicas, callers) in [(1, 1), (1, 64), (3, 1), (3, 64)] {
+        let group = ControlGroup::start(replicas);
+        accept(&group.client_of_all(), 1).await;
+        let tasks: Vec<_> = (0..callers)
+            .map(|caller| tokio::spawn(announce_for(group.client_of_all(), caller, SPAN)))
+            .collect();
+        let mut latencies =
+            Histogram::<u64>::new_with_max(MOST_RECORDED, 3).expect("a valid range");
+        for task in tasks {
+            for micros in task.await.expect("it calls to the end") {
+                latencies.saturating_record(micros);
+            }
+        }
+        println!(
+            "{replicas} replicas, {callers} callers: {} changes/s, p50 {} us, p99 {} us, max {} us",
+            latencies.len() / SPAN.as_secs(),
+            latencies.value_at_quantile(0.5),
+            latencies.value_at_quantile(0.99),
+            latencies.max(),
+        );
+    }
+}
+
+/// Announces one target after the other; returns the time of each call.
+async fn announce_for(client: ControlClient, caller: u8, span: Duration) -> Vec<u64> {
+    let end = Instant::now() + span;
+    let mut latencies = Vec::new();
+    let mut request = AnnounceRequest {
+        service: "service-1".to_owned(),
+        target: TargetKey::new(SocketAddrV4::new([198, 51, 100, caller].into(), 4433)),
+        incarnation: IncarnationId::random(),
+        domain: DomainName::new("vestland", "fjord-a"),
+        peer_address: SocketAddrV4::new([198, 51, 100, caller].into(), 4434),
+        weight: 1,
+        phase: TargetPhase::Serving,
+    };
+    while Instant::now() < end {
+        // Another weight makes it a change each time.
+        request.weight = request.weight % 1_000 + 1;
+        let begun = Instant::now();
+        client.announce(&request).await.expect("the group answers");
+        let micros = begun.elapsed().as_micros();
+        latencies.push(u64::try_from(micros).unwrap_or(u64::MAX));
+    }
+    latencies
+}
+
+/// Measures how long a group takes no change after its leader is killed.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "a measurement, not a check"]
+async fn measure_a_killed_leader() {
+    const KILLED_LEADERS: u64 = 20;
+    let mut group = ControlGroup::start(3);
+    let mut spans = Histogram::<u64>::new_with_max(MOST_RECORDED, 3).expect("a valid range");
+    accept(&group.client_of_all(), 1).await;
+    for version in 2..2 + KILLED_LEADERS {
+        let leader = group.leader().await;
+        group.kill(leader);
+        let begun = Instant::now();
+        accept(&group.client_of_all(), version).await;
+        let millis = begun.elapsed().as_millis();
+        spans.saturating_record(u64::try_from(millis).unwrap_or(u64::MAX));
+        group.restart(leader);
+        while group.status_at(leader).await.is_err() {}
+    }
+    println!(
+        "{KILLED_LEADERS} killed leaders, kill to the next accepted manifest: p50 {} ms, p90 {} ms, max {} ms",
+        spans.value_at_quantile(0.5),
+        spans.value_at_quantile(0.9),
+        spans.max(),
+    );
+}
