A leader that is stopped hands over first

Cause: each planned restart of the leading replica cost an election, over a second in which nothing is accepted.

Change: on SIGTERM the leader urges a voter that holds its whole log; that one asks for votes at once, and voters don't refuse it for having heard the old leader. Calls are answered with the new leader's address until the server stops.

--- a/src/control/control_run.rs
+++ b/src/control/control_run.rs
@@ -62,7 +62,7 @@
     let (listener, address) = ControlServer::bind(settings.listen)?;
     let state = StateHandle::new(ReplicaState::new());
     let replica = start_replica(options, state.clone(), secret.clone()).await?;
-    let store = ControlStore::Replicated(replica.handle);
+    let store = ControlStore::Replicated(replica.handle.clone());
     let service = ControlService::new(settings.name.clone(), address, state, store);
     let server = ControlServer::start(listener, service, secret)?;
     write_listening(&settings.data_folder, address).map_err(ControlError::DataFolder)?;
@@ -72,6 +72,9 @@
         _ = tokio::signal::ctrl_c() => None,
         ended = replica.task => Some(ended.unwrap_or(ReplicaShellError::Ended)),
     };
+    if failure.is_none() {
+        replica.handle.step_aside().await;
+    }
     server.stop().await;
     if let Some(error) = failure {
         // Nothing may be acknowledged any more.
--- a/src/control/replica/election.rs
+++ b/src/control/replica/election.rs
@@ -19,21 +19,22 @@
         }
         self.reset_retry(now);
         self.role = CoreRole::Candidate(CandidateState::new(self.hard_state.disk, true));
-        self.ask_votes(true, self.hard_state.term.next());
+        self.ask_votes(true, false, self.hard_state.term.next());
         self.count_votes(now);
     }
 
-    fn start_election(&mut self, now: ClockMillis) {
+    /// Asks for votes in a new term.
+    pub(super) fn start_election(&mut self, urged: bool, now: ClockMillis) {
         self.hard_state.term = self.hard_state.term.next();
         self.hard_state.voted_for = Some(self.hard_state.disk);
         self.disk.save_hard_state(self.hard_state);
         self.role = CoreRole::Candidate(CandidateState::new(self.hard_state.disk, false));
         self.reset_retry(now);
-        self.ask_votes(false, self.hard_state.term);
+        self.ask_votes(false, urged, self.hard_state.term);
         self.count_votes(now);
     }
 
-    fn ask_votes(&mut self, trial: bool, term: TermNumber) {
+    fn ask_votes(&mut self, trial: bool, urged: bool, term: TermNumber) {
         let voters: Vec<ReplicaSeat> = self.log.members().voters().collect();
         for seat in voters {
             if seat.disk == self.hard_state.disk {
@@ -41,6 +42,7 @@
             }
             let body = PeerBody::VoteAsked {
                 trial,
+                urged,
                 last_index: self.log.last_index(),
                 last_term: self.log.last_term(),
             };
@@ -61,7 +63,7 @@
             return;
         }
         if candidate.trial {
-            self.start_election(now);
+            self.start_election(false, now);
         } else {
             self.become_leader(now);
         }
--- a/src/control/replica/message_intake.rs
+++ b/src/control/replica/message_intake.rs
@@ -50,6 +50,7 @@
             PeerBody::JoinAsked | PeerBody::JoinEmpty | PeerBody::TermPassed => {}
             PeerBody::VoteAsked {
                 trial,
+                urged: _,
                 last_index,
                 last_term,
             } => self.answer_vote(from, trial, term, (last_term, last_index), now),
@@ -75,6 +76,7 @@
                     self.take_entries(from, (previous_index, previous_term), entries, commit);
                 }
             }
+            PeerBody::LeadUrged => self.lead_urged(from, now),
             PeerBody::AppendHeld { matched } => self.note_held(from.disk, matched, now),
             PeerBody::AppendRefused {
                 previous_index,
@@ -99,8 +101,8 @@
     fn follow_term(&mut self, message: &PeerMessage, now: ClockMillis) -> bool {
         let own = self.hard_state.term;
         match &message.body {
-            PeerBody::VoteAsked { trial, .. } => {
-                if self.hears_leader(now) {
+            PeerBody::VoteAsked { trial, urged, .. } => {
+                if self.hears_leader(now) && !urged {
                     return false;
                 }
                 let passed = message.term < own || (*trial && message.term == own);
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -7,6 +7,7 @@
 mod formation;
 mod group_members;
 mod group_snapshot;
+mod handover;
 mod hard_state;
 mod identity;
 mod leader_state;
--- a/src/control/replica/peer_message.rs
+++ b/src/control/replica/peer_message.rs
@@ -30,6 +30,8 @@
     VoteAsked {
         /// Whether the term is only tried: nothing is promised yet.
         trial: bool,
+        /// Whether the leader itself asked for the election.
+        urged: bool,
         /// The candidate's last entry.
         last_index: LogIndex,
         /// That entry's term.
@@ -111,6 +113,8 @@
         /// What must be applied before the read.
         index: Option<LogIndex>,
     },
+    /// The leader is to be stopped; the receiver is to lead at once.
+    LeadUrged,
     /// The receiver spoke for an old term.
     TermPassed,
 }
--- a/src/control/replica/replica_core.rs
+++ b/src/control/replica/replica_core.rs
@@ -107,6 +107,7 @@
             ReplicaEvent::Received(message) => self.receive(message, now),
             ReplicaEvent::Proposed { key, payload } => self.propose(key, payload),
             ReplicaEvent::ReadAsked { key } => self.ask_read(key, now),
+            ReplicaEvent::StepAside => self.step_aside(now),
             ReplicaEvent::Synced { token } => self.finish_sync(token),
             ReplicaEvent::SnapshotTaken { index, payload } => self.keep_snapshot(index, payload),
         }
--- a/src/control/replica/replica_event.rs
+++ b/src/control/replica/replica_event.rs
@@ -27,6 +27,8 @@
         /// Names the read in its answer.
         key: ReadKey,
     },
+    /// This replica is to be stopped; another one is to lead.
+    StepAside,
     /// A batch is on the disk and will survive a loss of power.
     Synced {
         /// The batch.
--- a/src/control/replica/tests/promises.rs
+++ b/src/control/replica/tests/promises.rs
@@ -19,6 +19,7 @@
     Sync(usize),
     Propose(usize),
     Read(usize),
+    HandOver(usize),
     Crash(usize, usize),
     Restart(usize),
     LoseDisk(usize),
@@ -41,6 +42,7 @@
         10 => node.clone().prop_map(Step::Sync),
         8 => node.clone().prop_map(Step::Propose),
         5 => node.clone().prop_map(Step::Read),
+        1 => node.clone().prop_map(Step::HandOver),
         2 => (node.clone(), 0..4_usize).prop_map(|(node, kept)| Step::Crash(node, kept)),
         3 => node.clone().prop_map(Step::Restart),
         1 => node.clone().prop_map(Step::LoseDisk),
@@ -67,6 +69,7 @@
         Step::Read(node) => {
             shuffler.read(node % count);
         }
+        Step::HandOver(node) => shuffler.step_aside(node % count),
         Step::Crash(node, kept) => shuffler.crash(node % count, kept),
         Step::Restart(node) => shuffler.restart(node % count),
         Step::LoseDisk(node) => {
--- a/src/control/replica/tests/scenarios.rs
+++ b/src/control/replica/tests/scenarios.rs
@@ -219,3 +219,31 @@
     let leader = shuffler.leader().expect("two of three answer");
     shuffler.assert_holds_accepted(leader);
 }
+
+#[test]
+fn a_leader_that_steps_aside_is_followed_at_once() {
+    let (mut shuffler, old) = start(3);
+    let before = shuffler.now;
+    shuffler.step_aside(old);
+    shuffler.settle();
+    assert_eq!(shuffler.now, before);
+    let new = shuffler.leader().expect("one is urged to lead");
+    assert_ne!(new, old);
+    let key = shuffler.propose(new);
+    shuffler.settle();
+    let outcome = shuffler.record.outcomes[&key];
+    assert!(matches!(outcome, ProposalOutcome::Committed { .. }));
+}
+
+#[test]
+fn a_leader_stays_when_no_other_holds_everything() {
+    let (mut shuffler, leader) = start(3);
+    for other in [(leader + 1) % 3, (leader + 2) % 3] {
+        shuffler.cut(leader, other);
+    }
+    shuffler.propose(leader);
+    shuffler.heal();
+    shuffler.step_aside(leader);
+    shuffler.settle();
+    assert_eq!(shuffler.leader(), Some(leader));
+}
--- a/src/control/replica/tests/shuffler.rs
+++ b/src/control/replica/tests/shuffler.rs
@@ -226,6 +226,10 @@
         key
     }
 
+    pub(super) fn step_aside(&mut self, node: usize) {
+        self.handle(node, ReplicaEvent::StepAside);
+    }
+
     pub(super) fn view(&self, node: usize) -> Option<ReplicaView> {
         let core = self.nodes[node].core.as_ref()?;
         Some(core.view(self.now))
--- a/src/control/replica/tests/single_core.rs
+++ b/src/control/replica/tests/single_core.rs
@@ -95,6 +95,7 @@
     fn ask_vote(&mut self, from: u8, term: u64) -> bool {
         let body = PeerBody::VoteAsked {
             trial: false,
+            urged: false,
             last_index: LogIndex::new(9),
             last_term: TermNumber::new(1),
         };
--- a/src/control/replica_shell/replica_driver.rs
+++ b/src/control/replica_shell/replica_driver.rs
@@ -158,6 +158,7 @@
                 self.proposals.insert(key, answer);
                 ReplicaEvent::Proposed { key, payload }
             }
+            ReplicaCommand::StepAside => ReplicaEvent::StepAside,
             ReplicaCommand::Read { answer } => {
                 let key = ReadKey(self.keys);
                 self.reads.insert(key, answer);
--- a/src/control/replica_shell/replica_handle.rs
+++ b/src/control/replica_shell/replica_handle.rs
@@ -2,7 +2,7 @@
 
 use tokio::{
     sync::{mpsc, oneshot, watch},
-    time::timeout,
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -19,6 +19,10 @@
 const PROPOSAL_MILLIS: SpanMillis = SpanMillis::new(5_000);
 /// The time after which a read counts as not confirmed.
 const READ_MILLIS: SpanMillis = SpanMillis::new(2_000);
+/// How long a stopping leader tries to hand over.
+const HANDOVER_MILLIS: SpanMillis = SpanMillis::new(500);
+/// The pause between two tries to hand over.
+const HANDOVER_PAUSE_MILLIS: SpanMillis = SpanMillis::new(20);
 /// When a refused client may come back.
 const RETRY_MILLIS: SpanMillis = SpanMillis::new(200);
 
@@ -37,6 +41,8 @@
     },
     /// Confirm that the state is current.
     Read { answer: oneshot::Sender<ReadAnswer> },
+    /// Have another replica lead.
+    StepAside,
 }
 
 /// Hands the calls' work to the replica; clones share it.
@@ -96,6 +102,19 @@
         }
     }
 
+    /// Has another replica lead before this one stops, if one can in time.
+    pub(crate) async fn step_aside(&self) {
+        if self.calls.is_empty() {
+            return;
+        }
+        let deadline = Instant::now() + HANDOVER_MILLIS.duration();
+        while matches!(self.lead(), LeadView::Leading { .. }) && Instant::now() < deadline {
+            // A driver that has ended leads no more.
+            let _ = self.commands.try_send(ReplicaCommand::StepAside);
+            sleep(HANDOVER_PAUSE_MILLIS.duration()).await;
+        }
+    }
+
     /// Returns what this replica knows of the leader.
     pub(crate) fn lead(&self) -> LeadView {
         let view = self.view.borrow();
--- a/tests/control_group/mod.rs
+++ b/tests/control_group/mod.rs
@@ -103,6 +103,15 @@
         }
     }
 
+    /// Stops a replica's process in the planned way.
+    pub fn stop(&mut self, index: usize) {
+        self.signal(index, "TERM");
+        if let Some(mut child) = self.replicas[index].child.take() {
+            let status = child.wait().expect("own child");
+            assert!(status.success(), "a planned stop is no failure");
+        }
+    }
+
     /// Kills a replica and removes all that it had on its disk.
     pub fn lose_disk(&mut self, index: usize) {
         self.kill(index);
