--- a/src/control/replica_shell/replica_handle.rs
+++ b/src/control/replica_shell/replica_handle.rs
@@ -20,7 +20,7 @@
 /// The time after which a read counts as not confirmed.
 const READ_MILLIS: SpanMillis = SpanMillis::new(2_000);
 /// How long a stopping leader tries to hand over.
-const HANDOVER_MILLIS: SpanMillis = SpanMillis::new(500);
+const HANDOVER_MILLIS: SpanMillis = SpanMillis::new(2_000);
 /// The pause between two tries to hand over.
 const HANDOVER_PAUSE_MILLIS: SpanMillis = SpanMillis::new(20);
 /// When a refused client may come back.
