A learner whose admission was reverted asks again

Cause: a leader that is cut off admits a replica with an empty disk, and the entry is reverted by the next leader. The replica found itself among the members in its own log, so it never asked again; the repair was never done. Nothing accepted was in danger.

Change: every replica that does not vote asks while it hears no leader. The scenario failed before the change (no repair) and passes after it.

--- a/src/control/replica/formation.rs
+++ b/src/control/replica/formation.rs
@@ -11,12 +11,15 @@
 use crate::clock::ClockMillis;
 
 impl ReplicaCore {
-    /// Asks for admission while this data folder is in no group.
+    /// Asks for admission while this data folder does not count.
+    ///
+    /// A learner that hears no leader asks again: its admission may have been
+    /// reverted with the leader that made it.
     pub(super) fn seek_group(&mut self, now: ClockMillis) {
         if now < self.join_at || self.leader.is_some() {
             return;
         }
-        if self.log.members().find(self.hard_state.disk).is_some() {
+        if self.log.members().is_voter(self.hard_state.disk) {
             return;
         }
         self.join_at = now.after(JOIN_MILLIS);
--- a/src/control/replica/tests/scenarios.rs
+++ b/src/control/replica/tests/scenarios.rs
@@ -247,3 +247,27 @@
     shuffler.settle();
     assert_eq!(shuffler.leader(), Some(leader));
 }
+
+#[test]
+fn a_learner_whose_admission_was_reverted_asks_again() {
+    let (mut shuffler, old) = start(5);
+    let learner = (old + 1) % 5;
+    shuffler.lose_disk(learner);
+    for other in (0..5).filter(|other| *other != old && *other != learner) {
+        shuffler.cut(old, other);
+        shuffler.cut(other, old);
+    }
+    shuffler.restart(learner);
+    shuffler.run(SETTLE_MILLIS);
+    let admitted = |report: &ReplicaReport| matches!(report, ReplicaReport::LearnerAdded { .. });
+    let reports = &shuffler.record.reports;
+    assert!(
+        reports
+            .iter()
+            .any(|(node, report)| *node == old && admitted(report))
+    );
+    shuffler.heal();
+    shuffler.run(SpanMillis::new(8_000));
+    assert_eq!(repairs(&shuffler), 1);
+    shuffler.assert_holds_accepted(learner);
+}
