--- a/src/agent/slot/open_count.rs
+++ b/src/agent/slot/open_count.rs
@@ -50,11 +50,6 @@
         self.open
     }
 
-    /// Returns the limit in force.
-    pub(crate) fn limit(&self) -> u32 {
-        self.limit
-    }
-
     /// Returns how many were refused since the start.
     pub(crate) fn refused(&self) -> u64 {
         self.refused
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each duty has its folder; `docs/DESIGN.md` tells how they act together.
 
+pub mod admin;
 pub mod agent;
 pub mod balancer;
 pub mod caller;
