Catching up stays within the watcher's byte budget

Cause: a delta ended only at 12 KiB packed, about 16 KB on the wire, while at most 4.5 KB of debt were kept, so a long catch-up ran at 10 KB/s.

--- a/src/control/feed/replica_state.rs
+++ b/src/control/feed/replica_state.rs
@@ -11,7 +11,7 @@
 };
 
 /// The packed bytes at which a delta ends; the watcher asks for the rest.
-const DELTA_BYTES: usize = 12 * 1_024;
+const DELTA_BYTES: usize = 3 * 1_024;
 
 /// The agreed state of one replica with the history that its feed serves.
 #[derive(Debug)]
--- a/src/control/feed/watcher_budget.rs
+++ b/src/control/feed/watcher_budget.rs
@@ -3,9 +3,9 @@
 /// The bytes a second that a watcher is sent on average.
 pub(crate) const BYTES_A_SECOND: u64 = 3_000;
 /// The unused bytes that a watcher may save up.
-const MOST_SAVED: i64 = 16 * 1_024;
+const MOST_SAVED: i64 = 21_000;
 /// The bytes that a large reply may overdraw at most.
-const MOST_OWED: i64 = 4_500;
+const MOST_OWED: i64 = 5_400;
 /// The bytes of headers around each request and reply.
 const FRAME_BYTES: usize = 900;
 
@@ -32,7 +32,7 @@
         SpanMillis::new((owed * 1_000).div_ceil(BYTES_A_SECOND))
     }
 
-    /// Counts a reply of `bytes`.
+    /// Counts a reply of `bytes` with the headers around it.
     ///
     /// What goes beyond the allowed debt is forgiven, so that one snapshot
     /// can't hold up later changes for minutes.
--- a/src/control/server/watch_call.rs
+++ b/src/control/server/watch_call.rs
@@ -12,9 +12,8 @@
     clock::SpanMillis,
     control::{
         api::{CallRefusal, FeedReply, WatchRequest},
-        feed::{FeedAnswer, FeedScope},
+        feed::{EncodedReply, FeedAnswer, FeedScope},
     },
-    key::FeedRevision,
 };
 
 /// The longest time that an answer waits for news.
@@ -57,15 +56,15 @@
             let answer = self.state.answer(scope, in_force);
             let over = Instant::now() >= deadline;
             match answer {
-                FeedAnswer::News(_) => {
+                FeedAnswer::News(reply) => {
                     if self.pause(&request).await {
                         // More may have come meanwhile; it goes along.
                         continue;
                     }
-                    return self.deliver(&request, answer);
+                    return Ok(self.deliver(&request, reply));
                 }
                 FeedAnswer::Unchanged(_) if over => {
-                    return self.confirm_idle(scope, in_force).await;
+                    return self.confirm_idle(&request, scope).await;
                 }
                 FeedAnswer::Behind if over => return Err(CallRefusal::NoQuorum),
                 FeedAnswer::Unchanged(_) | FeedAnswer::Behind => {}
@@ -88,31 +87,26 @@
         true
     }
 
-    fn deliver(
-        &self,
-        request: &WatchRequest,
-        answer: FeedAnswer,
-    ) -> Result<WatchReply, CallRefusal> {
-        let FeedAnswer::News(reply) = answer else {
-            return Err(CallRefusal::NoQuorum);
-        };
+    fn deliver(&self, request: &WatchRequest, reply: EncodedReply) -> WatchReply {
         let now = self.clock.now();
         self.watchers().charge(&request.watcher, reply.bytes(), now);
-        Ok(WatchReply::News(reply.text))
+        WatchReply::News(reply.text)
     }
 
     /// Tells a watcher that nothing came, as of a confirmed read.
     async fn confirm_idle(
         &self,
+        request: &WatchRequest,
         scope: FeedScope,
-        in_force: FeedRevision,
     ) -> Result<WatchReply, CallRefusal> {
         self.confirmer.confirm().await?;
-        match self.state.answer(scope, in_force) {
+        match self.state.answer(scope, request.in_force) {
             FeedAnswer::Unchanged(revision) => {
+                let now = self.clock.now();
+                self.watchers().charge(&request.watcher, 0, now);
                 Ok(WatchReply::Idle(FeedReply::Unchanged { revision }))
             }
-            FeedAnswer::News(reply) => Ok(WatchReply::News(reply.text)),
+            FeedAnswer::News(reply) => Ok(self.deliver(request, reply)),
             FeedAnswer::Behind => Err(CallRefusal::NoQuorum),
         }
     }
