--- a/src/control/lease/tests/mod.rs
+++ b/src/control/lease/tests/mod.rs
@@ -1,4 +1,5 @@
 //! Tests of the leases.
 
 mod mass_expiry;
+mod measures;
 mod renewal;
--- a/src/control/state/tests/mod.rs
+++ b/src/control/state/tests/mod.rs
@@ -3,5 +3,6 @@
 pub(crate) mod generator;
 
 mod manifest_rules;
+mod measures;
 mod registration_rules;
 mod sequences;
