--- a/src/control/server/tests/watching.rs
+++ b/src/control/server/tests/watching.rs
@@ -1,9 +1,20 @@
 //! Long polls over loopback.
 
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+    time::Duration,
+};
+
 use super::fixture::{TestReplica, announcement, manifest, watch_after};
 use crate::{
-    control::api::{CallRefusal, FeedReply, WatchScope},
-    control::client::ControlClientError,
+    control::{
+        api::{CallRefusal, FeedReply, WatchScope},
+        client::ControlClientError,
+        feed::ReplicaState,
+        server::ControlService,
+        store::{ControlStore, MemoryStore, StateHandle},
+    },
     key::FeedRevision,
     route::RouteChange,
 };
@@ -80,3 +91,34 @@
         Err(ControlClientError::Refused(CallRefusal::NoQuorum))
     );
 }
+
+#[tokio::test]
+async fn a_replica_that_is_cut_off_refuses_waiting_watchers_and_new_ones() {
+    let state = StateHandle::new(ReplicaState::new());
+    let store = MemoryStore::new(state.clone());
+    let service = Arc::new(ControlService::new(
+        "control-test".to_owned(),
+        SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1),
+        state,
+        ControlStore::Memory(store.clone()),
+    ));
+    let applied = service.apply(manifest(1, 0, &["barge"])).await;
+    applied.expect("accepted");
+    let waiting = {
+        let service = Arc::clone(&service);
+        let request = watch_after(1, WatchScope::All, 25_000);
+        tokio::spawn(async move { service.watch(request).await.err() })
+    };
+    // It waits by now; if not, it is refused all the same.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    store.cut_off();
+    let fresh = service.watch(watch_after(0, WatchScope::All, 0)).await;
+    assert_eq!(fresh.err(), Some(CallRefusal::NoQuorum));
+    assert_eq!(service.status().await, Err(CallRefusal::NoQuorum));
+    let offered = service.apply(manifest(2, 1, &["logbook"])).await;
+    assert_eq!(offered, Err(CallRefusal::NoQuorum));
+    // Its wait has 25 s to go.
+    let told = tokio::time::timeout(Duration::from_secs(20), waiting).await;
+    let told = told.expect("told before its wait is over");
+    assert_eq!(told.expect("no panic"), Some(CallRefusal::NoQuorum));
+}
--- a/src/control/store/control_store.rs
+++ b/src/control/store/control_store.rs
@@ -36,7 +36,7 @@
         let bytes = command.encode().map_err(|_| CallRefusal::NoQuorum)?;
         let outcome = match self {
             #[cfg(test)]
-            Self::Memory(store) => std::future::ready(store.propose(&bytes)).await,
+            Self::Memory(store) => std::future::ready(store.propose(&bytes)).await?,
             Self::Replicated(handle) => handle.propose(bytes).await?,
         };
         ControlOutcome::decode(&outcome).map_err(|_| CallRefusal::OutcomeUnknown)
@@ -52,7 +52,7 @@
     pub(crate) async fn confirm_read(&self) -> Result<FeedRevision, CallRefusal> {
         match self {
             #[cfg(test)]
-            Self::Memory(store) => std::future::ready(Ok(store.confirm_read())).await,
+            Self::Memory(store) => std::future::ready(store.confirm_read()).await,
             Self::Replicated(handle) => handle.confirm_read().await,
         }
     }
@@ -73,7 +73,7 @@
             Self::Memory(store) => vec![ReplicaStatus {
                 address,
                 role: crate::control::api::ReplicaRole::Leader,
-                held: store.confirm_read().count(),
+                held: store.confirm_read().unwrap_or_default().count(),
             }],
             Self::Replicated(handle) => handle.replicas(address),
         }
