--- a/src/agent/endpoint/tunnel_socket.rs
+++ b/src/agent/endpoint/tunnel_socket.rs
@@ -134,6 +134,11 @@
         self.lock_loads().insert(peer, load);
     }
 
+    /// Returns what a peer last told of its load.
+    pub(crate) fn peer_load(&self, peer: TargetKey) -> Option<PeerLoad> {
+        self.lock_loads().get(&peer).copied()
+    }
+
     /// Forgets what peers told that are no longer registered.
     #[allow(dead_code, reason = "peers do not tell their load yet")]
     pub(crate) fn keep_peers(&self, is_registered: impl Fn(TargetKey) -> bool) {
@@ -196,6 +201,10 @@
                 self.take_peer(source, payload);
                 None
             }
+            FrameKind::Leave => {
+                self.lock_paths().forget(source);
+                None
+            }
             FrameKind::Answer => {
                 self.counters.add(TunnelCount::BadFrame);
                 None
--- a/src/agent/node/drain_actor.rs
+++ b/src/agent/node/drain_actor.rs
@@ -10,6 +10,7 @@
         admission::AgentPhase,
         drain::{DrainAction, DrainEvent, DrainMachine, DrainReport},
         endpoint::TunnelSocket,
+        relay::{RequestDesk, hand_over_tickets},
     },
     event::log_event,
     route::TargetPhase,
@@ -25,6 +26,8 @@
     pub(crate) socket: Arc<TunnelSocket>,
     /// Where open connections end.
     pub(crate) endpoint: Endpoint,
+    /// Where requests are decided on.
+    pub(crate) desk: Arc<RequestDesk>,
     /// The phase that the lease keeper announces.
     pub(crate) phase: watch::Sender<TargetPhase>,
     /// Counts the announcements of leaving to open connections.
@@ -57,7 +60,7 @@
         }
     }
 
-    fn perform(&self, action: DrainAction) {
+    async fn perform(&self, action: DrainAction) {
         match action {
             DrainAction::SetPhase(phase) => self.duty.socket.set_phase(agent_phase(phase)),
             DrainAction::Announce(phase) => {
@@ -67,9 +70,13 @@
                 log_event!(info, AgentEvent::DrainBegun);
                 self.duty.go_away.send_modify(|count| *count += 1);
             }
-            DrainAction::HandOverTickets => log_event!(info, AgentEvent::Drained),
+            DrainAction::HandOverTickets => {
+                log_event!(info, AgentEvent::Drained);
+                hand_over_tickets(&self.duty.desk).await;
+            }
             DrainAction::CutOpenWork => {
                 log_event!(warn, AgentEvent::WorkCut);
+                self.duty.desk.cut();
                 self.duty
                     .endpoint
                     .close(NO_ERROR, b"stopped on the operator's word");
@@ -91,7 +98,7 @@
     ) -> DrainReport {
         let now = self.duty.socket.clock().now();
         for action in self.machine.handle(order.0, now) {
-            self.perform(action);
+            self.perform(action).await;
         }
         self.machine.report()
     }
--- a/src/agent/outcome/not_run_cause.rs
+++ b/src/agent/outcome/not_run_cause.rs
@@ -22,8 +22,8 @@
     LedgerFull,
     /// Too many recent requests were retries.
     RetryBudgetSpent,
-    /// The body is larger than a request may bring here.
-    BodyTooLarge,
+    /// The slot that a peer granted was taken back.
+    GrantLost,
 }
 
 impl NotRunCause {
@@ -38,7 +38,7 @@
             Self::UpstreamUnreachable => "the upstream accepts no connection",
             Self::LedgerFull => "the ledger of tickets is full",
             Self::RetryBudgetSpent => "too many recent requests were retries",
-            Self::BodyTooLarge => "the request body is too large",
+            Self::GrantLost => "the granted slot was taken back",
         }
     }
 }
--- a/src/agent/outcome/tests.rs
+++ b/src/agent/outcome/tests.rs
@@ -9,7 +9,6 @@
 
 #[rstest]
 #[case(FinalAnswer::NotRun { cause: NotRunCause::QueueFull, retry_after: SOON }, 503, true)]
-#[case(FinalAnswer::NotRun { cause: NotRunCause::BodyTooLarge, retry_after: SOON }, 413, true)]
 #[case(FinalAnswer::DeadlinePassed { state: RunState::NotRun }, 504, true)]
 #[case(FinalAnswer::DeadlinePassed { state: RunState::Unknown }, 504, false)]
 #[case(FinalAnswer::StillRunning { retry_after: SOON }, 409, false)]
