The keeper of leases follows a replaced run to its successor

Cause: LeaseTable::remove was called by tests alone, since the keeper follows committed removals by address; its check of a reused address proved nothing about the keeper. Change: the method is gone; a test of the keeper itself shows that the old run loses its lease and the new one keeps its own, also when it is heard before the changes were followed. The modules of control need no allowance for unused code any more.

--- a/src/control/lease/lease_table.rs
+++ b/src/control/lease/lease_table.rs
@@ -42,6 +42,7 @@
 
 impl LeaseTable {
     /// Grants a full lease to every registered run, as a new leader does.
+    #[cfg(test)]
     pub(crate) fn with_claims(
         claims: impl IntoIterator<Item = LeaseClaim>,
         now: ClockMillis,
@@ -121,15 +122,6 @@
         true
     }
 
-    /// Drops the lease of a run that is no longer registered.
-    pub(crate) fn remove(&mut self, target: TargetKey, incarnation: IncarnationId) {
-        let slot = self.slots.get(&target);
-        let found = slot.and_then(|slot| self.records.get(*slot));
-        if found.is_some_and(|record| record.claim.incarnation == incarnation) {
-            self.remove_target(target);
-        }
-    }
-
     /// Drops whatever lease is kept for an address.
     pub(crate) fn remove_target(&mut self, target: TargetKey) {
         let Some(slot) = self.slots.remove(&target) else {
--- /dev/null
+++ b/src/control/lease/tests/following.rs
@@ -0,0 +1,56 @@
+//! The keeper follows the committed registrations.
+
+use kameo::{Actor, actor::ActorRef};
+
+use crate::{
+    clock::ProcessClock,
+    control::{
+        api::{AnnounceRequest, WithdrawRequest},
+        feed::ReplicaState,
+        lease::{CountLeases, DecideLeases, LeaseKeeper, RenewLease, TakeLeases},
+        server::tests::fixture::{announcement, manifest},
+        state::ControlCommand,
+        store::StateHandle,
+    },
+};
+
+fn commit(state: &StateHandle, command: &ControlCommand) {
+    state.apply(&command.encode().expect("a command has bytes"));
+}
+
+async fn renew(keeper: &ActorRef<LeaseKeeper>, request: &AnnounceRequest) -> bool {
+    let renewal = RenewLease {
+        target: request.target,
+        incarnation: request.incarnation,
+    };
+    keeper.ask(renewal).await.expect("a live keeper")
+}
+
+#[tokio::test]
+async fn a_replaced_run_loses_its_lease_and_its_successor_keeps_the_own() {
+    let state = StateHandle::new(ReplicaState::new());
+    let keeper = LeaseKeeper::spawn(LeaseKeeper::new(state.clone(), ProcessClock::new()));
+    let (old, new) = (announcement("barge", 1, 1), announcement("barge", 1, 2));
+    commit(
+        &state,
+        &ControlCommand::Apply(manifest(1, 0, &["barge"]).manifest),
+    );
+    keeper.ask(TakeLeases).await.expect("a live keeper");
+    commit(&state, &ControlCommand::Announce(old.clone()));
+    assert!(renew(&keeper, &old).await);
+    commit(&state, &ControlCommand::Announce(new.clone()));
+    // The new run is heard before the keeper has followed either change.
+    assert!(renew(&keeper, &new).await);
+    keeper.ask(DecideLeases).await.expect("a live keeper");
+    assert!(renew(&keeper, &new).await);
+    assert!(!renew(&keeper, &old).await);
+    let withdrawal = ControlCommand::Withdraw(WithdrawRequest {
+        target: new.target,
+        incarnation: new.incarnation,
+    });
+    commit(&state, &withdrawal);
+    keeper.ask(DecideLeases).await.expect("a live keeper");
+    assert!(!renew(&keeper, &new).await);
+    let count = keeper.ask(CountLeases).await.expect("a live keeper");
+    assert_eq!(count.leases, 0);
+}
--- a/src/control/lease/tests/renewal.rs
+++ b/src/control/lease/tests/renewal.rs
@@ -72,7 +72,7 @@
         renew(&mut table, claims[1], now - 1);
         assert_eq!(expired(&mut table, now), [claims[2]]);
     }
-    table.remove(claims[2].target, claims[2].incarnation);
+    table.remove_target(claims[2].target);
     assert!(expired(&mut table, 19_000).is_empty());
 }
 
@@ -83,7 +83,6 @@
     table.grant(next, ClockMillis::new(10_000));
     assert!(!renew(&mut table, claims[2], 11_000));
     assert!(renew(&mut table, next, 11_000));
-    table.remove(claims[2].target, claims[2].incarnation);
     assert_eq!(table.len(), 3);
     renew(&mut table, claims[0], 14_000);
     renew(&mut table, claims[1], 14_000);
@@ -132,7 +131,7 @@
             for gone in expired(&mut table, now.millis()) {
                 let last = heard.get(&gone).copied().unwrap_or(ClockMillis::ORIGIN);
                 prop_assert!(now.since(last) >= LEASE_MILLIS);
-                table.remove(gone.target, gone.incarnation);
+                table.remove_target(gone.target);
             }
         }
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,10 +5,8 @@
 mod control_event;
 mod control_run;
 mod control_settings;
-#[allow(dead_code, reason = "bounds are set by tests alone")]
 pub(crate) mod feed;
 mod journal;
-#[allow(dead_code, reason = "counts are read by the bench alone")]
 pub(crate) mod lease;
 mod peer_settings;
 mod replica;
