--- a/src/control/replica/tests/scenarios.rs
+++ b/src/control/replica/tests/scenarios.rs
@@ -207,3 +207,67 @@
     assert_eq!(view.role, ReplicaRole::Follower);
     assert!(view.snapshot.number() > 50);
 }
+
+#[test]
+fn a_group_of_one_grows_to_three() {
+    let (mut shuffler, _) = start(1);
+    shuffler.grow(2);
+    shuffler.run(SpanMillis::new(8_000));
+    assert_eq!(repairs(&shuffler), 2);
+    shuffler.crash(0, 0);
+    shuffler.run(SETTLE_MILLIS);
+    let leader = shuffler.leader().expect("two of three answer");
+    shuffler.assert_holds_accepted(leader);
+}
+
+#[test]
+fn a_leader_that_steps_aside_is_followed_at_once() {
+    let (mut shuffler, old) = start(3);
+    let before = shuffler.now;
+    shuffler.step_aside(old);
+    shuffler.settle();
+    assert_eq!(shuffler.now, before);
+    let new = shuffler.leader().expect("one is urged to lead");
+    assert_ne!(new, old);
+    let key = shuffler.propose(new);
+    shuffler.settle();
+    let outcome = shuffler.record.outcomes[&key];
+    assert!(matches!(outcome, ProposalOutcome::Committed { .. }));
+}
+
+#[test]
+fn a_leader_stays_when_no_other_holds_everything() {
+    let (mut shuffler, leader) = start(3);
+    for other in [(leader + 1) % 3, (leader + 2) % 3] {
+        shuffler.cut(leader, other);
+    }
+    shuffler.propose(leader);
+    shuffler.heal();
+    shuffler.step_aside(leader);
+    shuffler.settle();
+    assert_eq!(shuffler.leader(), Some(leader));
+}
+
+#[test]
+fn a_learner_whose_admission_was_reverted_asks_again() {
+    let (mut shuffler, old) = start(5);
+    let learner = (old + 1) % 5;
+    shuffler.lose_disk(learner);
+    for other in (0..5).filter(|other| *other != old && *other != learner) {
+        shuffler.cut(old, other);
+        shuffler.cut(other, old);
+    }
+    shuffler.restart(learner);
+    shuffler.run(SETTLE_MILLIS);
+    let admitted = |report: &ReplicaReport| matches!(report, ReplicaReport::LearnerAdded { .. });
+    let reports = &shuffler.record.reports;
+    assert!(
+        reports
+            .iter()
+            .any(|(node, report)| *node == old && admitted(report))
+    );
+    shuffler.heal();
+    shuffler.run(SpanMillis::new(8_000));
+    assert_eq!(repairs(&shuffler), 1);
+    shuffler.assert_holds_accepted(learner);
+}
