cyclamen demo shows a whole site at work and counts its promises

Cause: nothing showed the whole system act together without set-up. Change: src/demo runs three control replicas, three balancers, ten targets with agents and a spraying fabric in one process on loopback; it keeps streams and requests going, applies a second manifest, drains a target, stops a balancer and adds one, and counts from callers, upstreams and agents. A stream line that is missing, a request that was cut after it was sent, an answer of another service, a command that ran twice or though refused, and work after a drain each break a promise and exit with 1. Requests that the connection never took are sent again elsewhere. Ruled out: figures asked from the system itself for what callers can see.

--- a/src/caller/call_answer.rs
+++ b/src/caller/call_answer.rs
@@ -1,6 +1,8 @@
 use bytes::Bytes;
 use http::HeaderMap;
 
+use crate::agent::outcome::ProblemDocument;
+
 /// A whole answer.
 #[derive(Debug, Clone)]
 pub struct CallAnswer {
@@ -24,4 +26,11 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name).and_then(|value| value.to_str().ok())
     }
+
+    /// Returns whether the answer says that the request did not and won't run.
+    #[must_use]
+    pub fn is_refused_unrun(&self) -> bool {
+        let problem: Result<ProblemDocument, _> = serde_json::from_slice(&self.body);
+        !self.is_success() && problem.is_ok_and(|problem| problem.not_run)
+    }
 }
--- a/src/caller/caller_error.rs
+++ b/src/caller/caller_error.rs
@@ -1,6 +1,6 @@
 use std::{io, net::SocketAddrV4};
 
-use h3::error::{ConnectionError as Http3Error, StreamError};
+use h3::error::{Code, ConnectionError as Http3Error, StreamError};
 use miette::Diagnostic;
 use quinn::{ConnectError, ConnectionError};
 use thiserror::Error;
@@ -41,6 +41,9 @@
     /// The connection is lost.
     #[error("the connection is lost: {0}")]
     Connection(#[source] Http3Error),
+    /// The connection takes no new requests; this one was not sent.
+    #[error("the request was not sent: {0}")]
+    Unsent(#[source] StreamError),
     /// The request's stream was cut; the answer, if any, is not whole.
     #[error("the request was cut: {0}")]
     Stream(#[source] StreamError),
@@ -54,3 +57,19 @@
         limit: usize,
     },
 }
+
+impl CallerError {
+    /// Returns whether the request was surely not processed.
+    ///
+    /// The server rejects by code what arrives after it announced to leave.
+    #[must_use]
+    pub fn is_unsent(&self) -> bool {
+        match self {
+            Self::Stream(StreamError::RemoteTerminate { code, .. }) => {
+                *code == Code::H3_REQUEST_REJECTED
+            }
+            Self::Unsent(_) | Self::Malformed(_) => true,
+            _ => false,
+        }
+    }
+}
--- a/src/caller/service_caller.rs
+++ b/src/caller/service_caller.rs
@@ -72,7 +72,7 @@
         let stream = sender
             .send_request(head)
             .await
-            .map_err(CallerError::Stream)?;
+            .map_err(CallerError::Unsent)?;
         AnswerStream::open(stream, body).await
     }
 
--- a/src/cli/cli_error.rs
+++ b/src/cli/cli_error.rs
@@ -4,7 +4,7 @@
 use thiserror::Error;
 
 use crate::{
-    admin::AdminError, caller::CallerError, control::client::ControlClientError,
+    admin::AdminError, caller::CallerError, control::client::ControlClientError, demo::DemoError,
     manifest::ManifestError, program::ExitStatus, secret::SecretError, settings::SettingsError,
     tls::TlsError,
 };
@@ -48,6 +48,13 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Admin(#[from] AdminError),
+    /// The demo could not be staged.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Demo(#[from] DemoError),
+    /// No temporary folder can be made.
+    #[error("cannot make a temporary folder: {0}")]
+    TemporaryFolder(#[source] io::Error),
     /// The time that the operator gave has passed.
     #[error("no answer within {seconds} s")]
     TimedOut {
--- a/src/cli/cli_options.rs
+++ b/src/cli/cli_options.rs
@@ -5,8 +5,8 @@
 use super::{
     OutputFormat,
     command::{
-        ApplyOptions, CallOptions, CertificateOptions, CheckOptions, DrainOptions, DumpOptions,
-        SecretOptions, StatusOptions,
+        ApplyOptions, CallOptions, CertificateOptions, CheckOptions, DemoOptions, DrainOptions,
+        DumpOptions, SecretOptions, StatusOptions,
     },
 };
 
@@ -57,6 +57,9 @@
     /// Makes a certificate for trials.
     #[options(help = "make a certificate for trials")]
     TlsTestCertificate(CertificateOptions),
+    /// Shows a whole site at work.
+    #[options(help = "run a whole site on loopback and count what happens")]
+    Demo(DemoOptions),
 }
 
 impl CliCommand {
@@ -71,6 +74,7 @@
             Self::Call(options) => options.json,
             Self::Secret(options) => options.json,
             Self::TlsTestCertificate(options) => options.json,
+            Self::Demo(options) => options.json,
         };
         OutputFormat::from_flag(json)
     }
--- a/src/cli/cli_run.rs
+++ b/src/cli/cli_run.rs
@@ -12,14 +12,14 @@
 };
 use crate::{
     event::log_event,
-    program::{ExitStatus, LogFormat, start_logs},
+    program::{ExitStatus, start_quiet_logs},
     settings::load_settings,
 };
 
 /// Runs the operator's command line.
 #[must_use]
 pub fn run_cli() -> ExitCode {
-    start_logs(LogFormat::Text);
+    start_quiet_logs();
     let arguments: Vec<String> = env::args().skip(1).collect();
     log_event!(debug, CliEvent::Started);
     run_arguments(&arguments).into()
@@ -83,12 +83,12 @@
         CliCommand::Call(options) => block_on(options.run()),
         CliCommand::Secret(options) => options.run(),
         CliCommand::TlsTestCertificate(options) => options.run(),
+        CliCommand::Demo(options) => options.run(),
     }
 }
 
-fn block_on(
-    work: impl Future<Output = Result<ExitStatus, CliError>>,
-) -> Result<ExitStatus, CliError> {
+/// Runs a command's work in a runtime of its own.
+pub(crate) fn block_on<T>(work: impl Future<Output = Result<T, CliError>>) -> Result<T, CliError> {
     tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -16,6 +16,7 @@
 
 pub(crate) use cli_error::{CliError, UsageFault};
 pub(crate) use cli_event::CliEvent;
+pub(crate) use cli_run::block_on;
 pub(crate) use group_view::GroupView;
 pub(crate) use in_force_report::InForceReport;
 pub(crate) use operator_access::{AddressList, OperatorAccess, parse_address};
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -1,7 +1,21 @@
-//! Stand-ins of what surrounds the system, for the demo and the tests.
+//! The demo of a whole site in one process, and the stand-ins around it.
 
+mod demo_error;
+mod demo_load;
+mod demo_plan;
+mod demo_report;
+mod demo_run;
+mod demo_site;
+mod demo_tally;
+mod demo_tasks;
 mod fabric_stand_in;
 mod upstream_stand_in;
 
+pub use demo_error::DemoError;
+pub use demo_report::DemoReport;
+pub use demo_run::{LEAST_DEMO_SECONDS, run_demo};
 pub use fabric_stand_in::FabricStandIn;
 pub use upstream_stand_in::UpstreamStandIn;
+
+#[cfg(test)]
+mod tests;
--- a/src/program/log_setup.rs
+++ b/src/program/log_setup.rs
@@ -7,6 +7,8 @@
 const FILTER_VARIABLE: &str = "CYCLAMEN_LOG";
 /// What is written when the variable is not set.
 const DEFAULT_FILTER: &str = "info,quinn=warn,h3=warn,hyper=warn,jsonrpsee=warn";
+/// What an operator's command writes when the variable is not set.
+const QUIET_FILTER: &str = "error,h3=off,quinn=off,jsonrpsee=off";
 
 /// How log lines are written to standard error.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -21,8 +23,17 @@
 
 /// Starts the logs of this process; a second call changes nothing.
 pub fn start_logs(format: LogFormat) {
+    start_filtered(format, DEFAULT_FILTER);
+}
+
+/// Starts the logs of an operator's command, which reports by its output.
+pub(crate) fn start_quiet_logs() {
+    start_filtered(LogFormat::Text, QUIET_FILTER);
+}
+
+fn start_filtered(format: LogFormat, default_filter: &str) {
     let filter =
-        EnvFilter::try_from_env(FILTER_VARIABLE).unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
+        EnvFilter::try_from_env(FILTER_VARIABLE).unwrap_or_else(|_| EnvFilter::new(default_filter));
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_ansi(io::stderr().is_terminal())
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -11,6 +11,7 @@
 pub use program_options::{ProgramError, ProgramOptions, run_program};
 pub use stop_signal::{StopSignal, StopTrigger};
 
+pub(crate) use log_setup::start_quiet_logs;
 pub(crate) use program_event::ProgramEvent;
 
 #[cfg(test)]
