--- a/src/agent/slot/slot_queue.rs
+++ b/src/agent/slot/slot_queue.rs
@@ -119,14 +119,6 @@
         events
     }
 
-    /// Returns when `advance` is due even if nothing else happens.
-    pub(crate) fn next_due(&self) -> Option<ClockMillis> {
-        self.waiting
-            .iter()
-            .map(|(_, request)| self.latest_start(request))
-            .min()
-    }
-
     /// Returns how much the target has to do.
     pub(crate) fn counts(&self) -> QueueCounts {
         QueueCounts {
