--- a/src/agent/relay/connection_server.rs
+++ b/src/agent/relay/connection_server.rs
@@ -7,7 +7,12 @@
 use super::{
     AnswerSink, BodySource, CallerWatch, IncomingRequest, PeerHead, RequestDesk, serve_request,
 };
-use crate::{agent::AgentEvent, event::log_event};
+use crate::{agent::AgentEvent, clock::SpanMillis, event::log_event};
+
+/// The time that refusals have to reach the caller before this end closes.
+const LATECOMER_MILLIS: SpanMillis = SpanMillis::new(500);
+/// How often requests that came late are looked for.
+const LATECOMER_ROUNDS: u32 = 2;
 
 /// What every connection's requests share.
 #[derive(Debug)]
@@ -36,18 +41,39 @@
     let mut go_away = context.go_away.clone();
     loop {
         tokio::select! {
-            accepted = server.accept() => match accepted? {
-                Some(resolver) => {
-                    let desk = Arc::clone(&context.desk);
-                    tokio::spawn(resolve_request(resolver, connection.clone(), desk));
-                }
-                None => return Ok(()),
-            },
+            accepted = server.accept() => {
+                let Some(resolver) = accepted? else {
+                    refuse_latecomers(&mut server, &connection).await;
+                    return Ok(());
+                };
+                let desk = Arc::clone(&context.desk);
+                tokio::spawn(resolve_request(resolver, connection.clone(), desk));
+            }
             Ok(()) = go_away.changed() => server.shutdown(0).await?,
         }
     }
 }
 
+/// Refuses what was on its way when this end announced to leave.
+///
+/// Closing at once would overtake the refusals, and the caller could not
+/// tell that its request did not run.
+async fn refuse_latecomers(
+    server: &mut h3::server::Connection<h3_quinn::Connection, Bytes>,
+    connection: &quinn::Connection,
+) {
+    for _ in 0..LATECOMER_ROUNDS {
+        tokio::select! {
+            _ = connection.closed() => return,
+            () = tokio::time::sleep(LATECOMER_MILLIS.duration()) => {}
+        }
+        // Streams above the announced one are refused within.
+        if !matches!(server.accept().await, Ok(None)) {
+            return;
+        }
+    }
+}
+
 async fn resolve_request(
     resolver: RequestResolver<h3_quinn::Connection, Bytes>,
     connection: quinn::Connection,
--- a/src/caller/answer_stream.rs
+++ b/src/caller/answer_stream.rs
@@ -1,5 +1,5 @@
 use bytes::{Buf, Bytes, BytesMut};
-use h3::client::RequestStream;
+use h3::{client::RequestStream, error::StreamError};
 use h3_quinn::BidiStream;
 use http::HeaderMap;
 
@@ -21,10 +21,11 @@
         mut stream: RequestStream<BidiStream<Bytes>, Bytes>,
         body: Bytes,
     ) -> Result<Self, CallerError> {
-        if !body.is_empty() {
-            stream.send_data(body).await.map_err(CallerError::Stream)?;
+        // A server may answer in full and stop reading; the answer counts.
+        match send_body(&mut stream, body).await {
+            Ok(()) | Err(StreamError::RemoteTerminate { .. }) => {}
+            Err(error) => return Err(CallerError::Stream(error)),
         }
-        stream.finish().await.map_err(CallerError::Stream)?;
         let head = stream.recv_response().await.map_err(CallerError::Stream)?;
         Ok(Self {
             status: head.status().as_u16(),
@@ -78,3 +79,13 @@
         })
     }
 }
+
+async fn send_body(
+    stream: &mut RequestStream<BidiStream<Bytes>, Bytes>,
+    body: Bytes,
+) -> Result<(), StreamError> {
+    if !body.is_empty() {
+        stream.send_data(body).await?;
+    }
+    stream.finish().await
+}
