--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,8 @@
 #[path = "../loopback/mod.rs"]
 mod loopback;
 
+pub mod scripted_upstream;
+
 use std::{
     fs,
     net::{Ipv4Addr, SocketAddrV4},
@@ -14,10 +16,11 @@
     time::Duration,
 };
 
+pub use cyclamenrouter::demo::FabricStandIn;
 use cyclamenrouter::{
     caller::{CallAnswer, CallRequest, ServiceCaller},
     control::{api::ApplyRequest, client::ControlClient},
-    demo::{FabricStandIn, UpstreamStandIn},
+    demo::UpstreamStandIn,
     manifest::Manifest,
     secret::{DeploymentSecret, SecretEpoch, SecretStore},
     tls::{CertificateFiles, ServerTrust, TestCertificate},
