A replica never replaces a committed entry

Cause: only a debug assertion guarded it. A leader that runs on an old copy of its data folder has lost what it promised, and a release build would have followed it.

Change: the entry is refused, nothing is acknowledged, and event 1128 says so.

Such a leader can still lose an entry that only it and a replica without it had; folders must not be restored from copies.

--- a/src/control/control_event.rs
+++ b/src/control/control_event.rs
@@ -18,6 +18,7 @@
         LearnerAdded = 1124 => "new data folder receives the log and does not count yet",
         VoterRemoved = 1125 => "replaced data folder no longer counts",
         RepairDone = 1126 => "new data folder holds everything and counts",
+        CommittedConflict = 1128 => "a leader wants to replace a committed entry; it is not followed",
         ForeignGroup = 1127 => "messages of a replica of another group are dropped",
         ReplicaFailed = 1102 => "replica stopped: its log can not go on",
         TornTailCut = 1101 => "torn end of the log cut off",
--- a/src/control/replica/replica_action.rs
+++ b/src/control/replica/replica_action.rs
@@ -78,6 +78,11 @@
         /// The replica and its data folder.
         seat: ReplicaSeat,
     },
+    /// A leader wants to replace a committed entry; it is not followed.
+    CommittedConflict {
+        /// The entry.
+        index: LogIndex,
+    },
     /// A peer belongs to another group; its messages are dropped.
     ForeignGroup {
         /// The peer.
--- a/src/control/replica/replication.rs
+++ b/src/control/replica/replication.rs
@@ -1,8 +1,8 @@
 //! Replication: the leader's side and the follower's side of appending.
 
 use super::{
-    DiskId, EntryBody, LogEntry, LogIndex, PeerBody, ReplicaAction, ReplicaCore, ReplicaSeat,
-    TermNumber,
+    DiskId, EntryBody, LogEntry, LogIndex, PeerBody, ReplicaAction, ReplicaCore, ReplicaReport,
+    ReplicaSeat, TermNumber,
     candidate_state::CoreRole,
     leader_state::LeaderState,
     limits::{
@@ -200,20 +200,31 @@
                 return;
             }
             matched = entry.index;
-            self.take_entry(entry);
+            if !self.take_entry(entry) {
+                return;
+            }
         }
         self.commit_to(commit.min(matched));
         self.send_synced(from, PeerBody::AppendHeld { matched });
     }
 
-    fn take_entry(&mut self, entry: LogEntry) {
+    /// Takes one entry; returns whether the log holds it now.
+    ///
+    /// A committed entry is never replaced: a leader that wants to has lost
+    /// what it promised, such as by an old copy of its data folder.
+    fn take_entry(&mut self, entry: LogEntry) -> bool {
         if self.log.term_at(entry.index) == Some(entry.term) {
-            return;
+            return true;
+        }
+        if entry.index <= self.commit {
+            let index = entry.index;
+            self.report(ReplicaReport::CommittedConflict { index });
+            return false;
         }
-        debug_assert!(entry.index > self.commit, "a committed entry is replaced");
         self.log.truncate(entry.index);
         self.log.append(entry.clone());
         self.disk.save_entry(entry);
+        true
     }
 
     /// Returns the last entry that the leader may hold as well.
--- a/src/control/replica/tests/single_core.rs
+++ b/src/control/replica/tests/single_core.rs
@@ -5,7 +5,7 @@
     control::replica::{
         DiskId, EntryBody, EntryPayload, GroupId, GroupMembers, HardState, LogEntry, LogIndex,
         PeerBody, PeerMessage, RecoveredState, ReplicaAction, ReplicaCore, ReplicaEvent, ReplicaId,
-        ReplicaPeers, ReplicaSeat, TermNumber,
+        ReplicaPeers, ReplicaReport, ReplicaSeat, TermNumber,
     },
 };
 
@@ -154,3 +154,33 @@
     single.handle(ReplicaEvent::Received(message(1, 100)));
     assert_eq!(single.core.view(single.now).term, TermNumber::new(4));
 }
+
+#[test]
+fn a_committed_entry_is_never_replaced() {
+    let mut single = SingleCore::new();
+    let heartbeat = PeerBody::Heartbeat {
+        commit: LogIndex::new(2),
+        round: 1,
+    };
+    assert_eq!(applied(&single.receive(2, 4, heartbeat)), 1);
+    let other = PeerBody::Append {
+        previous_index: LogIndex::new(1),
+        previous_term: TermNumber::new(1),
+        commit: LogIndex::ZERO,
+        entries: vec![LogEntry {
+            index: LogIndex::new(2),
+            term: TermNumber::new(4),
+            body: EntryBody::Empty,
+        }],
+    };
+    let actions = single.receive(2, 4, other);
+    let conflict = |action: &ReplicaAction| {
+        matches!(
+            action,
+            ReplicaAction::Report(ReplicaReport::CommittedConflict { .. })
+        )
+    };
+    assert!(actions.iter().any(conflict));
+    let persists = |action: &ReplicaAction| matches!(action, ReplicaAction::Persist(_));
+    assert!(!actions.iter().any(persists));
+}
--- a/src/control/replica_shell/report_log.rs
+++ b/src/control/replica_shell/report_log.rs
@@ -33,6 +33,9 @@
         ReplicaReport::RepairDone { seat } => {
             log_event!(info, ControlEvent::RepairDone, replica = %seat.replica, disk = %seat.disk);
         }
+        ReplicaReport::CommittedConflict { index } => {
+            log_event!(error, ControlEvent::CommittedConflict, %index);
+        }
         ReplicaReport::ForeignGroup { replica } => {
             log_event!(error, ControlEvent::ForeignGroup, %replica);
         }
