--- a/src/control/replica_link/link_sender.rs
+++ b/src/control/replica_link/link_sender.rs
@@ -31,7 +31,7 @@
 /// The pause after the first failure; it doubles with each one.
 const MIN_PAUSE_MILLIS: SpanMillis = SpanMillis::new(50);
 /// The longest pause between two attempts.
-const MAX_PAUSE_MILLIS: SpanMillis = SpanMillis::new(1_600);
+const MAX_PAUSE_MILLIS: SpanMillis = SpanMillis::new(200);
 
 /// Sends messages to one peer and keeps the connection to it.
 #[derive(Debug, Clone)]
