--- a/src/control/journal/tests/measures.rs
+++ b/src/control/journal/tests/measures.rs
@@ -1,4 +1,6 @@
-//! Measurements; run with `--release -- --ignored --nocapture measure`.
+//! Measurements; run with `--release -- --nocapture measure`.
+//!
+//! A debug build runs a short form, so that the code keeps working.
 
 use std::time::{Duration, Instant};
 
@@ -10,11 +12,10 @@
 
 /// The largest time that a measurement records, in its unit.
 const MOST_RECORDED: u64 = 100_000_000;
-const ENTRIES: u64 = 2_000;
+const ENTRIES: u64 = if cfg!(debug_assertions) { 64 } else { 2_000 };
 const ENTRY_BYTES: usize = 300;
 
 #[test]
-#[ignore = "a measurement, not a check"]
 fn measure_syncs_with_and_without_group_commit() {
     for group in [1, 4, 16, 64, 256] {
         // The build folder lies on a disk; a temporary one may lie in memory.
--- a/src/control/lease/tests/measures.rs
+++ b/src/control/lease/tests/measures.rs
@@ -1,4 +1,6 @@
 //! Two ways to keep leases, at the size that the design is for.
+//!
+//! A debug build runs a short form, so that the code keeps working.
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -11,11 +13,19 @@
     key::{IncarnationId, ServiceNumber, TargetKey},
 };
 
-const LEASES: u32 = 100_000;
+const LEASES: u32 = if cfg!(debug_assertions) {
+    5_000
+} else {
+    100_000
+};
 /// The milliseconds between two heartbeats of one target.
 const PERIOD: u64 = 5_000;
 /// The milliseconds that are played.
-const PLAYED: u64 = 60_000;
+const PLAYED: u64 = if cfg!(debug_assertions) {
+    15_000
+} else {
+    60_000
+};
 
 fn claims() -> Vec<LeaseClaim> {
     let claim = |index: u32| LeaseClaim {
@@ -33,7 +43,6 @@
 }
 
 #[test]
-#[ignore = "a measurement, not a check"]
 fn heap_with_lazy_renewal() {
     let claims = claims();
     let mut table = LeaseTable::with_claims(claims.iter().copied(), ClockMillis::ORIGIN);
@@ -52,7 +61,6 @@
 }
 
 #[test]
-#[ignore = "a measurement, not a check"]
 fn ordered_set_with_eager_renewal() {
     let claims = claims();
     let mut deadlines = HashMap::new();
--- a/src/control/replica/tests/measures.rs
+++ b/src/control/replica/tests/measures.rs
@@ -1,4 +1,6 @@
-//! Measurements; run with `--release -- --ignored --nocapture measure`.
+//! Measurements; run with `--release -- --nocapture measure`.
+//!
+//! A debug build runs a short form, so that the code keeps working.
 
 use hdrhistogram::Histogram;
 
@@ -7,13 +9,12 @@
 
 /// The largest time that a measurement records, in its unit.
 const MOST_RECORDED: u64 = 100_000_000;
-const SEEDS: u64 = 200;
+const SEEDS: u64 = if cfg!(debug_assertions) { 5 } else { 200 };
 const MISSED_ENTRIES: usize = 500;
 const SETTLE_MILLIS: SpanMillis = SpanMillis::new(4_000);
 const STEP_MILLIS: SpanMillis = SpanMillis::new(25);
 
 #[test]
-#[ignore = "a measurement, not a check"]
 fn measure_the_time_without_a_leader() {
     for count in [3, 5] {
         let mut spans = Histogram::<u64>::new_with_max(MOST_RECORDED, 3).expect("a valid range");
@@ -51,7 +52,6 @@
 }
 
 #[test]
-#[ignore = "a measurement, not a check"]
 fn measure_the_catching_up() {
     for (name, every, kept) in [("entries", 4_096, 1_024), ("snapshot", 100, 0)] {
         let mut shuffler = Shuffler::new(3, 11).with_compaction(every, kept);
@@ -81,7 +81,6 @@
 }
 
 #[test]
-#[ignore = "a measurement, not a check"]
 fn measure_the_messages_of_an_idle_group() {
     for count in [3, 5] {
         let mut shuffler = Shuffler::new(count, 11);
--- a/src/control/state/tests/measures.rs
+++ b/src/control/state/tests/measures.rs
@@ -1,4 +1,6 @@
 //! The state's cost at the size that the design is for.
+//!
+//! A debug build runs a short form, so that the code keeps working.
 
 use std::{net::SocketAddrV4, time::Instant};
 
@@ -10,11 +12,14 @@
     key::{IncarnationId, TargetKey},
 };
 
-const TARGETS: u32 = 100_000;
-const SERVICES: u32 = 12_000;
+const TARGETS: u32 = if cfg!(debug_assertions) {
+    2_000
+} else {
+    100_000
+};
+const SERVICES: u32 = if cfg!(debug_assertions) { 240 } else { 12_000 };
 
 #[test]
-#[ignore = "a measurement, not a check"]
 fn commands_and_snapshots() {
     let mut request = manifest(1, 0, &[]);
     let spec = |index: u32| service(&format!("service-{index:05}"), 1);
--- a/tests/control_durability.rs
+++ b/tests/control_durability.rs
@@ -214,11 +214,12 @@
     assert_eq!(group.status().await.manifest_version, 6);
 }
 
-/// Measures the built program; run with `--release -- --ignored --nocapture`.
+/// Measures the built program; run with `--release -- --nocapture measure`.
+///
+/// A debug build runs a short form, so that the code keeps working.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "a measurement, not a check"]
 async fn measure_accepted_changes() {
-    const SPAN: Duration = Duration::from_secs(5);
+    const SPAN: Duration = Duration::from_millis(if cfg!(debug_assertions) { 200 } else { 5_000 });
     for (replicas, callers) in [(1, 1), (1, 64), (3, 1), (3, 64)] {
         let group = ControlGroup::start(replicas);
         accept(&group.client_of_all(), 1).await;
@@ -234,7 +235,7 @@
         }
         println!(
             "{replicas} replicas, {callers} callers: {} changes/s, p50 {} us, p99 {} us, max {} us",
-            latencies.len() / SPAN.as_secs(),
+            u128::from(latencies.len()) * 1_000 / SPAN.as_millis(),
             latencies.value_at_quantile(0.5),
             latencies.value_at_quantile(0.99),
             latencies.max(),
@@ -268,9 +269,8 @@
 
 /// Measures how long a group takes no change while its leader goes.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "a measurement, not a check"]
 async fn measure_a_leader_that_goes() {
-    const LEADERS: u64 = 20;
+    const LEADERS: u64 = if cfg!(debug_assertions) { 2 } else { 20 };
     for (name, planned) in [("killed", false), ("stopped", true)] {
         let mut group = ControlGroup::start(3);
         let mut spans = Histogram::<u64>::new_with_max(MOST_RECORDED, 3).expect("a valid range");
