--- /dev/null
+++ b/src/lab/lab_cli.rs
@@ -0,0 +1,127 @@
+use std::{env, path::PathBuf, process::ExitCode};
+
+use gumdrop::Options;
+use miette::Diagnostic;
+use thiserror::Error;
+
+use super::policy::{
+    PlotError, PolicyCase, draw_plot, failure_cases, policy_cases, run_cases, write_tables,
+};
+use crate::program::ExitStatus;
+
+/// The command line of `cyclamen-lab`.
+#[derive(Debug, Options)]
+struct LabOptions {
+    /// Prints the help text.
+    #[options(help = "print this text")]
+    help: bool,
+    /// What to do.
+    #[options(command)]
+    command: Option<LabCommand>,
+}
+
+#[derive(Debug, Options)]
+enum LabCommand {
+    /// Compares accepting and relay rules.
+    #[options(help = "compare accepting and relay rules")]
+    Policy(TrialOptions),
+    /// Shows what failures cost.
+    #[options(help = "show what failures cost under the chosen rules")]
+    Failure(TrialOptions),
+}
+
+/// The options of an experiment.
+#[derive(Debug, Options)]
+struct TrialOptions {
+    /// Prints the help text.
+    #[options(help = "print this text")]
+    help: bool,
+    /// The seed of every draw.
+    #[options(no_short, meta = "N", help = "seed of every draw", default = "1")]
+    seed: u64,
+    /// The requests that each run measures.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "requests measured a run",
+        default = "200000"
+    )]
+    requests: u64,
+    /// Prints JSON in place of tables.
+    #[options(no_short, help = "print JSON in place of Markdown tables")]
+    json: bool,
+    /// Where the plot goes.
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "draw the relay rules into an SVG file"
+    )]
+    plot: Option<PathBuf>,
+}
+
+/// Why an experiment could not be reported.
+#[derive(Debug, Error, Diagnostic)]
+enum LabError {
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Plot(#[from] PlotError),
+    #[error("the results can't be written as JSON")]
+    #[diagnostic(code(lab::json))]
+    Json(#[from] serde_json::Error),
+    #[error("the results can't be written as tables")]
+    #[diagnostic(code(lab::table))]
+    Table(#[from] std::fmt::Error),
+}
+
+/// Runs `cyclamen-lab` from its command line to its exit code.
+#[must_use]
+pub fn run_lab() -> ExitCode {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let options = match LabOptions::parse_args_default(&arguments) {
+        Ok(options) => options,
+        Err(error) => {
+            eprintln!("cyclamen-lab: {error}; see cyclamen-lab --help");
+            return ExitStatus::Usage.into();
+        }
+    };
+    let outcome = match options.command {
+        Some(LabCommand::Policy(trial)) => {
+            run_trial(&trial, &policy_cases(trial.seed, trial.requests))
+        }
+        Some(LabCommand::Failure(trial)) => {
+            run_trial(&trial, &failure_cases(trial.seed, trial.requests))
+        }
+        None => {
+            println!(
+                "Usage: cyclamen-lab COMMAND [OPTIONS]\n\n{}",
+                LabOptions::usage()
+            );
+            println!("\nCommands:\n{}", LabCommand::usage());
+            return ExitStatus::Usage.into();
+        }
+    };
+    match outcome {
+        Ok(()) => ExitStatus::Done.into(),
+        Err(error) => {
+            eprintln!("{:?}", miette::Report::new(error));
+            ExitStatus::Failed.into()
+        }
+    }
+}
+
+fn run_trial(options: &TrialOptions, cases: &[PolicyCase]) -> Result<(), LabError> {
+    if options.help {
+        println!("{}", TrialOptions::usage());
+        return Ok(());
+    }
+    let results = run_cases(cases);
+    if let Some(path) = &options.plot {
+        draw_plot(path, &results)?;
+    }
+    if options.json {
+        println!("{}", serde_json::to_string_pretty(&results)?);
+    } else {
+        print!("{}", write_tables(&results)?);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/lab/model/fault_step.rs
@@ -0,0 +1,147 @@
+use super::{
+    FaultKind, LabModel, LineEntry, ModelEvent, ModelMicros, ModelRequest, ProbeState, RelayRule,
+    RequestKey, RequestState, RetryHabit, StationPhase,
+};
+
+impl LabModel {
+    /// The time in which a change of a target reaches balancers and peers.
+    const FEED_LAG: ModelMicros = ModelMicros::from_seconds(1);
+    /// The time after which a silent target's lease expires.
+    const LEASE: ModelMicros = ModelMicros::from_seconds(5);
+    /// The time after which a caller gives up a silent connection.
+    const IDLE_TIMEOUT: ModelMicros = ModelMicros::from_seconds(10);
+    /// The time in which callers follow the request to move.
+    const MOVE_SPAN: ModelMicros = ModelMicros::from_seconds(2);
+    /// The time that a cold target needs to reach full speed.
+    const WARM_UP: ModelMicros = ModelMicros::from_seconds(30);
+    /// The speed of a cold target.
+    const COLD_SPEED: f64 = 0.33;
+    /// The retries that a target may admit at once, at most.
+    const RETRY_TOKENS: f64 = 10.0;
+    /// The time after which a caller resends a refused request.
+    const RESEND_GAP: ModelMicros = ModelMicros::from_millis(10);
+
+    /// Applies a fault.
+    pub(super) fn apply_fault(&mut self, kind: FaultKind) {
+        match kind {
+            FaultKind::Slow { target, speed } => self.stations[target].speed = speed,
+            FaultKind::ColdStart { target } => self.start_cold(target),
+            FaultKind::Drain { target } => self.drain_target(target),
+            FaultKind::Crash { target } => self.crash_target(target, StationPhase::Absent),
+            FaultKind::Silence { target } => self.crash_target(target, StationPhase::Silent),
+            FaultKind::Rate { .. } | FaultKind::Callers { .. } => self.change_load(kind),
+        }
+    }
+
+    fn start_cold(&mut self, target: usize) {
+        let station = &mut self.stations[target];
+        station.phase = StationPhase::Serving;
+        station.speed = Self::COLD_SPEED;
+        station.reported = 0;
+        self.enter_in(Self::FEED_LAG, ModelEvent::Listed(target, true));
+        self.enter_in(Self::WARM_UP, ModelEvent::WarmEnds(target));
+        self.serve_next(target);
+    }
+
+    fn drain_target(&mut self, target: usize) {
+        self.stations[target].phase = StationPhase::Leaving;
+        self.enter_in(Self::FEED_LAG, ModelEvent::Listed(target, false));
+        self.move_callers(target, Self::MOVE_SPAN);
+    }
+
+    fn crash_target(&mut self, target: usize, phase: StationPhase) {
+        let station = &mut self.stations[target];
+        station.phase = phase;
+        station.epoch += 1;
+        station.held.clear();
+        station.is_stealing = false;
+        let running: Vec<RequestKey> = station.running.drain().map(|(key, _)| key).collect();
+        let waiting = station.line.drain();
+        self.enter_in(Self::LEASE, ModelEvent::Listed(target, false));
+        self.break_callers(target, Self::IDLE_TIMEOUT);
+        for key in running {
+            self.lose_request(key);
+        }
+        for entry in waiting {
+            if let LineEntry::Own(key) = entry {
+                self.lose_request(key);
+            }
+        }
+        self.lose_homeless(target);
+        if self.setup.relay == RelayRule::CentralQueue {
+            self.serve_next(target);
+        }
+    }
+
+    /// Loses the requests that run at peers for callers of a lost target.
+    fn lose_homeless(&mut self, target: usize) {
+        let is_homeless = |request: &ModelRequest| {
+            let is_central = self.setup.relay == RelayRule::CentralQueue;
+            request.home == target && !(is_central && request.state == RequestState::Waiting)
+        };
+        let homeless = self.requests.values().filter(|it| is_homeless(it)).count();
+        self.measure.unknown += homeless as u64;
+    }
+
+    fn lose_request(&mut self, key: RequestKey) {
+        if self.requests.remove(key).is_some() {
+            self.count(|measure| &mut measure.unknown);
+        }
+    }
+
+    /// Tells whether a resent request is within the budget of its home.
+    pub(super) fn admit_retry(&mut self, request: &ModelRequest) -> bool {
+        let RetryHabit::AtOnce {
+            budget_percent: Some(percent),
+            ..
+        } = self.setup.retry
+        else {
+            return true;
+        };
+        let station = &mut self.stations[request.home];
+        if request.resends == 0 {
+            let tokens = station.retry_tokens + f64::from(percent) / 100.0;
+            station.retry_tokens = tokens.min(Self::RETRY_TOKENS);
+            return true;
+        }
+        if station.retry_tokens < 1.0 {
+            return false;
+        }
+        station.retry_tokens -= 1.0;
+        true
+    }
+
+    /// Lets a caller resend a request that was refused.
+    pub(super) fn resend(&mut self, mut request: ModelRequest) {
+        let RetryHabit::AtOnce { times, .. } = self.setup.retry else {
+            return;
+        };
+        if request.resends >= times {
+            return;
+        }
+        request.resends += 1;
+        request.claims.clear();
+        request.probe = ProbeState::default();
+        self.count(|measure| &mut measure.resent);
+        self.enter_in(Self::RESEND_GAP, ModelEvent::Resend(self.resends.len()));
+        self.resends.push(request);
+    }
+
+    /// Takes a resent request at the home that its caller has by now.
+    pub(super) fn arrive_again(&mut self, place: usize) {
+        let mut request = self.resends[place].clone();
+        request.arrived = self.now;
+        request.is_abandoned = false;
+        self.arrive(request);
+    }
+
+    /// Lets a caller resend a request that is not answered for too long.
+    pub(super) fn lose_patience(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.is_abandoned = true;
+        let resent = request.clone();
+        self.resend(resent);
+    }
+}
--- /dev/null
+++ b/src/lab/model/model_micros.rs
@@ -0,0 +1,66 @@
+use std::fmt;
+
+use serde::Serialize;
+
+/// An instant or a span of the model in microseconds.
+///
+/// Message delays are below a millisecond, so the product's clock is too coarse.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize)]
+#[serde(transparent)]
+pub(crate) struct ModelMicros(u64);
+
+impl ModelMicros {
+    /// The start of a run.
+    pub(crate) const ZERO: Self = Self(0);
+
+    /// Creates a time of `micros`.
+    pub(crate) const fn new(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Creates a time of `millis`.
+    pub(crate) const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Creates a time of `seconds`.
+    pub(crate) const fn from_seconds(seconds: u64) -> Self {
+        Self(seconds * 1_000_000)
+    }
+
+    /// Creates a time from a drawn number of microseconds.
+    pub(crate) fn from_float(micros: f64) -> Self {
+        Self(micros.max(0.0) as u64)
+    }
+
+    /// Returns the microseconds.
+    pub(crate) const fn micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time as a number of milliseconds.
+    pub(crate) fn as_millis(self) -> f64 {
+        self.0 as f64 / 1_000.0
+    }
+
+    /// Returns the time `span` later.
+    pub(crate) const fn after(self, span: Self) -> Self {
+        Self(self.0 + span.0)
+    }
+
+    /// Returns the time since `earlier`, zero if that lies ahead.
+    pub(crate) const fn since(self, earlier: Self) -> Self {
+        Self(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns the time multiplied by `factor`.
+    pub(crate) fn scaled(self, factor: f64) -> Self {
+        Self::from_float(self.0 as f64 * factor)
+    }
+}
+
+impl fmt::Display for ModelMicros {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:.1} ms", self.as_millis())
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,13 @@
 pub mod control;
 pub mod event;
 pub mod key;
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "the figures of the model are rounded"
+)]
+pub mod lab;
 pub mod manifest;
 pub mod program;
 pub mod route;
