--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod route;
 pub mod secret;
 pub mod settings;
+pub mod tls;
 pub mod tunnel;
