--- a/src/lab/lab_cli.rs
+++ b/src/lab/lab_cli.rs
@@ -37,14 +37,19 @@
     #[options(help = "print this text")]
     help: bool,
     /// The seed of every draw.
-    #[options(no_short, meta = "N", help = "seed of every draw", default = "1")]
+    #[options(
+        no_short,
+        meta = "N",
+        help = "first of the five seeds of each case",
+        default = "1"
+    )]
     seed: u64,
     /// The requests that each run measures.
     #[options(
         no_short,
         meta = "N",
-        help = "requests measured a run",
-        default = "200000"
+        help = "requests measured a run; each case has five",
+        default = "100000"
     )]
     requests: u64,
     /// Prints JSON in place of tables.
--- a/src/lab/model/connection_pool.rs
+++ b/src/lab/model/connection_pool.rs
@@ -15,6 +15,10 @@
     pub(crate) chain: Vec<usize>,
     /// The place of the candidate that decides on it.
     pub(crate) place: usize,
+    /// Counts the connections that this caller has had.
+    pub(crate) renewals: u32,
+    /// The ID that its first packets carry.
+    pub(crate) cid: u64,
 }
 
 /// All callers, drawn by how much they send.
@@ -43,6 +47,8 @@
             home: None,
             chain: Vec::new(),
             place: 0,
+            renewals: 0,
+            cid: 0,
         };
         let key = self.connections.insert(connection);
         list.push(key);
--- a/src/lab/model/connection_step.rs
+++ b/src/lab/model/connection_step.rs
@@ -1,8 +1,10 @@
 use rand::Rng;
 
 use super::{
-    AcceptRule, ConnectionKey, LabModel, MessageKind, ModelEvent, ModelMicros, StationPhase,
-    SystemProfile, lab_model::domain_of,
+    AcceptRule, ConnectionKey, LabModel, MessageKind, ModelEvent, ModelMicros, lab_model::domain_of,
+};
+use crate::agent::admission::{
+    AdmissionVerdict, CandidatePlace, ClientCid, ConnectionOffer, PeerLoad, TargetLoad,
 };
 
 impl LabModel {
@@ -10,6 +12,8 @@
     const CHAIN: usize = 3;
     /// The time after which a caller resends a first packet.
     const FIRST_RESEND: ModelMicros = ModelMicros::from_seconds(1);
+    /// The mean life of a connection, shortened so that runs see new ones.
+    const MEAN_LIFE: ModelMicros = ModelMicros::from_seconds(300);
 
     /// Lets a further caller connect.
     pub(super) fn connect_caller(&mut self) {
@@ -19,16 +23,12 @@
 
     /// Lets a caller connect anew.
     pub(super) fn reconnect(&mut self, key: ConnectionKey) {
-        let mut chain = self.draw_chain();
-        if self.setup.accept == AcceptRule::LaggingReport && chain.len() > 1 {
-            let reported = |target: usize| self.stations[target].reported;
-            if reported(chain[1]) < reported(chain[0]) {
-                chain.swap(0, 1);
-            }
-        }
+        let chain = self.draw_chain();
+        let cid = self.random.random();
         if let Some(connection) = self.pool.get_mut(key) {
             connection.home = None;
             connection.chain = chain;
+            connection.cid = cid;
         }
         self.offer(key, 0);
     }
@@ -73,44 +73,55 @@
         let Some(connection) = self.pool.get(key) else {
             return;
         };
-        let place = connection.place;
-        let next = connection.chain.get(place + 1).copied();
-        let station = &self.stations[target];
-        let is_full = station.connections.len() >= SystemProfile::CONNECTIONS;
-        if station.phase == StationPhase::Leaving || is_full {
-            self.offer(key, place + 1);
-            return;
-        }
+        let next = connection.chain.get(connection.place + 1).copied();
         match (self.setup.accept, next) {
-            (AcceptRule::Threshold { percent }, Some(_)) if self.is_over(target, percent) => {
-                self.offer(key, place + 1);
+            (AcceptRule::FreshProbe { .. }, Some(next)) => {
+                self.send(target, next, MessageKind::LoadProbe(key));
             }
-            (AcceptRule::FreshProbe, Some(next)) if place == 0 => {
-                let kind = MessageKind::LoadProbe(key);
-                self.send(target, next, kind);
+            (AcceptRule::LaggingReport { .. }, Some(next)) => {
+                let report = self.stations[next].reported;
+                self.ask_gate(target, key, report);
             }
-            _ => self.accept(target, key),
+            _ => self.ask_gate(target, key, None),
         }
     }
 
-    /// Tells whether a target holds more than its share of the last reports.
-    fn is_over(&self, target: usize, percent: u32) -> bool {
-        let own = self.stations[target].connections.len();
-        let peers: Vec<usize> = (0..self.stations.len())
-            .filter(|&peer| peer != target && self.listed[peer])
-            .map(|peer| self.stations[peer].reported)
-            .collect();
-        let total = peers.iter().sum::<usize>() + own;
-        let share = total as f64 / (peers.len() + 1) as f64;
-        own as f64 > share * f64::from(percent) / 100.0 + 1.0
+    /// Takes the reply of the next candidate at the present one.
+    pub(super) fn weigh_reply(&mut self, target: usize, key: ConnectionKey, load: TargetLoad) {
+        let seen = self.now.clock();
+        self.ask_gate(target, key, Some(PeerLoad { load, seen }));
     }
 
-    /// Takes the reply of the second candidate at the first one.
-    pub(super) fn weigh_reply(&mut self, target: usize, key: ConnectionKey, other: usize) {
-        if other < self.stations[target].connections.len() {
-            self.offer(key, 1);
-        } else {
-            self.accept(target, key);
+    fn ask_gate(&mut self, target: usize, key: ConnectionKey, next: Option<PeerLoad>) {
+        let Some(connection) = self.pool.get(key) else {
+            return;
+        };
+        let is_last = connection.place + 1 >= connection.chain.len();
+        let Some(cid) = ClientCid::new(&connection.cid.to_be_bytes()) else {
+            return;
+        };
+        let offer = ConnectionOffer {
+            cid,
+            place: if is_last {
+                CandidatePlace::Last
+            } else {
+                CandidatePlace::Followed
+            },
+            next,
+        };
+        let now = self.now.clock();
+        let station = &mut self.stations[target];
+        let load = station.load();
+        match station.gate.admit(offer, load, now) {
+            AdmissionVerdict::Accept => self.accept(target, key),
+            AdmissionVerdict::PassOn => {
+                let place = connection.place + 1;
+                self.offer(key, place);
+            }
+            AdmissionVerdict::Refuse { retry_after } => {
+                let wait = ModelMicros::from_millis(retry_after.millis());
+                self.enter_in(wait, ModelEvent::Reconnect(key));
+            }
         }
     }
 
@@ -121,15 +132,44 @@
         };
         if connection.home.is_none() {
             connection.home = Some(target);
+            connection.renewals += 1;
+            let renewals = connection.renewals;
             self.stations[target].connections.push(key);
+            let life = self.draw_life();
+            self.enter_in(life, ModelEvent::Close(key, renewals));
         }
     }
 
+    fn draw_life(&mut self) -> ModelMicros {
+        let share: f64 = self.random.random();
+        Self::MEAN_LIFE.scaled(-(1.0 - share).ln())
+    }
+
+    /// Ends a connection whose life is over; another caller takes its place.
+    pub(super) fn close(&mut self, key: ConnectionKey, renewals: u32) {
+        let Some(connection) = self.pool.get(key) else {
+            return;
+        };
+        let Some(home) = connection.home.filter(|_| connection.renewals == renewals) else {
+            return;
+        };
+        if self.is_closing {
+            return;
+        }
+        self.stations[home]
+            .connections
+            .retain(|&other| other != key);
+        self.reconnect(key);
+    }
+
     /// Notes what all targets report, and enters the next report.
     pub(super) fn report_loads(&mut self) {
         for station in &mut self.stations {
             if station.is_reachable() {
-                station.reported = station.connections.len();
+                station.reported = Some(PeerLoad {
+                    load: station.load(),
+                    seen: self.now.clock(),
+                });
             }
         }
         if !self.is_closing {
--- a/src/lab/model/event_queue.rs
+++ b/src/lab/model/event_queue.rs
@@ -11,6 +11,8 @@
     BurstRequest(ConnectionKey, u32),
     /// A caller connects.
     Connect,
+    /// A connection ends, unless it was renewed meanwhile.
+    Close(ConnectionKey, u32),
     /// A caller that was asked to move connects anew.
     Reconnect(ConnectionKey),
     /// A request leaves its slot.
--- a/src/lab/model/fault_step.rs
+++ b/src/lab/model/fault_step.rs
@@ -1,7 +1,8 @@
 use super::{
-    FaultKind, LabModel, LineEntry, ModelEvent, ModelMicros, ModelRequest, ProbeState, RelayRule,
-    RequestKey, RequestState, RetryHabit, StationPhase,
+    FaultKind, LabModel, ModelEvent, ModelMicros, ModelRequest, ProbeState, RelayRule, RequestKey,
+    RequestState, RetryHabit, StationPhase,
 };
+use crate::agent::admission::AgentPhase;
 
 impl LabModel {
     /// The time in which a change of a target reaches balancers and peers.
@@ -34,42 +35,39 @@
     }
 
     fn start_cold(&mut self, target: usize) {
+        let since = self.now.clock();
         let station = &mut self.stations[target];
         station.phase = StationPhase::Serving;
+        station.gate.set_phase(AgentPhase::Warming { since });
         station.speed = Self::COLD_SPEED;
-        station.reported = 0;
+        station.reported = None;
         self.enter_in(Self::FEED_LAG, ModelEvent::Listed(target, true));
         self.enter_in(Self::WARM_UP, ModelEvent::WarmEnds(target));
-        self.serve_next(target);
+        match self.setup.relay {
+            RelayRule::CentralQueue => self.serve_central(),
+            RelayRule::Stealing => self.steal_work(target),
+            RelayRule::Never | RelayRule::ShorterOfTwo | RelayRule::LateClaims { .. } => {}
+        }
     }
 
     fn drain_target(&mut self, target: usize) {
-        self.stations[target].phase = StationPhase::Leaving;
+        let station = &mut self.stations[target];
+        station.phase = StationPhase::Leaving;
+        station.gate.set_phase(AgentPhase::Leaving);
         self.enter_in(Self::FEED_LAG, ModelEvent::Listed(target, false));
         self.move_callers(target, Self::MOVE_SPAN);
     }
 
     fn crash_target(&mut self, target: usize, phase: StationPhase) {
-        let station = &mut self.stations[target];
-        station.phase = phase;
-        station.epoch += 1;
-        station.held.clear();
-        station.is_stealing = false;
-        let running: Vec<RequestKey> = station.running.drain().map(|(key, _)| key).collect();
-        let waiting = station.line.drain();
+        let lost = self.stations[target].stop(phase);
         self.enter_in(Self::LEASE, ModelEvent::Listed(target, false));
         self.break_callers(target, Self::IDLE_TIMEOUT);
-        for key in running {
+        for key in lost {
             self.lose_request(key);
         }
-        for entry in waiting {
-            if let LineEntry::Own(key) = entry {
-                self.lose_request(key);
-            }
-        }
         self.lose_homeless(target);
         if self.setup.relay == RelayRule::CentralQueue {
-            self.serve_next(target);
+            self.serve_central();
         }
     }
 
@@ -135,6 +133,10 @@
         self.arrive(request);
     }
 
+    fn cancels(&self) -> bool {
+        matches!(self.setup.retry, RetryHabit::AtOnce { cancels: true, .. })
+    }
+
     /// Lets a caller resend a request that is not answered for too long.
     pub(super) fn lose_patience(&mut self, key: RequestKey) {
         let Some(request) = self.requests.get_mut(key) else {
@@ -142,6 +144,12 @@
         };
         request.is_abandoned = true;
         let resent = request.clone();
+        if self.cancels() && resent.state == RequestState::Waiting {
+            self.stations[resent.home].withdraw(key);
+            self.withdraw_claims(key, usize::MAX);
+            self.requests.remove(key);
+            self.count(|measure| &mut measure.withdrawn);
+        }
         self.resend(resent);
     }
 }
--- a/src/lab/model/lab_model.rs
+++ b/src/lab/model/lab_model.rs
@@ -2,16 +2,19 @@
 use slotmap::SlotMap;
 
 use super::{
-    ConnectionPool, EventQueue, FaultKind, MessageKind, ModelEvent, ModelMessage, ModelMicros,
-    ModelRequest, RequestKey, RunMeasure, RunReport, RunSetup, StationPhase, SystemProfile,
-    TargetStation, WaitingLine,
+    CentralLine, ConnectionPool, EventQueue, FaultKind, MessageKind, ModelEvent, ModelMessage,
+    ModelMicros, ModelRequest, RequestKey, RunMeasure, RunReport, RunSetup, StationPhase,
+    SystemProfile, TargetStation,
 };
 
 /// One run of the model: its events, its targets, its callers, its counts.
 #[derive(Debug)]
 pub(crate) struct LabModel {
     pub(super) setup: RunSetup,
+    /// Draws that depend on the rules.
     pub(super) random: SmallRng,
+    /// Draws of arrivals and work, which are the same under all rules.
+    pub(super) arrivals: SmallRng,
     pub(super) events: EventQueue,
     pub(super) now: ModelMicros,
     pub(super) stations: Vec<TargetStation>,
@@ -20,7 +23,7 @@
     pub(super) pool: ConnectionPool,
     pub(super) requests: SlotMap<RequestKey, ModelRequest>,
     /// The line of the central queue, when that rule is tried.
-    pub(super) central: WaitingLine,
+    pub(super) central: CentralLine,
     pub(super) measure: RunMeasure,
     /// The share of the usual rate of requests.
     pub(super) rate: f64,
@@ -36,24 +39,33 @@
     pub(super) const BURST_GAP: ModelMicros = ModelMicros::from_millis(10);
     /// The share of the warm-up in which the first callers connect.
     const CONNECT_SHARE: f64 = 0.5;
+    /// What sets the seed of the arrivals apart.
+    const ARRIVAL_SEED: u64 = 0x5eed;
 
     /// Prepares a run.
     pub(crate) fn new(setup: RunSetup) -> Self {
         let count = setup.target_count();
         let present = setup.system.targets();
-        let mut stations: Vec<TargetStation> = (0..count).map(|_| TargetStation::new()).collect();
-        for station in &mut stations[present..] {
-            station.phase = StationPhase::Absent;
-        }
+        let phase_of = |target| {
+            if target < present {
+                StationPhase::Serving
+            } else {
+                StationPhase::Absent
+            }
+        };
+        let stations = (0..count)
+            .map(|target| TargetStation::new(&setup, phase_of(target)))
+            .collect();
         let mut model = Self {
             random: SmallRng::seed_from_u64(setup.seed),
+            arrivals: SmallRng::seed_from_u64(setup.seed ^ Self::ARRIVAL_SEED),
             events: EventQueue::default(),
             now: ModelMicros::ZERO,
             listed: (0..count).map(|target| target < present).collect(),
             stations,
             pool: ConnectionPool::default(),
             requests: SlotMap::with_key(),
-            central: WaitingLine::default(),
+            central: CentralLine::default(),
             measure: RunMeasure::new(count),
             rate: 1.0,
             is_closing: false,
@@ -83,7 +95,7 @@
     fn enter_first_events(&mut self) {
         let span = self.setup.warm_up.scaled(Self::CONNECT_SHARE);
         self.enter_callers(self.setup.callers, span);
-        self.events.push(span, ModelEvent::Burst);
+        self.events.push(ModelMicros::ZERO, ModelEvent::Burst);
         self.events.push(ModelMicros::ZERO, ModelEvent::Report);
         for fault in self.setup.faults.clone() {
             self.events.push(fault.at, ModelEvent::Fault(fault.kind));
@@ -93,7 +105,7 @@
     /// Lets `count` callers connect within `span` from now.
     pub(super) fn enter_callers(&mut self, count: usize, span: ModelMicros) {
         for _ in 0..count {
-            let wait = ModelMicros::new(self.random.random_range(0..=span.micros()));
+            let wait = ModelMicros::new(self.arrivals.random_range(0..=span.micros()));
             self.enter_in(wait, ModelEvent::Connect);
         }
     }
@@ -103,6 +115,7 @@
             ModelEvent::Burst => self.start_burst(),
             ModelEvent::BurstRequest(connection, left) => self.burst_request(connection, left),
             ModelEvent::Connect => self.connect_caller(),
+            ModelEvent::Close(connection, renewals) => self.close(connection, renewals),
             ModelEvent::Reconnect(connection) => self.reconnect(connection),
             ModelEvent::OfferAgain(connection, place) => self.offer(connection, place),
             ModelEvent::Finish {
@@ -111,9 +124,12 @@
                 epoch,
             } => self.finish_request(target, request, epoch),
             ModelEvent::Deliver(message) => self.deliver(message),
-            ModelEvent::HoldEnds(target, request) => self.end_hold(target, request),
+            ModelEvent::HoldEnds(target, request) => self.release_hold(target, request),
             ModelEvent::ProbeEnds(request) => self.settle_probe(request),
-            ModelEvent::StealAgain(target) => self.steal_work(target),
+            ModelEvent::StealAgain(target) => {
+                self.stations[target].is_stealing = false;
+                self.steal_work(target);
+            }
             ModelEvent::Report => self.report_loads(),
             ModelEvent::PatienceEnds(request) => self.lose_patience(request),
             ModelEvent::WarmEnds(target) => self.stations[target].speed = 1.0,
@@ -163,9 +179,9 @@
         base.scaled(1.0 + Self::JITTER * self.random.random::<f64>())
     }
 
-    /// Draws a time with the given mean from an exponential distribution.
+    /// Draws a time of the arrivals with the given mean from an exponential distribution.
     pub(super) fn draw_exponential(&mut self, mean: ModelMicros) -> ModelMicros {
-        let share: f64 = self.random.random();
+        let share: f64 = self.arrivals.random();
         mean.scaled(-(1.0 - share).ln())
     }
 
--- a/src/lab/model/model_message.rs
+++ b/src/lab/model/model_message.rs
@@ -1,4 +1,5 @@
 use super::{ConnectionKey, RequestKey};
+use crate::agent::admission::TargetLoad;
 
 /// A message between two targets' agents.
 #[derive(Debug, Clone, Copy)]
@@ -36,14 +37,12 @@
     Steal,
     /// The request itself, for the idle agent.
     Give(RequestKey),
-    /// Nothing waits here.
-    NothingWaits,
     /// A new connection, offered to a candidate of its chain.
     Offer(ConnectionKey),
-    /// Asks a candidate for its number of connections.
+    /// Asks a candidate for its load.
     LoadProbe(ConnectionKey),
-    /// The number of connections of the candidate.
-    LoadReply(ConnectionKey, usize),
+    /// The load of the candidate.
+    LoadReply(ConnectionKey, TargetLoad),
 }
 
 impl MessageKind {
--- a/src/lab/model/model_micros.rs
+++ b/src/lab/model/model_micros.rs
@@ -2,6 +2,8 @@
 
 use serde::Serialize;
 
+use crate::clock::ClockMillis;
+
 /// An instant or a span of the model in microseconds.
 ///
 /// Message delays are below a millisecond, so the product's clock is too coarse.
@@ -38,6 +40,11 @@
         self.0
     }
 
+    /// Returns the time as the product's clock shows it.
+    pub(crate) const fn clock(self) -> ClockMillis {
+        ClockMillis::new(self.0 / 1_000)
+    }
+
     /// Returns the time as a number of milliseconds.
     pub(crate) fn as_millis(self) -> f64 {
         self.0 as f64 / 1_000.0
--- a/src/lab/model/relay_rule.rs
+++ b/src/lab/model/relay_rule.rs
@@ -12,6 +12,8 @@
     LateClaims {
         /// The number of targets where it waits, its own included.
         targets: u8,
+        /// Whether peers of its own failure domain come first.
+        near: bool,
     },
     /// It waits at home until an idle peer asks for work.
     Stealing,
@@ -20,12 +22,37 @@
 }
 
 impl RelayRule {
+    /// Tells whether a service with so many targets tells it from other rules.
+    pub(crate) const fn fits(self, count: usize) -> bool {
+        match self {
+            Self::LateClaims { targets, near } => targets as usize <= count && (!near || count > 3),
+            Self::Never | Self::ShorterOfTwo | Self::Stealing | Self::CentralQueue => true,
+        }
+    }
+
+    /// Returns in how many lines a waiting request stands.
+    pub(crate) const fn line_share(self) -> u16 {
+        match self {
+            Self::LateClaims { targets, .. } => targets as u16,
+            Self::Never | Self::ShorterOfTwo | Self::Stealing | Self::CentralQueue => 1,
+        }
+    }
+
     /// Returns the short name used in tables.
     pub(crate) fn label(self) -> String {
         match self {
             Self::Never => "none".to_owned(),
             Self::ShorterOfTwo => "shorter of two".to_owned(),
-            Self::LateClaims { targets } => format!("late-bound claims at {targets}"),
+            Self::LateClaims {
+                targets,
+                near: false,
+            } => format!("late-bound claims at {targets}"),
+            Self::LateClaims {
+                targets,
+                near: true,
+            } => {
+                format!("late-bound claims at {targets}, own domain first")
+            }
             Self::Stealing => "stealing".to_owned(),
             Self::CentralQueue => "central queue (bound)".to_owned(),
         }
--- a/src/lab/model/request_step.rs
+++ b/src/lab/model/request_step.rs
@@ -1,22 +1,15 @@
 use rand::Rng;
 
 use super::{
-    ConnectionKey, LabModel, LineEntry, MessageKind, ModelEvent, ModelMicros, ModelRequest,
-    ProbeState, RelayRule, RequestKey, RequestState, RetryHabit, RunMeasure, StationPhase,
-    SystemProfile,
+    ConnectionKey, LabModel, LineEntry, ModelEvent, ModelMicros, ModelRequest, ProbeState,
+    RelayRule, RequestKey, RequestState, RetryHabit, RunMeasure, RunSetup, StationEvent,
+    StationPhase, SystemProfile,
 };
+use crate::agent::slot::{SlotKey, SlotRequest};
 
 impl LabModel {
-    /// Requests that wait at one target at most.
-    const QUEUE: usize = 64;
-    /// The deadline of a request.
-    const DEADLINE: ModelMicros = ModelMicros::from_seconds(10);
-    /// How long a slot is held for a granted claim.
-    const HOLD: ModelMicros = ModelMicros::from_millis(20);
-    /// How long a request waits for the replies to its probes.
-    const PROBE_WAIT: ModelMicros = ModelMicros::from_millis(10);
-    /// The time after which an idle target looks for work again.
-    const STEAL_WAIT: ModelMicros = ModelMicros::from_millis(5);
+    /// The time after which a caller looks again whether it is connected.
+    const CONNECT_WAIT: ModelMicros = ModelMicros::from_millis(1);
 
     /// Starts a burst at some caller and enters the next one.
     pub(super) fn start_burst(&mut self) {
@@ -24,20 +17,26 @@
             self.is_closing = true;
             return;
         }
-        if let Some(key) = self.pool.draw(&mut self.random) {
-            let left = self.random.random_range(0..Self::BURST_REQUESTS * 2 - 1);
+        if let Some(key) = self.pool.draw(&mut self.arrivals) {
+            let left = self.arrivals.random_range(0..Self::BURST_REQUESTS * 2 - 1);
             self.burst_request(key, left);
         }
         let slots = (self.setup.system.targets() * SystemProfile::SLOTS) as f64;
         let load = f64::from(self.setup.load_percent) / 100.0 * self.rate;
-        let work = self.setup.system.mean_work();
+        let work = self.setup.mean_work();
         let gap = work.scaled(f64::from(Self::BURST_REQUESTS) / (slots * load));
         let gap = self.draw_exponential(gap);
         self.enter_in(gap, ModelEvent::Burst);
     }
 
     /// Brings one request of a burst and enters the next one.
+    ///
+    /// A caller that is still connecting sends a little later.
     pub(super) fn burst_request(&mut self, key: ConnectionKey, left: u32) {
+        if self.pool.get(key).is_some_and(|it| it.home.is_none()) {
+            self.enter_in(Self::CONNECT_WAIT, ModelEvent::BurstRequest(key, left));
+            return;
+        }
         if left > 0 {
             let gap = self.draw_exponential(Self::BURST_GAP);
             self.enter_in(gap, ModelEvent::BurstRequest(key, left - 1));
@@ -50,8 +49,8 @@
     }
 
     fn draw_request(&mut self, connection: ConnectionKey) -> ModelRequest {
-        let mut ticket = self.random.random_range(0..100);
-        let classes = self.setup.system.classes();
+        let mut ticket = self.arrivals.random_range(0..100);
+        let classes = self.setup.classes();
         let mut drawn = classes[0];
         for class in classes {
             drawn = class;
@@ -87,150 +86,67 @@
             self.count(|measure| &mut measure.refused);
             return;
         }
-        let priority = request.priority;
-        let patience = match self.setup.retry {
-            RetryHabit::AtOnce { patience, .. } => Some(patience),
-            RetryHabit::Never => None,
-        };
-        let refused = request.clone();
         let key = self.requests.insert(request);
-        if let Some(patience) = patience {
+        if let RetryHabit::AtOnce { patience, .. } = self.setup.retry {
             self.enter_in(patience, ModelEvent::PatienceEnds(key));
         }
-        if self.setup.relay == RelayRule::CentralQueue {
-            self.central.push(priority, LineEntry::Own(key));
-            self.serve_central();
-            return;
-        }
-        let station = &self.stations[home];
-        if station.free_slots() > 0 && station.line.is_empty() {
-            self.start_request(home, key);
-        } else if station.line.own_len() >= Self::QUEUE {
-            self.requests.remove(key);
-            self.count(|measure| &mut measure.refused);
-            self.resend(refused);
-        } else {
-            self.wait_for_slot(home, key);
-        }
-    }
-
-    fn wait_for_slot(&mut self, home: usize, key: RequestKey) {
         match self.setup.relay {
-            RelayRule::Never | RelayRule::Stealing | RelayRule::CentralQueue => {
-                self.queue_here(home, key);
+            RelayRule::CentralQueue => self.wait_centrally(key),
+            RelayRule::ShorterOfTwo if self.stations[home].free_slots() == 0 => {
+                self.probe_peers(home, key);
             }
-            RelayRule::LateClaims { targets } => {
+            RelayRule::LateClaims { targets, near } => {
                 self.queue_here(home, key);
-                let peers = self.draw_peers(home, usize::from(targets) - 1);
-                for &peer in &peers {
-                    self.send(home, peer, MessageKind::Claim(key));
-                }
-                self.requests[key].claims = peers;
+                self.claim_slots(home, key, usize::from(targets) - 1, near);
             }
-            RelayRule::ShorterOfTwo => {
-                let peers = self.draw_peers(home, 2);
-                for &peer in &peers {
-                    self.send(home, peer, MessageKind::Probe(key));
-                }
-                self.requests[key].probe.missing = peers.len();
-                self.enter_in(Self::PROBE_WAIT, ModelEvent::ProbeEnds(key));
+            RelayRule::ShorterOfTwo | RelayRule::Never | RelayRule::Stealing => {
+                self.queue_here(home, key);
             }
         }
     }
 
     /// Queues a request at a target that has it.
     pub(super) fn queue_here(&mut self, target: usize, key: RequestKey) {
-        let Some(request) = self.requests.get_mut(key) else {
-            return;
-        };
-        request.state = RequestState::Waiting;
-        let priority = request.priority;
-        self.stations[target]
-            .line
-            .push(priority, LineEntry::Own(key));
-        self.serve_next(target);
-    }
-
-    /// Sends a request whose probes are answered, or late, to the shortest queue.
-    pub(super) fn settle_probe(&mut self, key: RequestKey) {
-        let Some(request) = self.requests.get_mut(key) else {
-            return;
-        };
-        if request.state != RequestState::Waiting || request.probe.missing == 0 {
-            return;
-        }
-        request.probe.missing = 0;
-        let home = request.home;
-        let own = self.stations[home].load();
-        match request.probe.best {
-            Some((target, length)) if length < own => {
-                request.state = RequestState::Sent(target);
-                self.send(home, target, MessageKind::Enqueue(key));
-            }
-            _ => self.queue_here(home, key),
-        }
-    }
-
-    /// Gives the free slots of a target to what waits there.
-    pub(super) fn serve_next(&mut self, target: usize) {
-        if self.setup.relay == RelayRule::CentralQueue {
-            self.serve_central();
-            return;
-        }
-        while self.stations[target].free_slots() > 0 && self.stations[target].is_reachable() {
-            match self.stations[target].line.pop() {
-                Some(LineEntry::Own(key)) => self.start_or_expire(target, key),
-                Some(LineEntry::Claim(key)) => self.grant_claim(target, key),
-                None => break,
-            }
-        }
-        if self.setup.relay == RelayRule::Stealing {
-            self.steal_work(target);
+        if let Some(request) = self.requests.get_mut(key) {
+            request.state = RequestState::Waiting;
+            self.ask_slot(target, LineEntry::Own(key));
         }
     }
 
-    fn start_or_expire(&mut self, target: usize, key: RequestKey) {
-        let Some(request) = self.requests.get(key) else {
+    /// Asks a target's queue for a slot, for a request or a claim.
+    pub(super) fn ask_slot(&mut self, target: usize, entry: LineEntry) {
+        let Some(request) = self.requests.get(entry.request()) else {
             return;
         };
-        if self.now.since(request.arrived) > Self::DEADLINE {
-            self.drop_request(key);
-            self.count(|measure| &mut measure.expired);
-        } else {
-            self.start_request(target, key);
-        }
-    }
-
-    fn grant_claim(&mut self, target: usize, key: RequestKey) {
-        let Some(request) = self.requests.get(key) else {
-            // The home's word that the request is gone is still on its way.
-            return;
+        let wish = SlotRequest {
+            priority: request.priority,
+            deadline: request.arrived.after(self.setup.deadline()).clock(),
         };
-        let home = request.home;
-        self.stations[target].held.push(key);
-        self.send(target, home, MessageKind::Grant(key));
-        self.enter_in(Self::HOLD, ModelEvent::HoldEnds(target, key));
+        let now = self.now.clock();
+        let events = self.stations[target].ask(entry, wish, now);
+        self.follow_events(target, events);
     }
 
-    /// Starts the requests of the central queue wherever a slot is free.
-    fn serve_central(&mut self) {
-        loop {
-            let free = (0..self.stations.len())
-                .filter(|&target| self.stations[target].phase == StationPhase::Serving)
-                .max_by_key(|&target| self.stations[target].free_slots());
-            let Some(target) = free.filter(|&target| self.stations[target].free_slots() > 0) else {
-                return;
-            };
-            let Some(entry) = self.central.pop() else {
-                return;
-            };
-            self.start_or_expire(target, entry.request());
+    /// Carries out what a target's queue decided.
+    pub(super) fn follow_events(&mut self, target: usize, events: Vec<StationEvent>) {
+        for event in events {
+            match event {
+                StationEvent::Slot(LineEntry::Own(key), slot) => {
+                    self.start_request(target, key, slot);
+                }
+                StationEvent::Slot(LineEntry::Claim(key), slot) => {
+                    self.grant_claim(target, key, slot);
+                }
+                StationEvent::Refused(LineEntry::Own(key)) => self.refuse_request(key),
+                StationEvent::Refused(LineEntry::Claim(_)) => {}
+            }
         }
     }
 
-    /// Runs a request in a free slot of a target.
-    pub(super) fn start_request(&mut self, target: usize, key: RequestKey) {
+    /// Runs a request in a slot of a target.
+    pub(super) fn start_request(&mut self, target: usize, key: RequestKey, slot: SlotKey) {
         let Some(request) = self.requests.get_mut(key) else {
+            self.release_slot(target, slot);
             return;
         };
         request.state = RequestState::Running(target);
@@ -239,40 +155,27 @@
         if arrived >= self.setup.warm_up {
             let wait = self.now.since(arrived);
             self.measure.record_wait(priority, wait);
+            if self.setup.settled_at().is_some_and(|at| arrived >= at) {
+                self.measure.record_settled(wait);
+            }
         }
         let station = &mut self.stations[target];
-        station.running.insert(key, self.now);
-        let epoch = station.epoch;
-        let span = work.scaled(1.0 / station.speed);
-        self.enter_in(
-            span,
-            ModelEvent::Finish {
-                target,
-                request: key,
-                epoch,
-            },
-        );
-    }
-
-    /// Withdraws the claims of a request, except the one at `used`.
-    pub(super) fn withdraw_claims(&mut self, key: RequestKey, used: usize) {
-        let Some(request) = self.requests.get_mut(key) else {
-            return;
+        station.running.insert(key, (slot, self.now));
+        let finish = ModelEvent::Finish {
+            target,
+            request: key,
+            epoch: station.epoch,
         };
-        let home = request.home;
-        for peer in std::mem::take(&mut request.claims) {
-            if peer != used {
-                self.send(home, peer, MessageKind::Cancel(key));
-            }
-        }
+        let span = work.scaled(1.0 / station.speed);
+        self.enter_in(span, finish);
     }
 
-    /// Ends a request at a target and serves the next one.
+    /// Ends a request at a target; its slot goes to what waits there.
     pub(super) fn finish_request(&mut self, target: usize, key: RequestKey, epoch: u32) {
         if self.stations[target].epoch != epoch {
             return;
         }
-        let Some(began) = self.stations[target].running.remove(&key) else {
+        let Some((slot, began)) = self.stations[target].running.remove(&key) else {
             return;
         };
         let span = self.now.since(began.max(self.setup.warm_up));
@@ -282,31 +185,68 @@
         {
             self.measure.wasted = self.measure.wasted.after(span);
         }
-        self.serve_next(target);
+        self.release_slot(target, slot);
+    }
+
+    /// Gives a slot back to the queue of its target.
+    pub(super) fn release_slot(&mut self, target: usize, slot: SlotKey) {
+        let now = self.now.clock();
+        let events = self.stations[target].release(slot, now);
+        self.follow_events(target, events);
+        match self.setup.relay {
+            RelayRule::CentralQueue => self.serve_central(),
+            RelayRule::Stealing => self.steal_work(target),
+            RelayRule::Never | RelayRule::ShorterOfTwo | RelayRule::LateClaims { .. } => {}
+        }
     }
 
-    /// Forgets a request that will not run.
-    pub(super) fn drop_request(&mut self, key: RequestKey) {
+    /// Answers that a request did not run.
+    pub(super) fn refuse_request(&mut self, key: RequestKey) {
         self.withdraw_claims(key, usize::MAX);
-        self.requests.remove(key);
+        if let Some(request) = self.requests.remove(key) {
+            if request.arrived == self.now {
+                self.count(|measure| &mut measure.refused);
+            } else {
+                self.count(|measure| &mut measure.expired);
+            }
+            if !request.is_abandoned {
+                self.resend(request);
+            }
+        }
     }
 
-    /// Lets an idle target ask some peer for work.
-    pub(super) fn steal_work(&mut self, target: usize) {
-        let station = &self.stations[target];
-        let is_idle = station.free_slots() > 0 && station.line.is_empty();
-        if !is_idle || station.is_stealing || station.phase != StationPhase::Serving {
+    fn wait_centrally(&mut self, key: RequestKey) {
+        let limit = usize::from(RunSetup::QUEUE) * self.setup.system.targets();
+        if self.central.len() >= limit {
+            self.refuse_request(key);
             return;
         }
-        if self.is_closing && self.requests.is_empty() {
-            return;
+        let priority = self.requests[key].priority;
+        self.central.push(priority, key);
+        self.serve_central();
+    }
+
+    /// Starts the requests of the central queue wherever a slot is free.
+    pub(super) fn serve_central(&mut self) {
+        loop {
+            let free = (0..self.stations.len())
+                .filter(|&target| self.stations[target].phase == StationPhase::Serving)
+                .max_by_key(|&target| self.stations[target].free_slots());
+            let Some(target) = free.filter(|&target| self.stations[target].free_slots() > 0) else {
+                return;
+            };
+            let Some(key) = self.central.pop() else {
+                return;
+            };
+            let Some(request) = self.requests.get(key) else {
+                continue;
+            };
+            if self.now.since(request.arrived) > self.setup.deadline() {
+                self.refuse_request(key);
+            } else {
+                self.ask_slot(target, LineEntry::Own(key));
+            }
         }
-        let Some(&peer) = self.draw_peers(target, 1).first() else {
-            return;
-        };
-        self.stations[target].is_stealing = true;
-        self.send(target, peer, MessageKind::Steal);
-        self.enter_in(Self::STEAL_WAIT, ModelEvent::StealAgain(target));
     }
 
     /// Adds one to a count, once the measures count.
--- a/src/lab/model/run_measure.rs
+++ b/src/lab/model/run_measure.rs
@@ -9,6 +9,8 @@
 pub(crate) struct RunMeasure {
     /// The waits of all measured requests, in microseconds.
     waits: Histogram<u64>,
+    /// The waits of those that arrive once the last fault should be over.
+    settled_waits: Histogram<u64>,
     /// The waits of the urgent ones.
     urgent_waits: Histogram<u64>,
     /// The time for which each target's slots were busy.
@@ -19,6 +21,8 @@
     pub(crate) refused: u64,
     /// Requests whose deadline passed while they waited; they did not run.
     pub(crate) expired: u64,
+    /// Requests that their callers withdrew while they waited.
+    pub(crate) withdrawn: u64,
     /// Requests whose outcome their caller can't know.
     pub(crate) unknown: u64,
     /// Sends of a request beyond the first.
@@ -46,6 +50,8 @@
     pub(crate) wait_p50_millis: f64,
     /// The wait at the 99th percentile, in milliseconds.
     pub(crate) wait_p99_millis: f64,
+    /// The same of requests that arrive a minute or more after the last fault.
+    pub(crate) settled_p99_millis: f64,
     /// The same of urgent requests.
     pub(crate) urgent_p99_millis: f64,
     /// The busiest target's slot time over the mean.
@@ -56,6 +62,8 @@
     pub(crate) refused: u64,
     /// Requests that expired.
     pub(crate) expired: u64,
+    /// Requests that were withdrawn while they waited.
+    pub(crate) withdrawn: u64,
     /// Requests of unknown outcome.
     pub(crate) unknown: u64,
     /// Requests sent again.
@@ -86,11 +94,13 @@
         };
         Self {
             waits: histogram(),
+            settled_waits: histogram(),
             urgent_waits: histogram(),
             busy: vec![ModelMicros::ZERO; targets],
             arrived: 0,
             refused: 0,
             expired: 0,
+            withdrawn: 0,
             unknown: 0,
             resent: 0,
             wasted: ModelMicros::ZERO,
@@ -109,6 +119,11 @@
         }
     }
 
+    /// Counts the wait of a request that arrived after the faults.
+    pub(crate) fn record_settled(&mut self, wait: ModelMicros) {
+        self.settled_waits.saturating_record(wait.micros());
+    }
+
     /// Counts the slot time of a request at a target.
     pub(crate) fn record_busy(&mut self, target: usize, span: ModelMicros) {
         self.busy[target] = self.busy[target].after(span);
@@ -129,11 +144,13 @@
             arrived: self.arrived,
             wait_p50_millis: millis(self.waits.value_at_quantile(0.5)),
             wait_p99_millis: millis(self.waits.value_at_quantile(0.99)),
+            settled_p99_millis: millis(self.settled_waits.value_at_quantile(0.99)),
             urgent_p99_millis: millis(self.urgent_waits.value_at_quantile(0.99)),
             busiest_to_mean: largest_to_mean(&busy),
             connections_to_mean: largest_to_mean(&connections),
             refused: self.refused,
             expired: self.expired,
+            withdrawn: self.withdrawn,
             unknown: self.unknown,
             resent: self.resent,
             wasted_share: self.wasted.as_millis() / total.max(1.0),
@@ -145,6 +162,36 @@
     }
 }
 
+impl RunReport {
+    /// Returns the means of several runs of one setup; counts are added up.
+    pub(crate) fn mean_of(setup: &RunSetup, reports: &[Self]) -> Self {
+        let mean = |pick: fn(&Self) -> f64| {
+            reports.iter().map(pick).sum::<f64>() / reports.len().max(1) as f64
+        };
+        let sum = |pick: fn(&Self) -> u64| reports.iter().map(pick).sum();
+        Self {
+            setup: setup.clone(),
+            arrived: sum(|it| it.arrived),
+            wait_p50_millis: mean(|it| it.wait_p50_millis),
+            wait_p99_millis: mean(|it| it.wait_p99_millis),
+            settled_p99_millis: mean(|it| it.settled_p99_millis),
+            urgent_p99_millis: mean(|it| it.urgent_p99_millis),
+            busiest_to_mean: mean(|it| it.busiest_to_mean),
+            connections_to_mean: mean(|it| it.connections_to_mean),
+            refused: sum(|it| it.refused),
+            expired: sum(|it| it.expired),
+            withdrawn: sum(|it| it.withdrawn),
+            unknown: sum(|it| it.unknown),
+            resent: sum(|it| it.resent),
+            wasted_share: mean(|it| it.wasted_share),
+            broken: sum(|it| it.broken),
+            moved: sum(|it| it.moved),
+            passed: sum(|it| it.passed),
+            messages_per_request: mean(|it| it.messages_per_request),
+        }
+    }
+}
+
 fn largest_to_mean(values: &[f64]) -> f64 {
     let largest = values.iter().copied().fold(0.0, f64::max);
     let mean = values.iter().sum::<f64>() / values.len().max(1) as f64;
--- a/src/lab/model/run_setup.rs
+++ b/src/lab/model/run_setup.rs
@@ -1,6 +1,7 @@
 use serde::Serialize;
 
-use super::{AcceptRule, FaultEntry, ModelMicros, RelayRule, SystemProfile};
+use super::{AcceptRule, FaultEntry, FaultKind, ModelMicros, RelayRule, SystemProfile, WorkClass};
+use crate::agent::slot::SlotLimits;
 
 /// Everything that decides a run; the same setup gives the same figures.
 #[derive(Debug, Clone, Serialize)]
@@ -21,6 +22,8 @@
     pub(crate) domain_delay: ModelMicros,
     /// The messages lost in a thousand.
     pub(crate) lost_per_mille: u32,
+    /// How long a slot is held for a granted claim.
+    pub(crate) hold: ModelMicros,
     /// The time between two load reports of a target.
     pub(crate) report_period: ModelMicros,
     /// The time before the measures count.
@@ -29,6 +32,10 @@
     pub(crate) requests: u64,
     /// Targets that exist in the model but join only by a cold start.
     pub(crate) absent: usize,
+    /// The mean work of bulk requests, if not the usual one.
+    pub(crate) bulk_work: Option<ModelMicros>,
+    /// The slots of a target that bulk requests leave free.
+    pub(crate) reserve: u16,
     /// What happens during the run.
     pub(crate) faults: Vec<FaultEntry>,
     /// What callers and agents do about refusals.
@@ -49,12 +56,22 @@
         patience: ModelMicros,
         /// Retries admitted per hundred first sends; none for any number.
         budget_percent: Option<u8>,
+        /// Whether a caller that resends withdraws what it sent before.
+        cancels: bool,
+        /// Whether a request tells for how long its caller waits.
+        tells_deadline: bool,
     },
 }
 
 impl RunSetup {
     /// The callers that each target has on average.
     const CALLERS_PER_TARGET: usize = 200;
+    /// Requests that wait at one target at most.
+    pub(crate) const QUEUE: u16 = 64;
+    /// The time after the last fault in which the system should settle.
+    const SETTLE: ModelMicros = ModelMicros::from_seconds(60);
+    /// The deadline of a request that brings none.
+    const DEADLINE: ModelMicros = ModelMicros::from_seconds(10);
     /// The requests that a run measures.
     const REQUESTS: u64 = 200_000;
 
@@ -69,10 +86,13 @@
             callers: Self::CALLERS_PER_TARGET * system.targets(),
             domain_delay: system.domain_delay(),
             lost_per_mille: 0,
+            hold: ModelMicros::from_millis(20),
             report_period: ModelMicros::from_seconds(1),
             warm_up: ModelMicros::from_seconds(30),
             requests: Self::REQUESTS,
             absent: 0,
+            bulk_work: None,
+            reserve: system.reserve(),
             faults: Vec::new(),
             retry: RetryHabit::Never,
         }
@@ -102,6 +122,12 @@
         self
     }
 
+    /// Sets how long a slot is held for a granted claim.
+    pub(crate) fn with_hold(mut self, hold: ModelMicros) -> Self {
+        self.hold = hold;
+        self
+    }
+
     /// Sets the time between two load reports.
     pub(crate) fn with_report_period(mut self, period: ModelMicros) -> Self {
         self.report_period = period;
@@ -115,7 +141,7 @@
     }
 
     /// Adds a fault at a time after the warm-up.
-    pub(crate) fn with_fault(mut self, at: ModelMicros, kind: super::FaultKind) -> Self {
+    pub(crate) fn with_fault(mut self, at: ModelMicros, kind: FaultKind) -> Self {
         let at = self.warm_up.after(at);
         self.faults.push(FaultEntry { at, kind });
         self
@@ -133,6 +159,63 @@
         self
     }
 
+    /// Sets the slots of a target that bulk requests leave free.
+    pub(crate) fn with_reserve(mut self, reserve: u16) -> Self {
+        self.reserve = reserve;
+        self
+    }
+
+    /// Sets the mean work of bulk requests.
+    pub(crate) fn with_bulk_work(mut self, work: ModelMicros) -> Self {
+        self.bulk_work = Some(work);
+        self
+    }
+
+    /// Returns the kinds of request.
+    pub(crate) fn classes(&self) -> [WorkClass; 3] {
+        let mut classes = self.system.classes();
+        if let Some(work) = self.bulk_work {
+            classes[2].mean_work = work;
+        }
+        classes
+    }
+
+    /// Returns the mean time in a slot over all kinds.
+    pub(crate) fn mean_work(&self) -> ModelMicros {
+        let classes = self.classes();
+        let weighed = |class: &WorkClass| u64::from(class.percent) * class.mean_work.micros();
+        let micros: u64 = classes.iter().map(weighed).sum();
+        ModelMicros::new(micros / 100)
+    }
+
+    /// Returns when the last fault should be over, if there are faults.
+    pub(crate) fn settled_at(&self) -> Option<ModelMicros> {
+        let last = self.faults.iter().map(|fault| fault.at).max()?;
+        Some(last.after(Self::SETTLE))
+    }
+
+    /// Returns how long after its arrival a request is of use to its caller.
+    pub(crate) const fn deadline(&self) -> ModelMicros {
+        match self.retry {
+            RetryHabit::AtOnce {
+                patience,
+                tells_deadline: true,
+                ..
+            } => patience,
+            RetryHabit::AtOnce { .. } | RetryHabit::Never => Self::DEADLINE,
+        }
+    }
+
+    /// Returns the limits of each target's slots.
+    pub(crate) fn limits(&self) -> SlotLimits {
+        let is_central = self.relay == RelayRule::CentralQueue;
+        SlotLimits {
+            slots: SystemProfile::SLOTS as u16,
+            queue: Self::QUEUE * self.relay.line_share(),
+            reserve: if is_central { 0 } else { self.reserve },
+        }
+    }
+
     /// Returns the targets that take part at some time.
     pub(crate) fn target_count(&self) -> usize {
         self.system.targets() + self.absent
--- a/src/lab/model/system_profile.rs
+++ b/src/lab/model/system_profile.rs
@@ -78,21 +78,21 @@
                 WorkClass::new(RequestPriority::Bulk, 10, 160),
             ],
             Self::Logbook | Self::Raccolta => [
-                WorkClass::new(RequestPriority::Urgent, 2, 10),
-                WorkClass::new(RequestPriority::Normal, 38, 60),
+                WorkClass::new(RequestPriority::Urgent, 0, 10),
+                WorkClass::new(RequestPriority::Normal, 40, 60),
                 WorkClass::new(RequestPriority::Bulk, 60, 200),
             ],
         }
     }
 
-    /// Returns the mean time in a slot over all kinds.
-    pub(crate) fn mean_work(self) -> ModelMicros {
-        let micros: u64 = self
-            .classes()
-            .iter()
-            .map(|class| u64::from(class.percent) * class.mean_work.micros())
-            .sum();
-        ModelMicros::new(micros / 100)
+    /// Returns the slots of a target that bulk requests leave free.
+    ///
+    /// Only a service with an urgent rule keeps one.
+    pub(crate) const fn reserve(self) -> u16 {
+        match self {
+            Self::BargeControl | Self::Tavole => 1,
+            Self::Logbook | Self::Raccolta => 0,
+        }
     }
 }
 
--- a/src/lab/policy/policy_plan.rs
+++ b/src/lab/policy/policy_plan.rs
@@ -6,8 +6,16 @@
 /// The offered loads, in percent of all slots.
 const LOADS: [u32; 3] = [50, 80, 95];
 /// The rule that relay rules are compared under, and the other way round.
-const ACCEPT: AcceptRule = AcceptRule::Threshold { percent: 105 };
-const RELAY: RelayRule = RelayRule::LateClaims { targets: 3 };
+const ACCEPT: AcceptRule = AcceptRule::Threshold {
+    load_permille: 2_000,
+};
+/// The rule that depends on the age of reports.
+const LAGGING: AcceptRule = AcceptRule::LaggingReport {
+    margin_permille: 250,
+};
+const RELAY: RelayRule = claims_at(3, false);
+/// The work of bulk requests in the trials of the reserve.
+const LONG_BULK: ModelMicros = ModelMicros::from_seconds(2);
 /// The bound that no rule can pass.
 const BOUND: RelayRule = RelayRule::CentralQueue;
 const SYSTEMS: [SystemProfile; 4] = [
@@ -16,22 +24,39 @@
     SystemProfile::Tavole,
     SystemProfile::Raccolta,
 ];
-const RELAYS: [RelayRule; 6] = [
+const RELAYS: [RelayRule; 8] = [
     RelayRule::Never,
     RelayRule::ShorterOfTwo,
-    RelayRule::LateClaims { targets: 2 },
-    RelayRule::LateClaims { targets: 3 },
+    claims_at(2, false),
+    claims_at(3, false),
+    claims_at(4, false),
+    claims_at(3, true),
     RelayRule::Stealing,
     RelayRule::CentralQueue,
 ];
-const ACCEPTS: [AcceptRule; 5] = [
+const ACCEPTS: [AcceptRule; 6] = [
     AcceptRule::HashOnly,
-    AcceptRule::Threshold { percent: 105 },
-    AcceptRule::Threshold { percent: 125 },
-    AcceptRule::FreshProbe,
-    AcceptRule::LaggingReport,
+    AcceptRule::Threshold {
+        load_permille: 1_000,
+    },
+    AcceptRule::Threshold {
+        load_permille: 2_000,
+    },
+    AcceptRule::FreshProbe {
+        margin_permille: 250,
+    },
+    AcceptRule::LaggingReport {
+        margin_permille: 250,
+    },
+    AcceptRule::LaggingReport {
+        margin_permille: AcceptRule::CONNECTIONS_ONLY,
+    },
 ];
 
+const fn claims_at(targets: u8, near: bool) -> RelayRule {
+    RelayRule::LateClaims { targets, near }
+}
+
 /// Returns the cases that compare the rules.
 pub(crate) fn policy_cases(seed: u64, requests: u64) -> Vec<PolicyCase> {
     let mut cases = Vec::new();
@@ -65,10 +90,27 @@
 
 fn add_steady(cases: &mut Vec<PolicyCase>, system: SystemProfile) {
     for load in LOADS {
-        for relay in RELAYS {
+        let relays = RELAYS.into_iter().filter(|it| it.fits(system.targets()));
+        for relay in relays {
             let setup = RunSetup::new(system, ACCEPT, relay).with_load(load);
             cases.push(PolicyCase::new(CaseGroup::Relay, "steady", setup));
         }
+        if system.reserve() > 0 {
+            let setup = RunSetup::new(system, ACCEPT, RELAY).with_load(load);
+            let plain = setup.clone().with_reserve(0);
+            cases.push(PolicyCase::new(CaseGroup::Relay, "no reserve", plain));
+            let long = setup.with_bulk_work(LONG_BULK);
+            let plain = long.clone().with_reserve(0);
+            cases.push(PolicyCase::new(CaseGroup::Relay, "bulk of 2 s", long));
+            cases.push(PolicyCase::new(
+                CaseGroup::Relay,
+                "bulk of 2 s, no reserve",
+                plain,
+            ));
+        }
+    }
+    if system.targets() < 4 {
+        return;
     }
     for load in LOADS {
         for relay in [RelayRule::Never, RELAY] {
@@ -83,7 +125,7 @@
 fn add_messages(cases: &mut Vec<PolicyCase>, system: SystemProfile) {
     let relays = [
         RelayRule::ShorterOfTwo,
-        RelayRule::LateClaims { targets: 2 },
+        claims_at(2, false),
         RELAY,
         RelayRule::Stealing,
     ];
@@ -100,10 +142,16 @@
         add("1% of messages lost", setup.clone().with_loss(10));
         add("5% of messages lost", setup.clone().with_loss(50));
     }
-    for accept in [ACCEPT, AcceptRule::LaggingReport] {
-        let setup = RunSetup::new(system, accept, RELAY);
-        let period = ModelMicros::from_seconds(5);
-        add("load reports every 5 s", setup.with_report_period(period));
+    for millis in [8, 20, 50] {
+        let title = format!("1% of messages lost, slots held for {millis} ms");
+        let setup = RunSetup::new(system, ACCEPT, RELAY).with_loss(10);
+        add(&title, setup.with_hold(ModelMicros::from_millis(millis)));
+    }
+    for seconds in [1, 5, 30] {
+        let setup = RunSetup::new(system, LAGGING, RELAY);
+        let period = ModelMicros::from_seconds(seconds);
+        let title = format!("load reports every {seconds} s");
+        add(&title, setup.with_report_period(period));
     }
 }
 
@@ -112,7 +160,7 @@
         (AcceptRule::HashOnly, RelayRule::Never),
         (ACCEPT, RelayRule::Never),
         (ACCEPT, RelayRule::ShorterOfTwo),
-        (ACCEPT, RelayRule::LateClaims { targets: 2 }),
+        (ACCEPT, claims_at(2, false)),
         (ACCEPT, RELAY),
         (ACCEPT, RelayRule::Stealing),
         (ACCEPT, BOUND),
@@ -172,17 +220,26 @@
 }
 
 fn add_storms(cases: &mut Vec<PolicyCase>, system: SystemProfile) {
-    let budgets = [
-        ("callers never resend", None),
-        ("resend 3 times, no budget", Some(None)),
-        ("resend 3 times, budget 10%", Some(Some(10))),
+    let at_once = |budget_percent, cancels, tells_deadline| RetryHabit::AtOnce {
+        times: 3,
+        patience: ModelMicros::from_seconds(1),
+        budget_percent,
+        cancels,
+        tells_deadline,
+    };
+    let habits = [
+        ("callers never resend", RetryHabit::Never),
+        ("resend 3 times", at_once(None, false, false)),
+        ("resend, budget 10%", at_once(Some(10), false, false)),
+        ("resend, cancel", at_once(None, true, false)),
+        ("resend, cancel, deadline", at_once(None, true, true)),
+        ("resend, budget 10%, cancel", at_once(Some(10), true, false)),
+        (
+            "resend, budget 10%, cancel, deadline",
+            at_once(Some(10), true, true),
+        ),
     ];
-    for (title, budget) in budgets {
-        let habit = budget.map_or(RetryHabit::Never, |budget_percent| RetryHabit::AtOnce {
-            times: 3,
-            patience: ModelMicros::from_seconds(1),
-            budget_percent,
-        });
+    for (title, habit) in habits {
         let setup = RunSetup::new(system, ACCEPT, RELAY).with_retry(habit);
         let setup = setup
             .with_fault(
--- a/src/lab/policy/policy_plot.rs
+++ b/src/lab/policy/policy_plot.rs
@@ -22,17 +22,30 @@
 /// The size of the plot in pixels.
 const SIZE: (u32, u32) = (1_000, 700);
 /// The rules in the order of their colours.
-const COLOURS: [(RelayRule, RGBColor); 6] = [
+const COLOURS: [(RelayRule, RGBColor); 7] = [
     (RelayRule::Never, RGBColor(0x99, 0x99, 0x99)),
     (RelayRule::ShorterOfTwo, RGBColor(0xd5, 0x5e, 0x00)),
     (
-        RelayRule::LateClaims { targets: 2 },
+        RelayRule::LateClaims {
+            targets: 2,
+            near: false,
+        },
         RGBColor(0x56, 0xb4, 0xe9),
     ),
     (
-        RelayRule::LateClaims { targets: 3 },
+        RelayRule::LateClaims {
+            targets: 3,
+            near: false,
+        },
         RGBColor(0x00, 0x72, 0xb2),
     ),
+    (
+        RelayRule::LateClaims {
+            targets: 4,
+            near: false,
+        },
+        RGBColor(0x00, 0x9e, 0x73),
+    ),
     (RelayRule::Stealing, RGBColor(0xe6, 0x9f, 0x00)),
     (RelayRule::CentralQueue, RGBColor(0x00, 0x00, 0x00)),
 ];
@@ -97,6 +110,7 @@
     results
         .iter()
         .filter(|result| result.group == CaseGroup::Relay)
+        .filter(|result| result.title == "steady")
         .map(|result| &result.report)
         .filter(|report| report.setup.system == system && report.setup.relay == relay)
         .map(|report| (report.setup.load_percent, report.wait_p99_millis.max(1.0)))
--- a/src/lab/policy/policy_table.rs
+++ b/src/lab/policy/policy_table.rs
@@ -62,25 +62,27 @@
 fn write_failures(text: &mut String, rows: &[&PolicyResult]) -> fmt::Result {
     writeln!(
         text,
-        "| Service | Case | Requests | Wait p99, ms | Urgent p99, ms | Refused | Expired | Unknown \
+        "| Service | Case | Requests | Wait p99, ms | A minute after, ms | Urgent p99, ms | Refused | Expired | Withdrawn | Unknown \
          | Resent | Slot time wasted | Broken flows | Moved flows | Busiest to mean |"
     )?;
     writeln!(
         text,
-        "|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|"
+        "|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|"
     )?;
     for row in rows {
         let report = &row.report;
         writeln!(
             text,
-            "| {} | {} | {} | {:.1} | {:.1} | {} | {} | {} | {} | {:.1}% | {} | {} | {:.2} |",
+            "| {} | {} | {} | {:.1} | {:.1} | {:.1} | {} | {} | {} | {} | {} | {:.1}% | {} | {} | {:.2} |",
             report.setup.system.name(),
             row.title,
             report.arrived,
             report.wait_p99_millis,
+            report.settled_p99_millis,
             report.urgent_p99_millis,
             report.refused,
             report.expired,
+            report.withdrawn,
             report.unknown,
             report.resent,
             report.wasted_share * 100.0,
@@ -100,6 +102,7 @@
             && report.setup.system == setup.system
             && report.setup.load_percent == setup.load_percent
             && report.setup.faults == setup.faults
+            && report.setup.bulk_work == setup.bulk_work
     })
 }
 
--- a/src/lab/policy/trial_runner.rs
+++ b/src/lab/policy/trial_runner.rs
@@ -4,8 +4,10 @@
 };
 
 use super::{PolicyCase, PolicyResult};
-use crate::lab::model::LabModel;
+use crate::lab::model::{LabModel, RunReport};
 
+/// Seeds over which each case is averaged.
+const SEEDS: u64 = 5;
 /// Threads that run cases at once.
 const THREADS: usize = 4;
 
@@ -32,7 +34,11 @@
         let Some(case) = cases.get(place) else {
             return results;
         };
-        let report = LabModel::new(case.setup.clone()).run();
+        let seeds = case.setup.seed..case.setup.seed + SEEDS;
+        let reports: Vec<RunReport> = seeds
+            .map(|seed| LabModel::new(case.setup.clone().with_seed(seed)).run())
+            .collect();
+        let report = RunReport::mean_of(&case.setup, &reports);
         let result = PolicyResult {
             group: case.group,
             title: case.title.clone(),
--- a/src/lab/tests.rs
+++ b/src/lab/tests.rs
@@ -8,8 +8,13 @@
 };
 
 const REQUESTS: u64 = 5_000;
-const ACCEPT: AcceptRule = AcceptRule::Threshold { percent: 105 };
-const CLAIMS: RelayRule = RelayRule::LateClaims { targets: 3 };
+const ACCEPT: AcceptRule = AcceptRule::Threshold {
+    load_permille: 2_000,
+};
+const CLAIMS: RelayRule = RelayRule::LateClaims {
+    targets: 3,
+    near: false,
+};
 
 fn setup(relay: RelayRule) -> RunSetup {
     RunSetup::new(SystemProfile::BargeControl, ACCEPT, relay).with_requests(REQUESTS)
