--- /dev/null
+++ b/src/control/replica/tests/shuffler.rs
@@ -0,0 +1,295 @@
+//! Some replicas, their disks and the messages between them, in any order.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use super::{promise_record::PromiseRecord, test_node::TestNode};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    control::{
+        api::ReplicaRole,
+        replica::{
+            EntryPayload, LogCompaction, PeerMessage, ProposalKey, ReadKey, ReplicaAction,
+            ReplicaCore, ReplicaEvent, ReplicaId, ReplicaPeers, ReplicaView, TICK_MILLIS,
+        },
+    },
+};
+
+/// A message under way.
+struct Flight {
+    from: usize,
+    to: usize,
+    message: PeerMessage,
+}
+
+/// The replicas and what was promised to clients.
+pub(super) struct Shuffler {
+    pub(super) nodes: Vec<TestNode>,
+    flights: Vec<Flight>,
+    cuts: BTreeSet<(usize, usize)>,
+    pub(super) now: ClockMillis,
+    generator: StdRng,
+    pub(super) record: PromiseRecord,
+    compaction: LogCompaction,
+    counted: Option<usize>,
+    pub(super) messages: usize,
+    pub(super) bytes: usize,
+}
+
+impl Shuffler {
+    pub(super) fn new(count: usize, seed: u64) -> Self {
+        let mut generator = StdRng::seed_from_u64(seed);
+        let nodes = (0..count).map(|_| TestNode::new(&mut generator)).collect();
+        let mut shuffler = Self {
+            nodes,
+            flights: Vec::new(),
+            cuts: BTreeSet::new(),
+            now: ClockMillis::new(1),
+            generator,
+            record: PromiseRecord::default(),
+            compaction: LogCompaction { every: 8, kept: 3 },
+            counted: None,
+            messages: 0,
+            bytes: 0,
+        };
+        for node in 0..count {
+            shuffler.restart(node);
+        }
+        shuffler
+    }
+
+    /// Sets when every replica compacts its log; they start again.
+    pub(super) fn with_compaction(mut self, every: u64, kept: u64) -> Self {
+        self.compaction = LogCompaction { every, kept };
+        for node in 0..self.nodes.len() {
+            self.crash(node, 0);
+            self.restart(node);
+        }
+        self
+    }
+
+    /// Counts only the messages from or to one replica from now on.
+    pub(super) fn count_for(&mut self, node: usize) {
+        self.counted = Some(node);
+        self.messages = 0;
+        self.bytes = 0;
+    }
+
+    /// Starts a stopped replica from its disk.
+    pub(super) fn restart(&mut self, node: usize) {
+        if self.nodes[node].core.is_some() {
+            return;
+        }
+        let others = (0..self.nodes.len()).filter(|other| *other != node);
+        let peers = ReplicaPeers {
+            own: replica(node),
+            others: others.map(replica).collect(),
+        };
+        let recovered = self.nodes[node].disk.clone();
+        let core = ReplicaCore::new(peers, recovered, self.generator.random(), self.now)
+            .with_compaction(self.compaction);
+        self.nodes[node].core = Some(core);
+        self.nodes[node].state.clear();
+    }
+
+    /// Kills a replica; `kept` entries of the batch under way reach the disk.
+    pub(super) fn crash(&mut self, node: usize, kept: usize) {
+        let node = &mut self.nodes[node];
+        node.core = None;
+        if let Some(batch) = node.syncing.take()
+            && kept > 0
+        {
+            node.write(batch, kept - 1);
+        }
+    }
+
+    /// Kills a replica and gives it an empty disk.
+    pub(super) fn lose_disk(&mut self, node: usize) {
+        self.crash(node, 0);
+        self.nodes[node] = TestNode::new(&mut self.generator);
+    }
+
+    /// Cuts the way from one replica to another.
+    pub(super) fn cut(&mut self, from: usize, to: usize) {
+        self.cuts.insert((from, to));
+    }
+
+    /// Cuts a replica off in both directions.
+    pub(super) fn isolate(&mut self, node: usize) {
+        for other in 0..self.nodes.len() {
+            self.cuts.insert((node, other));
+            self.cuts.insert((other, node));
+        }
+    }
+
+    pub(super) fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    pub(super) fn tick(&mut self, node: usize) {
+        self.handle(node, ReplicaEvent::Tick);
+    }
+
+    pub(super) fn pass_time(&mut self, span: SpanMillis) {
+        self.now = self.now.after(span);
+    }
+
+    /// Finishes the sync that is under way at a replica.
+    pub(super) fn sync(&mut self, node: usize) {
+        if let Some(batch) = self.nodes[node].syncing.take() {
+            let token = batch.token;
+            self.nodes[node].write(batch, usize::MAX);
+            self.handle(node, ReplicaEvent::Synced { token });
+        }
+    }
+
+    /// Delivers a message under way; a copy may stay.
+    pub(super) fn deliver(&mut self, pick: usize, copy: bool) {
+        if self.flights.is_empty() {
+            return;
+        }
+        let pick = pick % self.flights.len();
+        let flight = if copy {
+            let flight = &self.flights[pick];
+            Flight {
+                message: flight.message.clone(),
+                ..*flight
+            }
+        } else {
+            self.flights.remove(pick)
+        };
+        if !self.cuts.contains(&(flight.from, flight.to)) {
+            self.handle(flight.to, ReplicaEvent::Received(flight.message));
+        }
+    }
+
+    pub(super) fn lose_message(&mut self, pick: usize) {
+        if !self.flights.is_empty() {
+            self.flights.remove(pick % self.flights.len());
+        }
+    }
+
+    /// Runs everything in order for a while.
+    pub(super) fn run(&mut self, span: SpanMillis) {
+        let end = self.now.after(span);
+        while self.now < end {
+            self.pass_time(TICK_MILLIS);
+            for node in 0..self.nodes.len() {
+                self.tick(node);
+            }
+            self.settle();
+        }
+    }
+
+    /// Delivers and syncs until nothing is under way.
+    pub(super) fn settle(&mut self) {
+        const MOST_STEPS: usize = 100_000;
+        for _ in 0..MOST_STEPS {
+            if !self.flights.is_empty() {
+                self.deliver(0, false);
+            } else if let Some(node) =
+                (0..self.nodes.len()).find(|node| self.nodes[*node].syncing.is_some())
+            {
+                self.sync(node);
+            } else {
+                return;
+            }
+        }
+        panic!("the replicas never come to rest");
+    }
+
+    pub(super) fn propose(&mut self, node: usize) -> ProposalKey {
+        let (key, bytes) = self.record.new_proposal();
+        let payload = EntryPayload::new(bytes);
+        self.handle(node, ReplicaEvent::Proposed { key, payload });
+        key
+    }
+
+    pub(super) fn read(&mut self, node: usize) -> ReadKey {
+        let key = self.record.new_read();
+        self.handle(node, ReplicaEvent::ReadAsked { key });
+        key
+    }
+
+    pub(super) fn view(&self, node: usize) -> Option<ReplicaView> {
+        let core = self.nodes[node].core.as_ref()?;
+        Some(core.view(self.now))
+    }
+
+    /// Returns the replica that leads in the newest term.
+    pub(super) fn leader(&self) -> Option<usize> {
+        let views = (0..self.nodes.len()).filter_map(|node| Some((node, self.view(node)?)));
+        views
+            .filter(|(_, view)| view.role == ReplicaRole::Leader)
+            .max_by_key(|(_, view)| view.term)
+            .map(|(node, _)| node)
+    }
+
+    /// Checks that a replica has applied everything that was accepted.
+    pub(super) fn assert_holds_accepted(&self, node: usize) {
+        for (index, bytes) in &self.record.accepted {
+            let held = self.nodes[node].state.get(index);
+            assert_eq!(held, Some(bytes), "entry {index} is lost at {node}");
+        }
+    }
+
+    fn handle(&mut self, node: usize, event: ReplicaEvent) {
+        let now = self.now;
+        let Some(core) = &mut self.nodes[node].core else {
+            return;
+        };
+        for action in core.handle(event, now) {
+            self.act(node, action);
+        }
+    }
+
+    fn act(&mut self, node: usize, action: ReplicaAction) {
+        match action {
+            ReplicaAction::Send { to, message } => {
+                let to = usize::from(to.number()) - 1;
+                if self
+                    .counted
+                    .is_none_or(|counted| counted == node || counted == to)
+                {
+                    self.messages += 1;
+                    self.bytes += postcard::to_stdvec(&message).expect("plain data").len();
+                }
+                self.flights.push(Flight {
+                    from: node,
+                    to,
+                    message,
+                });
+            }
+            ReplicaAction::Persist(batch) => {
+                let earlier = self.nodes[node].syncing.replace(batch);
+                assert!(earlier.is_none(), "two batches are under way");
+            }
+            ReplicaAction::Apply { index, payload } => {
+                let bytes = payload.bytes().to_vec();
+                self.record.note_apply(index.number(), &bytes);
+                self.nodes[node].state.insert(index.number(), bytes);
+            }
+            ReplicaAction::Restore { payload, .. } => {
+                self.nodes[node].state = postcard::from_bytes(payload.bytes()).expect("a state");
+            }
+            ReplicaAction::TakeSnapshot { index } => {
+                let bytes = postcard::to_stdvec(&self.nodes[node].state).expect("plain data");
+                let payload = EntryPayload::new(bytes);
+                self.handle(node, ReplicaEvent::SnapshotTaken { index, payload });
+            }
+            ReplicaAction::AnswerProposal { key, outcome } => {
+                self.record.note_proposal(key, outcome);
+            }
+            ReplicaAction::AnswerRead { key, outcome } => {
+                let applied = self.view(node).expect("it answers").applied;
+                self.record.note_read(key, outcome, applied);
+            }
+            ReplicaAction::Report(report) => self.record.note_report(node, report),
+        }
+    }
+}
+
+fn replica(node: usize) -> ReplicaId {
+    ReplicaId::new(u8::try_from(node + 1).expect("few replicas"))
+}
