Rules for accepting and relaying are chosen by a model that drives the agent's cores

Cause: the accepting rule, the relay rule and their constants were open. Ruled out: own copies of the queues, which had hidden that claims fill the line and that the reserve only pays with long bulk requests.

--- a/src/lab/model/fault_step.rs
+++ b/src/lab/model/fault_step.rs
@@ -1,6 +1,6 @@
 use super::{
     FaultKind, LabModel, ModelEvent, ModelMicros, ModelRequest, ProbeState, RelayRule, RequestKey,
-    RequestState, RetryHabit, StationPhase,
+    RequestState, RetryHabit, RunSetup, StationPhase,
 };
 use crate::agent::admission::AgentPhase;
 
@@ -17,8 +17,6 @@
     const WARM_UP: ModelMicros = ModelMicros::from_seconds(30);
     /// The speed of a cold target.
     const COLD_SPEED: f64 = 0.33;
-    /// The retries that a target may admit at once, at most.
-    const RETRY_TOKENS: f64 = 10.0;
     /// The time after which a caller resends a refused request.
     const RESEND_GAP: ModelMicros = ModelMicros::from_millis(10);
 
@@ -89,24 +87,13 @@
 
     /// Tells whether a resent request is within the budget of its home.
     pub(super) fn admit_retry(&mut self, request: &ModelRequest) -> bool {
-        let RetryHabit::AtOnce {
-            budget_percent: Some(percent),
-            ..
-        } = self.setup.retry
-        else {
-            return true;
-        };
-        let station = &mut self.stations[request.home];
+        let now = self.now.clock();
+        let budget = &mut self.stations[request.home].budget;
         if request.resends == 0 {
-            let tokens = station.retry_tokens + f64::from(percent) / 100.0;
-            station.retry_tokens = tokens.min(Self::RETRY_TOKENS);
+            budget.record_request(now);
             return true;
         }
-        if station.retry_tokens < 1.0 {
-            return false;
-        }
-        station.retry_tokens -= 1.0;
-        true
+        self.setup.retry_percent() == RunSetup::NO_BUDGET || budget.take_retry(now)
     }
 
     /// Lets a caller resend a request that was refused.
--- a/src/lab/model/run_setup.rs
+++ b/src/lab/model/run_setup.rs
@@ -70,6 +70,8 @@
     pub(crate) const QUEUE: u16 = 64;
     /// The time after the last fault in which the system should settle.
     const SETTLE: ModelMicros = ModelMicros::from_seconds(60);
+    /// The share of retries that stands for no limit.
+    pub(crate) const NO_BUDGET: u8 = u8::MAX;
     /// The deadline of a request that brings none.
     const DEADLINE: ModelMicros = ModelMicros::from_seconds(10);
     /// The requests that a run measures.
@@ -194,6 +196,17 @@
         Some(last.after(Self::SETTLE))
     }
 
+    /// Returns the retries that a target admits per hundred first sends.
+    pub(crate) const fn retry_percent(&self) -> u8 {
+        match self.retry {
+            RetryHabit::AtOnce {
+                budget_percent: Some(percent),
+                ..
+            } => percent,
+            RetryHabit::AtOnce { .. } | RetryHabit::Never => Self::NO_BUDGET,
+        }
+    }
+
     /// Returns how long after its arrival a request is of use to its caller.
     pub(crate) const fn deadline(&self) -> ModelMicros {
         match self.retry {
--- a/src/lab/model/target_station.rs
+++ b/src/lab/model/target_station.rs
@@ -6,6 +6,7 @@
 use crate::{
     agent::{
         admission::{AdmissionGate, AgentPhase, PeerLoad, TargetLoad},
+        retry::RetryBudget,
         slot::{SlotEvent, SlotKey, SlotLimits, SlotQueue, SlotRequest, SlotVerdict, WaiterKey},
     },
     clock::ClockMillis,
@@ -28,8 +29,8 @@
     pub(crate) reported: Option<PeerLoad>,
     /// Counts its runs, so that the events of an earlier one are ignored.
     pub(crate) epoch: u32,
-    /// The share of a retry that it may admit.
-    pub(crate) retry_tokens: f64,
+    /// Limits the resent requests that it admits.
+    pub(crate) budget: RetryBudget,
     /// Whether it waits for the answer to a steal.
     pub(crate) is_stealing: bool,
     limits: SlotLimits,
@@ -92,7 +93,7 @@
             connections: Vec::new(),
             reported: None,
             epoch: 0,
-            retry_tokens: 0.0,
+            budget: RetryBudget::new(setup.retry_percent()),
             is_stealing: false,
             limits,
             slots: SlotQueue::new(limits),
