--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod lab;
 pub mod manifest;
 pub mod program;
+pub mod proof;
 pub mod route;
 pub mod secret;
 pub mod settings;
