The model follows the queue's separate count of claims

Cause: the slot queue counts peers' claims apart and gives an unused slot back without taking it for a service time.

--- a/src/lab/model/relay_rule.rs
+++ b/src/lab/model/relay_rule.rs
@@ -30,14 +30,6 @@
         }
     }
 
-    /// Returns in how many lines a waiting request stands.
-    pub(crate) const fn line_share(self) -> u16 {
-        match self {
-            Self::LateClaims { targets, .. } => targets as u16,
-            Self::Never | Self::ShorterOfTwo | Self::Stealing | Self::CentralQueue => 1,
-        }
-    }
-
     /// Returns the short name used in tables.
     pub(crate) fn label(self) -> String {
         match self {
--- a/src/lab/model/relay_step.rs
+++ b/src/lab/model/relay_step.rs
@@ -34,7 +34,7 @@
     pub(super) fn grant_claim(&mut self, target: usize, key: RequestKey, slot: SlotKey) {
         let Some(request) = self.requests.get(key) else {
             // The home's word that the request is gone is still on its way.
-            self.release_slot(target, slot);
+            self.release_unused(target, slot);
             return;
         };
         let home = request.home;
@@ -70,7 +70,7 @@
     /// Frees a slot that was held for a request.
     pub(super) fn release_hold(&mut self, target: usize, key: RequestKey) {
         if let Some(slot) = self.stations[target].take_hold(key) {
-            self.release_slot(target, slot);
+            self.release_unused(target, slot);
         }
     }
 
--- a/src/lab/model/request_step.rs
+++ b/src/lab/model/request_step.rs
@@ -121,6 +121,7 @@
         let wish = SlotRequest {
             priority: request.priority,
             deadline: request.arrived.after(self.setup.deadline()).clock(),
+            origin: entry.origin(),
         };
         let now = self.now.clock();
         let events = self.stations[target].ask(entry, wish, now);
@@ -146,7 +147,7 @@
     /// Runs a request in a slot of a target.
     pub(super) fn start_request(&mut self, target: usize, key: RequestKey, slot: SlotKey) {
         let Some(request) = self.requests.get_mut(key) else {
-            self.release_slot(target, slot);
+            self.release_unused(target, slot);
             return;
         };
         request.state = RequestState::Running(target);
@@ -193,6 +194,18 @@
         let now = self.now.clock();
         let events = self.stations[target].release(slot, now);
         self.follow_events(target, events);
+        self.after_release(target);
+    }
+
+    /// Gives a slot back on which nothing ran.
+    pub(super) fn release_unused(&mut self, target: usize, slot: SlotKey) {
+        let now = self.now.clock();
+        let events = self.stations[target].release_unused(slot, now);
+        self.follow_events(target, events);
+        self.after_release(target);
+    }
+
+    fn after_release(&mut self, target: usize) {
         match self.setup.relay {
             RelayRule::CentralQueue => self.serve_central(),
             RelayRule::Stealing => self.steal_work(target),
--- a/src/lab/model/run_setup.rs
+++ b/src/lab/model/run_setup.rs
@@ -224,7 +224,7 @@
         let is_central = self.relay == RelayRule::CentralQueue;
         SlotLimits {
             slots: SystemProfile::SLOTS as u16,
-            queue: Self::QUEUE * self.relay.line_share(),
+            queue: Self::QUEUE,
             reserve: if is_central { 0 } else { self.reserve },
         }
     }
--- a/src/lab/model/target_station.rs
+++ b/src/lab/model/target_station.rs
@@ -7,7 +7,10 @@
     agent::{
         admission::{AdmissionGate, AgentPhase, PeerLoad, TargetLoad},
         retry::RetryBudget,
-        slot::{SlotEvent, SlotKey, SlotLimits, SlotQueue, SlotRequest, SlotVerdict, WaiterKey},
+        slot::{
+            SlotEvent, SlotKey, SlotLimits, SlotOrigin, SlotQueue, SlotRequest, SlotVerdict,
+            WaiterKey,
+        },
     },
     clock::ClockMillis,
 };
@@ -72,6 +75,14 @@
 }
 
 impl LineEntry {
+    /// Returns whose request it is, as the queue tells them apart.
+    pub(crate) const fn origin(self) -> SlotOrigin {
+        match self {
+            Self::Own(_) => SlotOrigin::Own,
+            Self::Claim(_) => SlotOrigin::Peer,
+        }
+    }
+
     /// Returns the request that asks.
     pub(crate) const fn request(self) -> RequestKey {
         match self {
@@ -123,6 +134,12 @@
         events
     }
 
+    /// Gives a slot back on which nothing ran.
+    pub(crate) fn release_unused(&mut self, slot: SlotKey, now: ClockMillis) -> Vec<StationEvent> {
+        let events = self.slots.release_unused(slot, now);
+        self.translate(events)
+    }
+
     /// Gives a slot back.
     pub(crate) fn release(&mut self, slot: SlotKey, now: ClockMillis) -> Vec<StationEvent> {
         let events = self.slots.release(slot, now);
