--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cli;
 pub mod clock;
 pub mod control;
+pub mod demo;
 pub mod event;
 pub mod key;
 #[allow(
@@ -25,3 +26,4 @@
 pub mod settings;
 pub mod tls;
 pub mod tunnel;
+mod watch;
