--- a/src/agent/retry/retry_budget.rs
+++ b/src/agent/retry/retry_budget.rs
@@ -1,6 +1,6 @@
 use serde::Serialize;
 
-use crate::clock::{ClockMillis, SpanMillis};
+use crate::clock::ClockMillis;
 
 /// The length of one bucket of the window.
 const BUCKET_MILLIS: u64 = 1_000;
@@ -36,9 +36,6 @@
 }
 
 impl RetryBudget {
-    /// The length of the window that counts as recent.
-    pub(crate) const WINDOW: SpanMillis = SpanMillis::new(BUCKET_MILLIS * BUCKET_SPAN);
-
     /// Creates a budget of so many retries per hundred recent requests.
     pub(crate) fn new(percent: u8) -> Self {
         Self {
