--- a/src/lab/lab_cli.rs
+++ b/src/lab/lab_cli.rs
@@ -1,11 +1,11 @@
 use std::{env, path::PathBuf, process::ExitCode};
 
 use gumdrop::Options;
-use miette::Diagnostic;
-use thiserror::Error;
 
-use super::policy::{
-    PlotError, PolicyCase, draw_plot, failure_cases, policy_cases, run_cases, write_tables,
+use super::{
+    LabError,
+    cost::{CostEffort, CostPart, write_lines},
+    policy::{PolicyCase, draw_plot, failure_cases, policy_cases, run_cases, write_tables},
 };
 use crate::program::ExitStatus;
 
@@ -28,6 +28,33 @@
     /// Shows what failures cost.
     #[options(help = "show what failures cost under the chosen rules")]
     Failure(TrialOptions),
+    /// Measures what packets, routes, changes and requests cost.
+    #[options(help = "measure what packets, routes, changes and requests cost")]
+    Cost(CostOptions),
+}
+
+/// The options of the measurement of costs.
+#[derive(Debug, Options)]
+struct CostOptions {
+    /// Prints the help text.
+    #[options(help = "print this text")]
+    help: bool,
+    /// The one part to measure.
+    #[options(
+        no_short,
+        meta = "PART",
+        help = "routes, packets, relays, control or agent; all without it"
+    )]
+    part: Option<CostPart>,
+    /// Runs all code on small sizes.
+    #[options(
+        no_short,
+        help = "run all code on small sizes; the figures say nothing"
+    )]
+    short: bool,
+    /// Prints JSON in place of a table.
+    #[options(no_short, help = "print JSON in place of a Markdown table")]
+    json: bool,
 }
 
 /// The options of an experiment.
@@ -64,20 +91,6 @@
     plot: Option<PathBuf>,
 }
 
-/// Why an experiment could not be reported.
-#[derive(Debug, Error, Diagnostic)]
-enum LabError {
-    #[error(transparent)]
-    #[diagnostic(transparent)]
-    Plot(#[from] PlotError),
-    #[error("the results can't be written as JSON")]
-    #[diagnostic(code(lab::json))]
-    Json(#[from] serde_json::Error),
-    #[error("the results can't be written as tables")]
-    #[diagnostic(code(lab::table))]
-    Table(#[from] std::fmt::Error),
-}
-
 /// Runs `cyclamen-lab` from its command line to its exit code.
 #[must_use]
 pub fn run_lab() -> ExitCode {
@@ -96,6 +109,7 @@
         Some(LabCommand::Failure(trial)) => {
             run_trial(&trial, &failure_cases(trial.seed, trial.requests))
         }
+        Some(LabCommand::Cost(cost)) => run_cost(&cost),
         None => {
             println!(
                 "Usage: cyclamen-lab COMMAND [OPTIONS]\n\n{}",
@@ -114,6 +128,31 @@
     }
 }
 
+fn run_cost(options: &CostOptions) -> Result<(), LabError> {
+    if options.help {
+        println!("{}", CostOptions::usage());
+        return Ok(());
+    }
+    let effort = if options.short {
+        CostEffort::Short
+    } else {
+        CostEffort::Full
+    };
+    let parts = options
+        .part
+        .map_or(CostPart::ALL.to_vec(), |part| vec![part]);
+    let mut lines = Vec::new();
+    for part in parts {
+        lines.extend(part.measure(effort)?);
+    }
+    if options.json {
+        println!("{}", serde_json::to_string_pretty(&lines)?);
+    } else {
+        print!("{}", write_lines(&lines)?);
+    }
+    Ok(())
+}
+
 fn run_trial(options: &TrialOptions, cases: &[PolicyCase]) -> Result<(), LabError> {
     if options.help {
         println!("{}", TrialOptions::usage());
--- a/src/lab/tests.rs
+++ b/src/lab/tests.rs
@@ -3,8 +3,11 @@
 
 use rstest::rstest;
 
-use super::model::{
-    AcceptRule, FaultKind, LabModel, ModelMicros, RelayRule, RunReport, RunSetup, SystemProfile,
+use super::{
+    cost::{CostEffort, CostPart},
+    model::{
+        AcceptRule, FaultKind, LabModel, ModelMicros, RelayRule, RunReport, RunSetup, SystemProfile,
+    },
 };
 
 const REQUESTS: u64 = 5_000;
@@ -72,3 +75,15 @@
     assert!(crashed.broken > 0);
     assert_eq!(crashed.moved, 0);
 }
+
+#[rstest]
+#[case(CostPart::Routes)]
+#[case(CostPart::Packets)]
+#[case(CostPart::Relays)]
+#[case(CostPart::Control)]
+#[case(CostPart::Agent)]
+fn every_cost_is_measured_on_small_sizes(#[case] part: CostPart) {
+    let lines = part.measure(CostEffort::Short).expect("a figure for each");
+    assert!(!lines.is_empty());
+    assert!(lines.iter().all(|line| line.figure.is_finite()));
+}
