--- a/src/lab/cost/control_cost.rs
+++ b/src/lab/cost/control_cost.rs
@@ -205,7 +205,10 @@
         })
         .collect();
     let before = resident_bytes()?;
-    let mut table = LeaseTable::with_claims(claims.iter().copied(), ClockMillis::ORIGIN);
+    let mut table = LeaseTable::default();
+    for claim in &claims {
+        table.grant(*claim, ClockMillis::ORIGIN);
+    }
     let after = resident_bytes()?;
     let nanos = nanos_each(effort.rounds(200_000), |round| {
         let claim = &claims[round * 7 % targets];
