Balancers and agents answer dumps, drains and metrics

Cause: both read admin_listen and metrics_listen and served neither, so cyclamen dump and drain reached control replicas alone. Change: AdminEdge opens both addresses from the settings; the agent hands drains to its drain actor. finish_exit takes a shared reference, so that the admin source can hold the node.

--- a/src/admin/admin_error.rs
+++ b/src/admin/admin_error.rs
@@ -4,10 +4,15 @@
 use thiserror::Error;
 
 use super::AdminRefusal;
+use crate::secret::SecretError;
 
 /// Why an admin address could not be served or called.
 #[derive(Debug, Error, Diagnostic)]
 pub enum AdminError {
+    /// The deployment secret was refused.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Secret(#[from] SecretError),
     /// The address can't be listened on.
     #[error("cannot listen on {address}: {cause}; is it in use, or not an address of this host?")]
     Listen {
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -2,10 +2,10 @@
 
 mod admin_call;
 mod admin_client;
+mod admin_edge;
 mod admin_error;
 mod admin_refusal;
 mod admin_server;
-#[allow(dead_code, reason = "the agent does not hand over its drain yet")]
 mod admin_source;
 mod drain_command;
 mod metrics_listener;
@@ -18,6 +18,7 @@
 
 pub(crate) use admin_call::AdminCall;
 pub(crate) use admin_client::AdminClient;
+pub(crate) use admin_edge::AdminEdge;
 pub(crate) use drain_command::{DrainCommand, DrainRequest};
 
 #[cfg(test)]
--- a/src/agent/agent_run.rs
+++ b/src/agent/agent_run.rs
@@ -1,5 +1,11 @@
-use super::{AgentError, AgentEvent, AgentNode, AgentSettings};
+use std::sync::Arc;
+
+use super::{
+    AgentError, AgentEvent, AgentNode, AgentSettings,
+    drain::{DrainEvent, DrainGoal},
+};
 use crate::{
+    admin::{AdminEdge, AdminSource, DrainCommand},
     event::log_event,
     program::{StopSignal, start_logs},
 };
@@ -12,16 +18,45 @@
 pub async fn run_agent(settings: AgentSettings) -> Result<(), AgentError> {
     start_logs(settings.log_format);
     let signal = StopSignal::listen().map_err(AgentError::Signal)?;
-    let mut node = tokio::select! {
+    let node = tokio::select! {
         node = AgentNode::start(&settings) => node?,
         () = signal.stopped() => return Ok(()),
     };
-    let exit = async {
-        signal.stopped().await;
-        node.begin_exit().await;
+    let node = Arc::new(node);
+    let edge = AdminEdge {
+        admin_listen: settings.admin_listen,
+        metrics_listen: settings.metrics_listen,
+        secret_file: settings.secret_file,
     };
-    exit.await;
+    let _admin = edge.open(admin_source(&node)).await?;
+    signal.stopped().await;
+    node.begin_exit().await;
     node.finish_exit().await;
     log_event!(info, AgentEvent::Stopped);
     Ok(())
 }
+
+fn admin_source(node: &Arc<AgentNode>) -> AdminSource {
+    let dumped = Arc::clone(node);
+    let drained = Arc::clone(node);
+    let source = AdminSource::new(move || {
+        let node = Arc::clone(&dumped);
+        async move { node.dump().await }
+    });
+    source.with_drain(move |command| {
+        let node = Arc::clone(&drained);
+        async move {
+            match command {
+                DrainCommand::Begin(request) => {
+                    let event = DrainEvent::Begin {
+                        goal: DrainGoal::Stay,
+                        deadline: request.deadline,
+                    };
+                    node.order(event).await
+                }
+                DrainCommand::Cancel => node.order(DrainEvent::Cancel).await,
+                DrainCommand::Report => node.drain_report().await,
+            }
+        }
+    })
+}
--- a/src/agent/node/agent_error.rs
+++ b/src/agent/node/agent_error.rs
@@ -4,6 +4,7 @@
 use thiserror::Error;
 
 use crate::{
+    admin::AdminError,
     agent::{endpoint::EndpointError, relay::PeerServerError},
     secret::SecretError,
     tls::TlsError,
@@ -12,6 +13,10 @@
 /// Why an agent could not start.
 #[derive(Debug, Error, Diagnostic)]
 pub enum AgentError {
+    /// The admin address or the metrics can't be served.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Admin(#[from] AdminError),
     /// The deployment secret was refused.
     #[error(transparent)]
     #[diagnostic(transparent)]
--- a/src/agent/node/agent_node.rs
+++ b/src/agent/node/agent_node.rs
@@ -216,9 +216,9 @@
     }
 
     /// Waits until a planned stop has ended, and withdraws the target.
-    pub async fn finish_exit(&mut self) {
+    pub async fn finish_exit(&self) {
         // The sender lives as long as the drain actor.
-        let _ = self.exit.wait_for(|is_over| *is_over).await;
+        let _ = self.exit.clone().wait_for(|is_over| *is_over).await;
         withdraw_target(&self.client, &self.announcement).await;
         // An answer that was sent may still be on its way.
         let _ = tokio::time::timeout(LINGER_MILLIS.duration(), self.endpoint.wait_idle()).await;
@@ -227,6 +227,11 @@
         self.endpoint.wait_idle().await;
     }
 
+    /// Returns how far a planned stop has come, or `None` once the agent is gone.
+    pub(crate) async fn drain_report(&self) -> Option<DrainReport> {
+        self.drain.ask(DrainQuery).await.ok()
+    }
+
     /// Returns the whole state without stopping the packet path.
     pub async fn dump(&self) -> AgentDump {
         let table = self.state.table().load_full();
@@ -241,7 +246,7 @@
             control_answers: self.state.is_connected(),
             phase: self.socket.phase(),
             load: self.gauge.read(),
-            drain: self.drain.ask(DrainQuery).await.ok(),
+            drain: self.drain_report().await,
             requests: self.desk.counts(),
             admission: self.socket.admission(),
             balancers: self.socket.list_paths(),
--- a/src/balancer/balancer_node.rs
+++ b/src/balancer/balancer_node.rs
@@ -10,6 +10,7 @@
     packet_path::FrameScratch,
 };
 use crate::{
+    admin::AdminError,
     clock::SpanMillis,
     control::{
         api::{WatchScope, WatcherName},
@@ -35,6 +36,10 @@
 /// Why a balancer could not start.
 #[derive(Debug, Error, Diagnostic)]
 pub enum BalancerError {
+    /// The admin address or the metrics can't be served.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Admin(#[from] AdminError),
     /// The deployment secret was refused.
     #[error(transparent)]
     #[diagnostic(transparent)]
--- a/src/balancer/balancer_run.rs
+++ b/src/balancer/balancer_run.rs
@@ -1,5 +1,8 @@
+use std::sync::Arc;
+
 use super::{BalancerError, BalancerEvent, BalancerNode, BalancerSettings};
 use crate::{
+    admin::{AdminEdge, AdminSource},
     event::log_event,
     program::{StopSignal, start_logs},
 };
@@ -12,9 +15,23 @@
 pub async fn run_balancer(settings: BalancerSettings) -> Result<(), BalancerError> {
     start_logs(settings.log_format);
     let signal = StopSignal::listen().map_err(BalancerError::Signal)?;
-    let node = BalancerNode::start(&settings)?;
+    let node = Arc::new(BalancerNode::start(&settings)?);
+    let edge = AdminEdge {
+        admin_listen: settings.admin_listen,
+        metrics_listen: settings.metrics_listen,
+        secret_file: settings.secret_file,
+    };
+    let _admin = edge.open(admin_source(&node)).await?;
     signal.stopped().await;
     node.leave().await;
     log_event!(info, BalancerEvent::Stopped);
     Ok(())
 }
+
+fn admin_source(node: &Arc<BalancerNode>) -> AdminSource {
+    let node = Arc::clone(node);
+    AdminSource::new(move || {
+        let node = Arc::clone(&node);
+        async move { node.dump() }
+    })
+}
