A missed echo starts probes of its own, and new work avoids doubtful paths

Cause: probes rode on frames alone. Change: after one miss, agents and balancers probe every 250 to 500 ms whatever the traffic; a path with a miss is used last; a peer's next source port counts as doubtful until it answers; given-up paths are probed once a second; a path is reported as left once. Ruled out: more probes on healthy paths, which cost every path in use.

--- a/src/agent/endpoint/answer_paths.rs
+++ b/src/agent/endpoint/answer_paths.rs
@@ -85,7 +85,10 @@
     ) -> Option<AnswerChoice> {
         let left = self.mark_silent(now);
         let index = self
-            .best_index(caller, |path| path.is_usable(now))
+            .best_index(caller, |path| {
+                path.is_usable(now) && !path.health.is_doubtful(now)
+            })
+            .or_else(|| self.best_index(caller, |path| path.is_usable(now)))
             .or_else(|| self.best_index(caller, |_| true))?;
         let path = &mut self.paths[index];
         Some(AnswerChoice {
@@ -95,15 +98,19 @@
         })
     }
 
-    /// Returns the silent balancers that a probe is due to.
+    /// Returns the doubtful and silent balancers that a probe is due to.
     ///
-    /// Since answers avoid them, only these probes find them well again.
+    /// Since answers avoid silent ones, only these probes find them well again.
     pub(super) fn due_probes(&mut self, now: ClockMillis) -> Vec<(SocketAddrV4, u16)> {
-        self.paths
-            .iter_mut()
-            .filter(|path| path.is_silent)
-            .filter_map(|path| Some((path.balancer, path.health.next_probe(now)?)))
-            .collect()
+        let probes = self.paths.iter_mut().filter_map(|path| {
+            let number = if path.is_silent {
+                path.health.rare_probe(now)?
+            } else {
+                path.health.doubt_probe(now)?
+            };
+            Some((path.balancer, number))
+        });
+        probes.collect()
     }
 
     /// Forgets the balancers that sent nothing for a while.
@@ -145,8 +152,10 @@
         for path in &mut self.paths {
             if path.health.is_silent(now) {
                 path.health = path.health.moved();
+                if !path.is_silent {
+                    left = Some(path.balancer);
+                }
                 path.is_silent = true;
-                left = Some(path.balancer);
             }
         }
         left
--- a/src/agent/endpoint/tests/answer_choice.rs
+++ b/src/agent/endpoint/tests/answer_choice.rs
@@ -72,3 +72,16 @@
     let choice = paths.choose(caller(1), later).expect("a balancer");
     assert_eq!(choice.balancer, balancer(200));
 }
+
+#[test]
+fn a_single_answer_is_enough_to_find_a_dead_balancer() {
+    let mut paths = AnswerPaths::new();
+    let dead = drive(&mut paths, 0, 2_000, &[1, 2]).expect("a balancer");
+    // One handshake packet goes out; the caller repeats nothing for a second.
+    paths.choose(caller(1), ClockMillis::new(2_300));
+    for at in (2_400..3_300).step_by(100) {
+        paths.due_probes(ClockMillis::new(at));
+    }
+    let next = paths.choose(caller(1), ClockMillis::new(3_300));
+    assert_ne!(next.expect("a balancer").balancer, dead);
+}
--- a/src/balancer/balancer_node.rs
+++ b/src/balancer/balancer_node.rs
@@ -25,7 +25,7 @@
 };
 
 /// How often idle paths are forgotten and failed ports are tried again.
-const HOUSEKEEPING_MILLIS: SpanMillis = SpanMillis::new(1_000);
+const HOUSEKEEPING_MILLIS: SpanMillis = SpanMillis::new(500);
 /// How long a leaving balancer waits for another datagram.
 const LEAVE_ROUND_MILLIS: SpanMillis = SpanMillis::new(500);
 /// The most times that it waits; the fabric should have left it long before.
--- a/src/balancer/packet_path.rs
+++ b/src/balancer/packet_path.rs
@@ -174,9 +174,10 @@
         datagram: &ReceivedDatagram<'_>,
         scratch: &mut FrameScratch,
     ) {
+        let now = self.clock.now();
         let ordered = {
             let paths = self.lock_paths();
-            chain.with_suspects_last(|target| paths.is_suspect(target.address()))
+            chain.with_suspects_last(|target| paths.is_doubtful(target.address(), now))
         };
         if let Some((target, rest)) = ordered.split_first() {
             self.send_frame(service, target, rest, datagram, scratch);
--- a/src/tunnel/path_book.rs
+++ b/src/tunnel/path_book.rs
@@ -86,28 +86,41 @@
     }
 
     /// Returns whether `peer` answers on none of the source ports.
+    #[cfg(test)]
     pub(crate) fn is_suspect(&self, peer: SocketAddrV4) -> bool {
         self.peers.get(&peer).is_some_and(|path| path.is_suspect)
     }
 
-    /// Returns the suspect peers that a probe is due to, each with its path.
+    /// Returns whether new work should rather go elsewhere.
+    pub(crate) fn is_doubtful(&self, peer: SocketAddrV4, now: ClockMillis) -> bool {
+        self.peers
+            .get(&peer)
+            .is_some_and(|path| path.is_suspect || path.health.is_doubtful(now))
+    }
+
+    /// Returns the doubtful and suspect peers that a probe is due to.
     ///
-    /// Since new work avoids them, only these probes find them well again.
+    /// Since new work avoids suspects, only these probes find them well again.
     pub(crate) fn due_probes(&mut self, now: ClockMillis) -> Vec<(SocketAddrV4, PathChoice)> {
         let ports = self.ports;
-        self.peers
-            .iter_mut()
-            .filter(|(_, path)| path.is_suspect)
-            .filter_map(|(peer, path)| {
-                let moved = path.health.is_silent(now);
-                if moved {
-                    path.leave_port(ports);
-                }
-                let echo = Some(path.health.next_probe(now)?);
-                let port = path.port;
-                Some((*peer, PathChoice { port, echo, moved }))
-            })
-            .collect()
+        let probes = self.peers.iter_mut().filter_map(|(peer, path)| {
+            let moved = path.health.is_silent(now);
+            if moved {
+                path.leave_port(ports);
+            }
+            let echo = if path.is_suspect {
+                path.health.rare_probe(now)?
+            } else {
+                path.health.doubt_probe(now)?
+            };
+            let choice = PathChoice {
+                port: path.port,
+                echo: Some(echo),
+                moved,
+            };
+            Some((*peer, choice))
+        });
+        probes.collect()
     }
 
     /// Forgets the paths that carried nothing for a while.
--- a/src/tunnel/path_health.rs
+++ b/src/tunnel/path_health.rs
@@ -2,6 +2,8 @@
 
 /// The least time between two probes of a path in use.
 const PROBE_INTERVAL_MILLIS: SpanMillis = SpanMillis::new(250);
+/// The least time between two probes of a path that is given up for now.
+const RARE_INTERVAL_MILLIS: SpanMillis = SpanMillis::new(1_000);
 /// The time after which a probe without an echo counts as missed.
 const PROBE_TIMEOUT_MILLIS: SpanMillis = SpanMillis::new(250);
 /// The missed probes in a row after which a path counts as silent.
@@ -25,15 +27,27 @@
         Self::default()
     }
 
-    /// Returns a fresh path to the same peer, to which older echoes don't count.
+    /// Returns another path to the same peer, to which older echoes don't count.
+    ///
+    /// It is doubtful until it answers.
     pub(crate) fn moved(self) -> Self {
         Self {
             number: self.number,
             first: self.number.wrapping_add(1),
+            missed: 1,
             ..Self::default()
         }
     }
 
+    /// Returns whether the last probe went unanswered.
+    pub(crate) fn is_doubtful(&self, now: ClockMillis) -> bool {
+        let is_late = self.waiting.is_some()
+            && self
+                .probed_at
+                .is_some_and(|probed_at| now.since(probed_at) >= PROBE_TIMEOUT_MILLIS);
+        is_late || self.missed > 0
+    }
+
     /// Returns the number that the next frame should ask to echo, if due.
     pub(crate) fn next_probe(&mut self, now: ClockMillis) -> Option<u16> {
         self.expire_probe(now);
@@ -64,6 +78,26 @@
         true
     }
 
+    /// Returns the probe that is due to a path on which a probe was missed.
+    ///
+    /// Frames alone would find a silent path slowly where little is sent: each
+    /// lost handshake packet is repeated only after a second or more.
+    pub(crate) fn doubt_probe(&mut self, now: ClockMillis) -> Option<u16> {
+        self.expire_probe(now);
+        if self.missed == 0 {
+            return None;
+        }
+        self.next_probe(now)
+    }
+
+    /// Returns the probe that is due to a path that is given up for now.
+    pub(crate) fn rare_probe(&mut self, now: ClockMillis) -> Option<u16> {
+        let is_due = self
+            .probed_at
+            .is_none_or(|probed_at| now.since(probed_at) >= RARE_INTERVAL_MILLIS);
+        if is_due { self.next_probe(now) } else { None }
+    }
+
     /// Returns whether several probes in a row went unanswered.
     pub(crate) fn is_silent(&mut self, now: ClockMillis) -> bool {
         self.expire_probe(now);
--- a/src/tunnel/tests.rs
+++ b/src/tunnel/tests.rs
@@ -115,3 +115,22 @@
     book.forget_idle(ClockMillis::new(40_000));
     assert_eq!(book.len(), 0);
 }
+
+#[test]
+fn one_lost_first_packet_sends_the_next_elsewhere() {
+    let mut book = PathBook::new(2);
+    book.choose(address(1), ClockMillis::ORIGIN);
+    assert!(!book.is_doubtful(address(1), ClockMillis::new(200)));
+    // Callers repeat a first packet after a second.
+    assert!(book.is_doubtful(address(1), ClockMillis::new(1_000)));
+}
+
+#[test]
+fn a_dead_peer_is_found_by_probes_alone() {
+    let mut book = PathBook::new(2);
+    book.choose(address(1), ClockMillis::ORIGIN);
+    for at in (500..=4_000).step_by(500) {
+        book.due_probes(ClockMillis::new(at));
+    }
+    assert!(book.is_suspect(address(1)));
+}
