A frame sent after the last probe is proved by a probe of its own

Cause: found in a trace of a connection that took 5.0 s. An agent's first flight left by a dead balancer 10 ms after that one's last echo, too early for another probe, so nothing was outstanding; the repeated flight a second later left by the same path, and the caller's next one was four seconds away. Change: a path that carried a frame after its last probe is probed within 250 to 500 ms whatever the traffic. The new test fails without the change.

--- a/src/agent/endpoint/tests/answer_choice.rs
+++ b/src/agent/endpoint/tests/answer_choice.rs
@@ -85,3 +85,24 @@
     let next = paths.choose(caller(1), ClockMillis::new(3_300));
     assert_ne!(next.expect("a balancer").balancer, dead);
 }
+
+#[test]
+fn an_answer_sent_just_after_an_echo_is_proved_too() {
+    let mut paths = AnswerPaths::new();
+    let dead = drive(&mut paths, 0, 2_000, &[1, 2]).expect("a balancer");
+    let probe = paths.choose(caller(1), ClockMillis::new(2_300));
+    let number = probe
+        .and_then(|choice| choice.echo)
+        .expect("a probe is due");
+    paths.take_echo(dead, number);
+    // The balancer dies here; the next answer is too early for a probe.
+    let answer = paths
+        .choose(caller(1), ClockMillis::new(2_310))
+        .expect("a balancer");
+    assert_eq!((answer.balancer, answer.echo), (dead, None));
+    for at in (2_400..3_300).step_by(250) {
+        paths.due_probes(ClockMillis::new(at));
+    }
+    let next = paths.choose(caller(1), ClockMillis::new(3_310));
+    assert_ne!(next.expect("a balancer").balancer, dead);
+}
--- a/src/tunnel/path_health.rs
+++ b/src/tunnel/path_health.rs
@@ -19,6 +19,7 @@
     number: u16,
     first: u16,
     missed: u8,
+    is_unproved: bool,
 }
 
 impl PathHealth {
@@ -55,8 +56,10 @@
             .probed_at
             .is_none_or(|probed_at| now.since(probed_at) >= PROBE_INTERVAL_MILLIS);
         if self.waiting.is_some() || !is_due {
+            self.is_unproved = true;
             return None;
         }
+        self.is_unproved = false;
         self.number = self.number.wrapping_add(1);
         self.waiting = Some(self.number);
         self.probed_at = Some(now);
@@ -78,13 +81,14 @@
         true
     }
 
-    /// Returns the probe that is due to a path on which a probe was missed.
+    /// Returns the probe that is due to a path on which a probe was missed, or
+    /// frames were sent after the last probe.
     ///
     /// Frames alone would find a silent path slowly where little is sent: each
     /// lost handshake packet is repeated only after a second or more.
     pub(crate) fn doubt_probe(&mut self, now: ClockMillis) -> Option<u16> {
         self.expire_probe(now);
-        if self.missed == 0 {
+        if self.missed == 0 && !self.is_unproved {
             return None;
         }
         self.next_probe(now)
