Allowances for unused code that is used by now are gone

Cause: three allowances outlived their reasons, and one function had no caller. Change: they are removed; the one that stays says why.

--- a/src/agent/admission/agent_phase.rs
+++ b/src/agent/admission/agent_phase.rs
@@ -1,6 +1,6 @@
 use serde::Serialize;
 
-use crate::{clock::ClockMillis, route::TargetPhase};
+use crate::clock::ClockMillis;
 
 /// What an agent does with new connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -16,15 +16,3 @@
     /// Takes none.
     Leaving,
 }
-
-impl AgentPhase {
-    /// Returns the phase as control announces it.
-    #[allow(dead_code, reason = "the announcement follows the drain alone so far")]
-    pub(crate) const fn announced(self) -> TargetPhase {
-        match self {
-            Self::Warming { .. } => TargetPhase::Warming,
-            Self::Serving => TargetPhase::Serving,
-            Self::Leaving => TargetPhase::Leaving,
-        }
-    }
-}
--- a/src/agent/drain/drain_event.rs
+++ b/src/agent/drain/drain_event.rs
@@ -14,7 +14,6 @@
 }
 
 /// What the drain has to react to.
-#[allow(dead_code, reason = "the admin calls bring the other orders")]
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum DrainEvent {
     /// An operator or a signal asks for the planned stop.
@@ -27,6 +26,10 @@
     /// An operator takes the drain back.
     Cancel,
     /// The agent is to stop now, whatever runs.
+    #[allow(
+        dead_code,
+        reason = "a second signal ends the process by itself so far"
+    )]
     StopNow,
     /// Control committed the announced phase.
     Announced(TargetPhase),
--- a/src/agent/endpoint/load_gauge.rs
+++ b/src/agent/endpoint/load_gauge.rs
@@ -32,7 +32,6 @@
     }
 
     /// Sets the number of requests that run or wait.
-    #[allow(dead_code, reason = "the slot queue is not wired yet")]
     pub(crate) fn set_requests(&self, requests: u32) {
         self.requests.store(requests, Ordering::Relaxed);
     }
