Balancers and agents offer their packet counts and load as metrics

Cause: the packet path's counts stood in the dumps alone, so nothing could alarm on drops or on a full target. Change: each housekeeping round publishes the counts that exist anyway; the packet path itself does nothing more.

--- a/src/agent/endpoint/load_gauge.rs
+++ b/src/agent/endpoint/load_gauge.rs
@@ -1,5 +1,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use metrics::gauge;
+
 use crate::{agent::admission::TargetLoad, manifest::ServiceLimits};
 
 /// How much the target has to do now, kept by the tasks that do it.
@@ -51,4 +53,12 @@
             connection_limit: self.connection_limit.load(Ordering::Relaxed),
         }
     }
+
+    /// Offers the load as metrics.
+    pub(crate) fn publish(&self) {
+        let load = self.read();
+        gauge!("cyclamen_agent_requests").set(load.requests);
+        gauge!("cyclamen_agent_slots").set(load.slots);
+        gauge!("cyclamen_agent_connections").set(load.connections);
+    }
 }
--- a/src/agent/endpoint/tunnel_counters.rs
+++ b/src/agent/endpoint/tunnel_counters.rs
@@ -1,5 +1,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use metrics::counter;
 use serde::Serialize;
 
 /// What the agent's tunnel has counted since the start.
@@ -63,6 +64,27 @@
     const ALL: usize = 10;
 }
 
+impl TunnelCounts {
+    /// Offers the counts as metrics, one series for each kind.
+    pub(crate) fn publish(&self) {
+        let kinds = [
+            ("delivered", self.delivered),
+            ("passed_on", self.passed_on),
+            ("answered", self.answered),
+            ("bad_frames", self.bad_frames),
+            ("other_service", self.other_service),
+            ("other_target", self.other_target),
+            ("other_incarnation", self.other_incarnation),
+            ("unsent", self.unsent),
+            ("left_paths", self.left_paths),
+            ("resets", self.resets),
+        ];
+        for (kind, count) in kinds {
+            counter!("cyclamen_agent_packets_total", "kind" => kind).absolute(count);
+        }
+    }
+}
+
 impl TunnelCounters {
     /// Adds one to a count.
     pub(crate) fn add(&self, count: TunnelCount) {
--- a/src/agent/node/agent_node.rs
+++ b/src/agent/node/agent_node.rs
@@ -351,6 +351,8 @@
         loop {
             tokio::time::sleep(HOUSEKEEPING_MILLIS.duration()).await;
             self.socket.keep_paths();
+            self.socket.counters().read().publish();
+            self.gauge.publish();
             self.gauge.set_connections(self.endpoint.open_connections());
             self.take_limits();
             let event = DrainEvent::Counted(self.open.read());
--- a/src/balancer/balancer_node.rs
+++ b/src/balancer/balancer_node.rs
@@ -287,6 +287,7 @@
             changed = revisions.changed() => if changed.is_err() { return },
             () = tokio::time::sleep(HOUSEKEEPING_MILLIS.duration()) => {
                 path.forget_idle_paths();
+                path.counters().read().publish();
                 path.probe_suspects(&mut scratch);
             }
         }
--- a/src/balancer/packet_counters.rs
+++ b/src/balancer/packet_counters.rs
@@ -1,5 +1,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use metrics::counter;
 use serde::Serialize;
 
 use super::DropCause;
@@ -64,6 +65,28 @@
     pub no_target: u64,
 }
 
+impl PacketCounts {
+    /// Offers the counts as metrics, one series for each kind.
+    pub(crate) fn publish(&self) {
+        let kinds = [
+            ("known", self.known),
+            ("first", self.first),
+            ("answered", self.answered),
+            ("unsent", self.unsent),
+            ("bad_frames", self.bad_frames),
+            ("moved_paths", self.moved_paths),
+            ("unknown_address", self.unknown_address),
+            ("not_quic", self.not_quic),
+            ("unknown_connection", self.unknown_connection),
+            ("other_service", self.other_service),
+            ("no_target", self.no_target),
+        ];
+        for (kind, count) in kinds {
+            counter!("cyclamen_balancer_packets_total", "kind" => kind).absolute(count);
+        }
+    }
+}
+
 impl PacketCounters {
     /// Creates counters at zero.
     pub(crate) fn new() -> Self {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -27,6 +27,10 @@
 };
 use serde_json::{Value, json};
 use tempfile::TempDir;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 use loopback::LoopbackBlock;
 
@@ -179,6 +183,14 @@
         self.ip(10 + index)
     }
 
+    pub fn balancer_metrics(&self, index: u8) -> SocketAddrV4 {
+        SocketAddrV4::new(self.balancer_ip(index), 7101)
+    }
+
+    pub fn agent_metrics(&self, index: u8) -> SocketAddrV4 {
+        self.address(100 + index, 7201)
+    }
+
     pub fn start_balancer(&self, index: u8) -> SiteProcess {
         let name = format!("balancer-{index}");
         let settings = json!({
@@ -189,6 +201,7 @@
             "control": [self.control_address()],
             "secret_file": self.secret_file(),
             "admin_listen": SocketAddrV4::new(self.balancer_ip(index), 7100),
+            "metrics_listen": self.balancer_metrics(index),
         });
         let path = env!("CARGO_BIN_EXE_cyclamen-balancer");
         self.start("cyclamen-balancer", path, &name, &settings)
@@ -212,6 +225,7 @@
             "secret_file": self.secret_file(),
             "tls": self.certificates,
             "admin_listen": self.address(100 + index, 7200),
+            "metrics_listen": self.agent_metrics(index),
             "connection_id_millis": 1000,
         });
         let path = env!("CARGO_BIN_EXE_cyclamen-agent");
@@ -303,6 +317,18 @@
     }
 }
 
+/// Returns what a process offers as metrics; nothing while it does not answer.
+pub async fn read_metrics(address: SocketAddrV4) -> String {
+    let mut text = String::new();
+    if let Ok(mut stream) = TcpStream::connect(address).await {
+        let request = "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        if stream.write_all(request.as_bytes()).await.is_ok() {
+            let _ = stream.read_to_string(&mut text).await;
+        }
+    }
+    text
+}
+
 /// Waits until `is_true` holds, and fails after a long while.
 pub async fn eventually(what: &str, mut is_true: impl AsyncFnMut() -> bool) {
     let deadline = tokio::time::Instant::now() + PATIENCE;
--- a/tests/thin_path.rs
+++ b/tests/thin_path.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use cyclamenrouter::caller::CallRequest;
-use support::{TestSite, get};
+use support::{TestSite, eventually, get, read_metrics};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn each_service_answers_through_randomly_chosen_balancers() {
@@ -34,4 +34,22 @@
         assert_eq!(echo.body, upload);
     }
     assert!(fabrics.iter().all(|fabric| fabric.carried() > 100));
+    let offers = [
+        (
+            site.balancer_metrics(0),
+            "cyclamen_balancer_packets_total{kind=\"known\"}",
+        ),
+        (
+            site.agent_metrics(0),
+            "cyclamen_agent_packets_total{kind=\"delivered\"}",
+        ),
+    ];
+    for (address, series) in offers {
+        eventually("the packets are counted as metrics", async || {
+            let text = read_metrics(address).await;
+            let line = text.lines().find(|line| line.starts_with(series));
+            line.is_some_and(|line| !line.ends_with(" 0"))
+        })
+        .await;
+    }
 }
