--- a/src/control/control_run.rs
+++ b/src/control/control_run.rs
@@ -8,7 +8,7 @@
 use super::{
     ControlEvent, ControlSettings,
     feed::ReplicaState,
-    replica_shell::{ReplicaShellError, start_replica},
+    replica_shell::{ReplicaShellError, ReplicatedState, start_replica},
     server::{ControlServer, ControlService, ServerError, write_listening},
     store::{ControlStore, StateHandle},
 };
@@ -61,7 +61,12 @@
     let secret = SecretStore::open(settings.secret_file)?;
     let (listener, address) = ControlServer::bind(settings.listen)?;
     let state = StateHandle::new(ReplicaState::new());
-    let replica = start_replica(options, state.clone(), secret.clone()).await?;
+    let replica = start_replica(
+        options,
+        ReplicatedState::Registry(state.clone()),
+        secret.clone(),
+    )
+    .await?;
     let store = ControlStore::Replicated(replica.handle.clone());
     let service = ControlService::new(settings.name.clone(), address, state, store);
     let server = ControlServer::start(listener, service, secret)?;
--- a/src/control/control_settings.rs
+++ b/src/control/control_settings.rs
@@ -8,8 +8,8 @@
 
 use super::{
     PeerSettings,
-    replica::ReplicaId,
-    replica_shell::{PeerAddress, ReplicaOptions},
+    replica::{GroupAdmission, ReplicaId},
+    replica_shell::{DiskFaultPolicy, PeerAddress, ReplicaOptions},
 };
 use crate::{
     key::DomainName,
@@ -61,15 +61,18 @@
     /// Returns what the replica of the log needs to start.
     pub(crate) fn replica_options(&self) -> ReplicaOptions {
         let peers = self.peers.iter().map(|peer| PeerAddress {
-            replica: ReplicaId::new(peer.replica),
+            replica: ReplicaId::new(peer.replica.into()),
             link: peer.link,
             calls: peer.calls,
         });
         ReplicaOptions {
-            own: ReplicaId::new(self.replica),
+            own: ReplicaId::new(self.replica.into()),
             listen: self.link_listen,
             peers: peers.collect(),
+            ports: None,
             folder: self.data_folder.join(LOG_FOLDER),
+            admission: GroupAdmission::Listed,
+            disk_faults: DiskFaultPolicy::Stop,
         }
     }
 
--- a/src/control/journal/replica_journal.rs
+++ b/src/control/journal/replica_journal.rs
@@ -25,6 +25,7 @@
     segments: Vec<SegmentFile>,
     segment_bytes: usize,
     closed: bool,
+    disk: DiskId,
     _lock: FolderLock,
 }
 
@@ -45,6 +46,7 @@
             segments: content.segments,
             segment_bytes: SEGMENT_BYTES,
             closed: false,
+            disk: content.recovered.hard_state.disk,
             _lock: lock,
         };
         Ok((journal, content.recovered))
@@ -57,6 +59,20 @@
         self
     }
 
+    /// Reads the folder again after a failed write, so that writing can go on.
+    ///
+    /// What the failed batch left behind is replaced when it is written again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder can't be read; it stays closed then.
+    pub(crate) fn reopen(&mut self) -> Result<(), JournalError> {
+        let content = read_folder(&self.folder, self.disk)?;
+        self.segments = content.segments;
+        self.closed = false;
+        Ok(())
+    }
+
     /// Writes a batch; when it returns, all of it is synced.
     ///
     /// # Errors
--- a/src/control/replica/identity.rs
+++ b/src/control/replica/identity.rs
@@ -1,21 +1,34 @@
-use std::fmt;
+use std::{fmt, net::Ipv4Addr};
 
 use serde::{Deserialize, Serialize};
 
-/// The number of a replica's place in the control group, from its settings.
+/// The number of a replica's place in the control group.
+///
+/// It comes from the settings, or is the IPv4 address where places are found by
+/// discovery.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
-pub(crate) struct ReplicaId(u8);
+pub(crate) struct ReplicaId(u32);
 
 impl ReplicaId {
     /// Wraps the number from the settings.
-    pub(crate) const fn new(number: u8) -> Self {
+    pub(crate) const fn new(number: u32) -> Self {
         Self(number)
     }
 
+    /// Names the place at an address.
+    pub(crate) const fn at(address: Ipv4Addr) -> Self {
+        Self(address.to_bits())
+    }
+
+    /// Returns the address that names the place.
+    pub(crate) const fn address(self) -> Ipv4Addr {
+        Ipv4Addr::from_bits(self.0)
+    }
+
     /// Returns the plain number.
     #[cfg(test)]
-    pub(crate) const fn number(self) -> u8 {
+    pub(crate) const fn number(self) -> u32 {
         self.0
     }
 }
--- a/src/control/replica/limits.rs
+++ b/src/control/replica/limits.rs
@@ -9,6 +9,11 @@
 /// The longest silence of a leader after which an election starts; a leader
 /// that has not heard a majority for as long steps down.
 pub(crate) const ELECTION_MAX_MILLIS: SpanMillis = SpanMillis::new(1_200);
+/// The shortest wait for a leader after a start; trial votes keep a replica that
+/// starts alone from disturbing a leader.
+pub(crate) const START_MIN_MILLIS: SpanMillis = SpanMillis::new(150);
+/// The longest wait for a leader after a start.
+pub(crate) const START_MAX_MILLIS: SpanMillis = SpanMillis::new(500);
 /// The shortest pause before a candidate that was not elected tries again.
 pub(crate) const RETRY_MIN_MILLIS: SpanMillis = SpanMillis::new(100);
 /// The longest pause before a candidate that was not elected tries again.
@@ -19,6 +24,11 @@
 pub(crate) const JOIN_MILLIS: SpanMillis = SpanMillis::new(500);
 /// How long a peer's word that its disk is empty holds.
 pub(crate) const FORMATION_MILLIS: SpanMillis = SpanMillis::new(3_000);
+/// How long a voter is silent before an open group removes it.
+pub(crate) const GONE_MILLIS: SpanMillis = SpanMillis::new(3_000);
+/// How long a voter of an open group hears no leader before it asks to join
+/// again, since it may have been removed.
+pub(crate) const REJOIN_MILLIS: SpanMillis = SpanMillis::new(2_500);
 /// How long a follower waits for the leader to confirm a read.
 pub(crate) const READ_DEADLINE_MILLIS: SpanMillis = SpanMillis::new(1_000);
 
--- a/src/control/replica/membership.rs
+++ b/src/control/replica/membership.rs
@@ -4,8 +4,11 @@
 //! is committed, the folder that it replaces stops counting, then it counts.
 
 use super::{
-    DiskId, EntryBody, GroupMembers, LogIndex, MemberVote, ReplicaCore, ReplicaReport, ReplicaSeat,
-    candidate_state::CoreRole, leader_state::LeaderState, limits::ELECTION_MAX_MILLIS,
+    DiskId, EntryBody, GroupAdmission, GroupMembers, LogIndex, MemberVote, ReplicaCore,
+    ReplicaReport, ReplicaSeat,
+    candidate_state::CoreRole,
+    leader_state::LeaderState,
+    limits::{ELECTION_MAX_MILLIS, GONE_MILLIS},
 };
 use crate::clock::ClockMillis;
 
@@ -44,10 +47,37 @@
     }
 
     fn next_change(&self, leader: &LeaderState, now: ClockMillis) -> Option<MemberChange> {
-        let members = self.log.members();
         if let Some(seat) = leader.joiners.first() {
             return Some(MemberChange::AddLearner(*seat));
         }
+        self.learner_change(leader, now)
+            .or_else(|| self.removal_change(leader, now))
+    }
+
+    /// Returns the removal of a voter that is gone from an open group.
+    fn removal_change(&self, leader: &LeaderState, now: ClockMillis) -> Option<MemberChange> {
+        let GroupAdmission::Open { least_voters, .. } = self.peers.admission else {
+            return None;
+        };
+        let members = self.log.members();
+        if members.voters().count() <= least_voters {
+            return None;
+        }
+        members
+            .voters()
+            .filter(|seat| {
+                leader
+                    .progress
+                    .get(&seat.disk)
+                    .is_some_and(|progress| now.since(progress.heard_at) >= GONE_MILLIS)
+            })
+            .map(MemberChange::RemoveVoter)
+            .find(|change| self.keeps_quorum(leader, *change, now))
+    }
+
+    /// Returns the next step of a learner that holds everything.
+    fn learner_change(&self, leader: &LeaderState, now: ClockMillis) -> Option<MemberChange> {
+        let members = self.log.members();
         members
             .list()
             .iter()
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -39,7 +39,7 @@
 pub(crate) use log_position::{LogIndex, TermNumber};
 pub(crate) use peer_message::{PeerBody, PeerMessage};
 pub(crate) use replica_action::{ProposalOutcome, ReadOutcome, ReplicaAction, ReplicaReport};
-pub(crate) use replica_core::{ReplicaCore, ReplicaPeers};
+pub(crate) use replica_core::{GroupAdmission, ReplicaCore, ReplicaPeers};
 pub(crate) use replica_event::{ProposalKey, ReadKey, ReplicaEvent};
 pub(crate) use replica_view::ReplicaView;
 
--- a/src/control/replica/replica_core.rs
+++ b/src/control/replica/replica_core.rs
@@ -8,20 +8,54 @@
     candidate_state::CoreRole,
     disk_queue::{DiskQueue, HeldMessage},
     hard_state::RecoveredState,
-    limits::{ELECTION_MAX_MILLIS, ELECTION_MIN_MILLIS, RETRY_MAX_MILLIS, RETRY_MIN_MILLIS},
+    limits::{
+        ELECTION_MAX_MILLIS, ELECTION_MIN_MILLIS, RETRY_MAX_MILLIS, RETRY_MIN_MILLIS,
+        START_MAX_MILLIS, START_MIN_MILLIS,
+    },
     read_forward::ReadForward,
     replica_log::{LogCompaction, ReplicaLog},
     snapshots::IncomingSnapshot,
 };
 use crate::clock::{ClockMillis, SpanMillis};
 
-/// The places of the group that the settings of a replica list.
+/// The places of the group that a replica knows of before it reads its log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct ReplicaPeers {
     /// This replica.
     pub(crate) own: ReplicaId,
     /// The other replicas.
     pub(crate) others: Vec<ReplicaId>,
+    /// Who may join the group, and who may form it.
+    pub(crate) admission: GroupAdmission,
+}
+
+/// Who may join a group, and who may form it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum GroupAdmission {
+    /// Only the listed places; they form the group together.
+    Listed,
+    /// Any place; members that are gone are removed without an operator.
+    Open {
+        /// Whether this replica may form the group with the listed ones.
+        founds: bool,
+        /// The number of voters that automatic removal never goes below.
+        least_voters: usize,
+    },
+}
+
+impl GroupAdmission {
+    /// Returns whether this replica may take part in forming the group.
+    pub(super) fn may_found(self) -> bool {
+        match self {
+            Self::Listed => true,
+            Self::Open { founds, .. } => founds,
+        }
+    }
+
+    /// Returns whether places that are not listed may join.
+    pub(super) fn is_open(self) -> bool {
+        matches!(self, Self::Open { .. })
+    }
 }
 
 /// One replica of the control group; it never touches disk, network or clock.
@@ -88,7 +122,7 @@
         };
         core.restore_snapshot();
         if !core.is_alone() {
-            core.reset_election(now);
+            core.wait_between(START_MIN_MILLIS, START_MAX_MILLIS, now);
         }
         core
     }
@@ -105,6 +139,7 @@
         match event {
             ReplicaEvent::Tick => self.tick(now),
             ReplicaEvent::Received(message) => self.receive(message, now),
+            ReplicaEvent::PeersFound(replicas) => self.meet_peers(replicas),
             ReplicaEvent::Proposed { key, payload } => self.propose(key, payload),
             ReplicaEvent::ReadAsked { key } => self.ask_read(key, now),
             ReplicaEvent::StepAside => self.step_aside(now),
--- a/src/control/replica/replica_event.rs
+++ b/src/control/replica/replica_event.rs
@@ -1,4 +1,4 @@
-use super::{EntryPayload, LogIndex, PeerMessage, SyncToken};
+use super::{EntryPayload, LogIndex, PeerMessage, ReplicaId, SyncToken};
 
 /// Names a proposal until it is answered; chosen by the shell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -15,6 +15,8 @@
     Tick,
     /// A peer has sent a message; the shell has authenticated it.
     Received(PeerMessage),
+    /// Discovery has found the members of the group.
+    PeersFound(Vec<ReplicaId>),
     /// A client wants a change.
     Proposed {
         /// Names the proposal in its answer.
--- a/src/control/replica/tests/shuffler.rs
+++ b/src/control/replica/tests/shuffler.rs
@@ -86,6 +86,7 @@
         let peers = ReplicaPeers {
             own: replica(node),
             others: others.map(replica).collect(),
+            admission: GroupAdmission::Listed,
         };
         let recovered = self.nodes[node].disk.clone();
         let core = ReplicaCore::new(peers, recovered, self.generator.random(), self.now)
@@ -309,5 +310,5 @@
 }
 
 fn replica(node: usize) -> ReplicaId {
-    ReplicaId::new(u8::try_from(node + 1).expect("few replicas"))
+    ReplicaId::new(u32::try_from(node + 1).expect("few replicas"))
 }
--- a/src/control/replica/tests/single_core.rs
+++ b/src/control/replica/tests/single_core.rs
@@ -3,9 +3,9 @@
 use crate::{
     clock::{ClockMillis, SpanMillis},
     control::replica::{
-        DiskId, EntryBody, EntryPayload, GroupId, GroupMembers, HardState, LogEntry, LogIndex,
-        PeerBody, PeerMessage, RecoveredState, ReplicaAction, ReplicaCore, ReplicaEvent, ReplicaId,
-        ReplicaPeers, ReplicaReport, ReplicaSeat, TermNumber,
+        DiskId, EntryBody, EntryPayload, GroupAdmission, GroupId, GroupMembers, HardState,
+        LogEntry, LogIndex, PeerBody, PeerMessage, RecoveredState, ReplicaAction, ReplicaCore,
+        ReplicaEvent, ReplicaId, ReplicaPeers, ReplicaReport, ReplicaSeat, TermNumber,
     },
 };
 
@@ -18,7 +18,7 @@
     now: ClockMillis,
 }
 
-fn seat(number: u8) -> ReplicaSeat {
+fn seat(number: u32) -> ReplicaSeat {
     ReplicaSeat {
         replica: ReplicaId::new(number),
         disk: DiskId::new(u128::from(number) * 100),
@@ -51,6 +51,7 @@
         let peers = ReplicaPeers {
             own: ReplicaId::new(1),
             others: vec![ReplicaId::new(2), ReplicaId::new(3)],
+            admission: GroupAdmission::Listed,
         };
         Self {
             core: ReplicaCore::new(peers, recovered, 5, ClockMillis::ORIGIN),
--- a/src/control/replica_shell/mod.rs
+++ b/src/control/replica_shell/mod.rs
@@ -5,10 +5,12 @@
 mod replica_driver;
 mod replica_handle;
 mod replica_options;
+mod replicated_state;
 mod report_log;
 mod shell_error;
 
-pub(crate) use replica_driver::start_replica;
+pub(crate) use replica_driver::{RunningReplica, start_replica};
 pub(crate) use replica_handle::ReplicaHandle;
-pub(crate) use replica_options::{PeerAddress, ReplicaOptions};
+pub(crate) use replica_options::{DiskFaultPolicy, PeerAddress, PeerPorts, ReplicaOptions};
+pub(crate) use replicated_state::ReplicatedState;
 pub use shell_error::ReplicaShellError;
--- a/src/control/replica_shell/replica_driver.rs
+++ b/src/control/replica_shell/replica_driver.rs
@@ -1,5 +1,6 @@
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, btree_map::Entry},
+    net::SocketAddrV4,
     sync::Arc,
 };
 
@@ -10,7 +11,7 @@
 };
 
 use super::{
-    ReplicaHandle, ReplicaOptions, ReplicaShellError,
+    PeerPorts, ReplicaHandle, ReplicaOptions, ReplicaShellError, ReplicatedState,
     disk_writer::{DiskWriter, SyncReport},
     replica_handle::{ProposalAnswer, ReadAnswer, ReplicaCommand, overloaded, too_large},
     report_log::log_report,
@@ -20,14 +21,12 @@
     control::{
         ControlEvent,
         api::CallRefusal,
-        journal::ReplicaJournal,
         replica::{
-            DiskId, EntryPayload, LogIndex, PeerMessage, ProposalKey, ProposalOutcome, ReadKey,
+            EntryPayload, LogIndex, PeerMessage, ProposalKey, ProposalOutcome, ReadKey,
             ReadOutcome, ReplicaAction, ReplicaCore, ReplicaEvent, ReplicaId, ReplicaView,
             TICK_MILLIS,
         },
         replica_link::{LinkListener, LinkSender},
-        store::StateHandle,
     },
     event::log_event,
     secret::SecretStore,
@@ -55,13 +54,17 @@
 /// other replicas can't be had.
 pub(crate) async fn start_replica(
     options: ReplicaOptions,
-    state: StateHandle,
+    state: ReplicatedState,
     secret: SecretStore,
 ) -> Result<RunningReplica, ReplicaShellError> {
-    let (journal, recovered) = ReplicaJournal::open(&options.folder, DiskId::new(rand::random()))?;
+    let (disk, reports) = DiskWriter::start(options.folder.clone(), options.disk_faults)
+        .map_err(ReplicaShellError::Thread)?;
+    let recovered = reports
+        .opened
+        .await
+        .map_err(|_| ReplicaShellError::Ended)??;
     let clock = ProcessClock::new();
     let core = ReplicaCore::new(options.places(), recovered, rand::random(), clock.now());
-    let (disk, synced) = DiskWriter::start(journal).map_err(ReplicaShellError::Thread)?;
     let (inbox, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
     if let Some(address) = options.listen {
         let listener = LinkListener::bind(address).await?;
@@ -79,6 +82,7 @@
         commands,
         view,
         calls: Arc::new(calls.collect()),
+        ports: options.ports,
         state: state.clone(),
     };
     let driver = ReplicaDriver {
@@ -86,6 +90,8 @@
         state,
         disk,
         links: links.collect(),
+        secret: secret.clone(),
+        ports: options.ports,
         handle: handle.clone(),
         publisher,
         clock,
@@ -96,7 +102,7 @@
     let inputs = DriverInputs {
         commands: queue,
         messages,
-        synced,
+        synced: reports.synced,
         _inbox: inbox,
     };
     let task = tokio::spawn(driver.run(inputs));
@@ -115,8 +121,10 @@
 /// Feeds the core and does what it asks for.
 struct ReplicaDriver {
     core: ReplicaCore,
-    state: StateHandle,
+    state: ReplicatedState,
     disk: DiskWriter,
+    secret: SecretStore,
+    ports: Option<PeerPorts>,
     links: BTreeMap<ReplicaId, LinkSender>,
     handle: ReplicaHandle,
     publisher: watch::Sender<ReplicaView>,
@@ -159,6 +167,13 @@
                 ReplicaEvent::Proposed { key, payload }
             }
             ReplicaCommand::StepAside => ReplicaEvent::StepAside,
+            ReplicaCommand::MeetPeers { replicas } => {
+                let members = self.core.view(self.clock.now()).members;
+                let places = members.iter().map(|member| member.seat.replica);
+                let kept: Vec<ReplicaId> = places.chain(replicas.iter().copied()).collect();
+                self.prune_links(&kept);
+                ReplicaEvent::PeersFound(replicas)
+            }
             ReplicaCommand::Read { answer } => {
                 let key = ReadKey(self.keys);
                 self.reads.insert(key, answer);
@@ -184,7 +199,7 @@
     ) -> Result<(), ReplicaShellError> {
         match action {
             ReplicaAction::Send { to, message } => {
-                if let Some(link) = self.links.get(&to) {
+                if let Some(link) = self.link(to) {
                     link.send(message);
                 }
             }
@@ -206,6 +221,23 @@
         Ok(())
     }
 
+    /// Returns the link to a replica; one that is not listed is connected to
+    /// when its place is an address.
+    fn link(&mut self, to: ReplicaId) -> Option<&LinkSender> {
+        if let (Entry::Vacant(entry), Some(ports)) = (self.links.entry(to), self.ports) {
+            let address = SocketAddrV4::new(to.address(), ports.link);
+            entry.insert(LinkSender::start(to, address, self.secret.clone()));
+        }
+        self.links.get(&to)
+    }
+
+    /// Drops the links to replicas that are neither members nor asked to join.
+    fn prune_links(&mut self, members: &[ReplicaId]) {
+        if self.ports.is_some() {
+            self.links.retain(|replica, _| members.contains(replica));
+        }
+    }
+
     fn answer_proposal(
         &mut self,
         key: ProposalKey,
--- a/src/control/replica_shell/replica_handle.rs
+++ b/src/control/replica_shell/replica_handle.rs
@@ -1,5 +1,6 @@
 use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc};
 
+use super::{PeerPorts, ReplicatedState};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time::{Instant, sleep, timeout},
@@ -10,7 +11,7 @@
     control::{
         api::{CallRefusal, ReplicaRole, ReplicaStatus},
         replica::{EntryPayload, MAX_ENTRY_BYTES, MemberVote, ReplicaId, ReplicaView},
-        store::{LeadView, StateHandle},
+        store::LeadView,
     },
     key::FeedRevision,
 };
@@ -43,6 +44,8 @@
     Read { answer: oneshot::Sender<ReadAnswer> },
     /// Have another replica lead.
     StepAside,
+    /// Ask these places for admission.
+    MeetPeers { replicas: Vec<ReplicaId> },
 }
 
 /// Hands the calls' work to the replica; clones share it.
@@ -51,7 +54,8 @@
     pub(super) commands: mpsc::Sender<ReplicaCommand>,
     pub(super) view: watch::Receiver<ReplicaView>,
     pub(super) calls: Arc<BTreeMap<ReplicaId, SocketAddrV4>>,
-    pub(super) state: StateHandle,
+    pub(super) ports: Option<PeerPorts>,
+    pub(super) state: ReplicatedState,
 }
 
 /// Returns the refusal of a replica that has too much to do.
@@ -115,6 +119,19 @@
         }
     }
 
+    /// Names the places to ask for admission while this replica is no voter.
+    pub(crate) fn meet_peers(&self, replicas: Vec<ReplicaId>) {
+        // A driver that is busy is told again.
+        let _ = self
+            .commands
+            .try_send(ReplicaCommand::MeetPeers { replicas });
+    }
+
+    /// Returns the replica's view of the group.
+    pub(crate) fn view(&self) -> ReplicaView {
+        self.view.borrow().clone()
+    }
+
     /// Returns what this replica knows of the leader.
     pub(crate) fn lead(&self) -> LeadView {
         let view = self.view.borrow();
@@ -157,6 +174,8 @@
 
     /// Returns where a replica answers calls.
     pub(super) fn call_address(&self, replica: ReplicaId) -> Option<SocketAddrV4> {
-        self.calls.get(&replica).copied()
+        let listed = self.calls.get(&replica).copied();
+        let found = |ports: PeerPorts| SocketAddrV4::new(replica.address(), ports.calls);
+        listed.or_else(|| self.ports.map(found))
     }
 }
--- /dev/null
+++ b/src/directory/target_directory.rs
@@ -0,0 +1,142 @@
+use std::{collections::BTreeMap, net::Ipv4Addr};
+
+use super::{DirectoryNews, DirectoryPlace, TargetRecord, TargetStanding};
+use crate::clock::{ClockMillis, SpanMillis};
+
+/// How often an agent announces its target.
+pub(crate) const ANNOUNCE_MILLIS: SpanMillis = SpanMillis::new(500);
+/// The silence after which new flows avoid a target: four announcements and
+/// the time that one may be late.
+const SILENT_MILLIS: SpanMillis = SpanMillis::new(2_200);
+/// How long a record of a silent or ended target is kept, so that its flows are
+/// still found; an agent that is cut off for longer announces itself again.
+const KEPT_MILLIS: SpanMillis = SpanMillis::new(60_000);
+/// The time after which every agent that still runs has been heard.
+const SETTLE_MILLIS: SpanMillis = SpanMillis::new(2_500);
+/// The targets from which on a common silence is blamed on this replica.
+const MASS_LEAST: usize = 4;
+
+#[derive(Debug, Clone, Copy)]
+struct DirectoryEntry {
+    record: TargetRecord,
+    heard_at: ClockMillis,
+    /// The revision that brought the record.
+    revision: u64,
+}
+
+/// The targets that one replica has heard of.
+#[derive(Debug)]
+pub(crate) struct TargetDirectory {
+    run: u64,
+    revision: u64,
+    started_at: ClockMillis,
+    entries: BTreeMap<Ipv4Addr, DirectoryEntry>,
+    /// The revision of the last removal; older watchers need everything.
+    removed_at: u64,
+}
+
+impl TargetDirectory {
+    /// Creates an empty directory; `run` names it.
+    pub(crate) fn new(run: u64, now: ClockMillis) -> Self {
+        Self {
+            run,
+            revision: 0,
+            started_at: now,
+            entries: BTreeMap::new(),
+            removed_at: 0,
+        }
+    }
+
+    /// Returns the place of a watcher that has everything.
+    pub(crate) fn place(&self) -> DirectoryPlace {
+        DirectoryPlace {
+            run: self.run,
+            revision: self.revision,
+        }
+    }
+
+    /// Takes an announcement; returns whether it changed the directory.
+    pub(crate) fn announce(&mut self, record: TargetRecord, now: ClockMillis) -> bool {
+        let known = self.entries.get_mut(&record.agent);
+        if let Some(entry) = known {
+            let old = entry.record;
+            if old.agent_run == record.agent_run && record.sequence <= old.sequence {
+                return false;
+            }
+            entry.heard_at = now;
+            entry.record = record;
+            if old.standing == record.standing && old.service == record.service {
+                return false;
+            }
+        }
+        self.set(record, now);
+        true
+    }
+
+    /// Marks agents that fell silent and drops those that stay so; returns
+    /// whether that changed the directory.
+    ///
+    /// When most targets fall silent together they are kept: this replica is
+    /// the likelier fault.
+    pub(crate) fn expire(&mut self, now: ClockMillis) -> bool {
+        let before = self.revision;
+        let live = |entry: &&DirectoryEntry| {
+            !matches!(
+                entry.record.standing,
+                TargetStanding::Silent | TargetStanding::Ended
+            )
+        };
+        let serving = self.entries.values().filter(live).count();
+        let lapsed: Vec<TargetRecord> = self
+            .entries
+            .values()
+            .filter(live)
+            .filter(|entry| now.since(entry.heard_at) >= SILENT_MILLIS)
+            .map(|entry| entry.record)
+            .collect();
+        let common = serving >= MASS_LEAST && lapsed.len() * 2 > serving;
+        if !common {
+            for mut record in lapsed {
+                record.standing = TargetStanding::Silent;
+                let heard_at = self.entries[&record.agent].heard_at;
+                self.set(record, heard_at);
+            }
+        }
+        let held = self.entries.len();
+        self.entries
+            .retain(|_, entry| live(&&*entry) || now.since(entry.heard_at) < KEPT_MILLIS);
+        if self.entries.len() < held {
+            self.revision += 1;
+            self.removed_at = self.revision;
+        }
+        self.revision != before
+    }
+
+    /// Returns what a watcher at `place` lacks.
+    pub(crate) fn news(&self, place: DirectoryPlace, now: ClockMillis) -> DirectoryNews {
+        let follows = place.run == self.run && place.revision >= self.removed_at;
+        let seen = if follows { place.revision } else { 0 };
+        let records = self
+            .entries
+            .values()
+            .filter(|entry| !follows || entry.revision > seen)
+            .map(|entry| entry.record)
+            .collect();
+        DirectoryNews {
+            place: self.place(),
+            whole: !follows,
+            settled: now.since(self.started_at) >= SETTLE_MILLIS,
+            records,
+        }
+    }
+
+    fn set(&mut self, record: TargetRecord, heard_at: ClockMillis) {
+        self.revision += 1;
+        let entry = DirectoryEntry {
+            record,
+            heard_at,
+            revision: self.revision,
+        };
+        self.entries.insert(record.agent, entry);
+    }
+}
--- /dev/null
+++ b/src/directory/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the directory.
--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -1,7 +1,7 @@
 use super::EventEntry;
 use crate::{
     agent::AgentEvent, balancer::BalancerEvent, cli::CliEvent, control::ControlEvent,
-    program::ProgramEvent, settings::SettingsEvent, watch::WatchEvent,
+    fleet::FleetEvent, program::ProgramEvent, settings::SettingsEvent, watch::WatchEvent,
 };
 
 /// Returns every numbered event of every slice, ordered by number.
@@ -14,6 +14,7 @@
         CliEvent::ALL,
         SettingsEvent::ALL,
         WatchEvent::ALL,
+        FleetEvent::ALL,
         ProgramEvent::ALL,
     ]
     .concat();
--- /dev/null
+++ b/src/fleet/core_view.rs
@@ -0,0 +1,81 @@
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::{Arc, Mutex, PoisonError},
+};
+
+/// What a process knows of the control group; clones share it.
+#[derive(Debug, Clone)]
+pub(super) struct CoreView {
+    known: Arc<Mutex<KnownCore>>,
+}
+
+#[derive(Debug, Default)]
+struct KnownCore {
+    seeds: Vec<SocketAddrV4>,
+    members: Vec<Ipv4Addr>,
+    leader: Option<Ipv4Addr>,
+}
+
+impl CoreView {
+    /// Creates the view of a process that knows only seeds.
+    pub(super) fn new(seeds: Vec<SocketAddrV4>) -> Self {
+        let known = KnownCore {
+            seeds,
+            ..KnownCore::default()
+        };
+        Self {
+            known: Arc::new(Mutex::new(known)),
+        }
+    }
+
+    /// Replaces the seeds; returns whether they are others.
+    pub(super) fn set_seeds(&self, seeds: Vec<SocketAddrV4>) -> bool {
+        self.with(|known| {
+            let other = known.seeds != seeds;
+            known.seeds = seeds;
+            other
+        })
+    }
+
+    /// Takes the members that somebody knows; an empty list says nothing.
+    ///
+    /// Returns whether the members are others.
+    pub(super) fn meet(&self, members: Vec<Ipv4Addr>, leader: Option<Ipv4Addr>) -> bool {
+        self.with(|known| {
+            if members.is_empty() {
+                return false;
+            }
+            known.leader = leader.or(known.leader);
+            let other = known.members != members;
+            known.members = members;
+            other
+        })
+    }
+
+    /// Returns the members of the control group.
+    pub(super) fn members(&self) -> Vec<Ipv4Addr> {
+        self.with(|known| known.members.clone())
+    }
+
+    /// Returns the leader that was last heard of.
+    pub(super) fn leader(&self) -> Option<Ipv4Addr> {
+        self.with(|known| known.leader)
+    }
+
+    /// Returns members and seeds, whom to ask when nobody answers.
+    pub(super) fn contacts(&self) -> Vec<Ipv4Addr> {
+        self.with(|known| {
+            let mut contacts = known.members.clone();
+            for seed in &known.seeds {
+                if !contacts.contains(seed.ip()) {
+                    contacts.push(*seed.ip());
+                }
+            }
+            contacts
+        })
+    }
+
+    fn with<T>(&self, look: impl FnOnce(&mut KnownCore) -> T) -> T {
+        look(&mut self.known.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- /dev/null
+++ b/src/fleet/entry_handle.rs
@@ -0,0 +1,137 @@
+use std::{
+    net::SocketAddrV4,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use super::{FleetEvent, control_seat::ControlSeat, core_view::CoreView};
+use crate::{
+    control::api::CallRefusal,
+    event::log_event,
+    listener::{ListenerManifest, StoredManifest},
+};
+
+/// Why a manifest was not acknowledged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ApplyRefusal {
+    /// Another VM takes it.
+    Redirect(SocketAddrV4),
+    /// It can't be committed now, or its outcome is unknown; it may be sent
+    /// again unchanged.
+    Unavailable,
+}
+
+/// Why the manifest was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadRefusal {
+    /// Another VM answers it.
+    Redirect(SocketAddrV4),
+    /// No majority confirms which version is the newest.
+    Unavailable,
+    /// Nothing was ever applied.
+    Empty,
+}
+
+/// What operators and the network's probes may ask of an entry VM.
+#[derive(Debug, Clone)]
+pub struct EntryHandle {
+    seat: Option<ControlSeat>,
+    core: CoreView,
+    calls: u16,
+    ready: Arc<AtomicBool>,
+}
+
+impl EntryHandle {
+    pub(super) fn new(
+        seat: Option<ControlSeat>,
+        core: CoreView,
+        calls: u16,
+        ready: Arc<AtomicBool>,
+    ) -> Self {
+        Self {
+            seat,
+            core,
+            calls,
+            ready,
+        }
+    }
+
+    /// Returns whether the network should send packets here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+
+    /// Puts a manifest in force; it is synced on a majority when this succeeds.
+    ///
+    /// A version that is not higher than the one in force changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when this VM can't commit it.
+    pub async fn apply(
+        &self,
+        manifest: ListenerManifest,
+        document: Vec<u8>,
+    ) -> Result<(), ApplyRefusal> {
+        let version = manifest.version;
+        let stored = StoredManifest { manifest, document };
+        let result = match &self.seat {
+            Some(seat) => match seat.apply(&stored).await {
+                Ok(()) => Ok(()),
+                Err(refusal) => Err(self
+                    .redirect(&refusal)
+                    .map_or(ApplyRefusal::Unavailable, ApplyRefusal::Redirect)),
+            },
+            None => Err(self
+                .any_member()
+                .map_or(ApplyRefusal::Unavailable, ApplyRefusal::Redirect)),
+        };
+        log_event!(info, FleetEvent::ApplyAnswered, version, ?result);
+        result
+    }
+
+    /// Returns the newest accepted document.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when this VM can't be sure which one that is.
+    pub async fn read(&self) -> Result<Vec<u8>, ReadRefusal> {
+        let result = self.confirmed_document().await;
+        let outcome = result.as_ref().map(Vec::len);
+        log_event!(info, FleetEvent::ReadAnswered, ?outcome);
+        result
+    }
+
+    async fn confirmed_document(&self) -> Result<Vec<u8>, ReadRefusal> {
+        let Some(seat) = &self.seat else {
+            return Err(self
+                .any_member()
+                .map_or(ReadRefusal::Unavailable, ReadRefusal::Redirect));
+        };
+        if seat.confirm_read().await.is_err() {
+            return Err(ReadRefusal::Unavailable);
+        }
+        let held = seat.store().current().ok_or(ReadRefusal::Empty)?;
+        Ok(held.document.clone())
+    }
+
+    /// Returns where a refused call should go.
+    fn redirect(&self, refusal: &CallRefusal) -> Option<SocketAddrV4> {
+        match refusal {
+            CallRefusal::NotLeader { leader } => *leader,
+            _ => None,
+        }
+    }
+
+    /// Returns the leader, or any replica.
+    fn any_member(&self) -> Option<SocketAddrV4> {
+        let member = self
+            .core
+            .leader()
+            .or_else(|| self.core.members().first().copied())?;
+        Some(SocketAddrV4::new(member, self.calls))
+    }
+}
--- /dev/null
+++ b/src/fleet/fleet_datagram.rs
@@ -0,0 +1,37 @@
+use std::net::Ipv4Addr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{directory::TargetRecord, flow::FlowReport};
+
+/// The largest datagram among processes of a deployment.
+pub(super) const MAX_DATAGRAM_BYTES: usize = 1_400;
+
+/// A datagram among processes of a deployment.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) enum FleetDatagram {
+    /// An agent announces its target.
+    Announce(TargetRecord),
+    /// Asks for the members of the control group.
+    Locate,
+    /// The members of the control group, as the sender knows them.
+    Located {
+        /// Their addresses; none if the sender knows none.
+        members: Vec<Ipv4Addr>,
+    },
+    /// An agent reports on a flow.
+    Report(FlowReport),
+}
+
+impl FleetDatagram {
+    /// Returns the bytes, `None` if they don't fit a datagram.
+    pub(super) fn encode(&self) -> Option<Vec<u8>> {
+        let bytes = postcard::to_stdvec(self).ok()?;
+        (bytes.len() <= MAX_DATAGRAM_BYTES).then_some(bytes)
+    }
+
+    /// Reads a datagram; `None` if the bytes are none.
+    pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
--- /dev/null
+++ b/src/fleet/fleet_settings.rs
@@ -0,0 +1,74 @@
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    path::PathBuf,
+};
+
+use crate::clock::SpanMillis;
+
+/// The ports that processes of the deployment use among themselves; they are
+/// the same on every VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetPorts {
+    /// UDP: announcements, discovery and reports.
+    pub datagrams: u16,
+    /// TCP: watchers of routes and targets.
+    pub watch: u16,
+    /// TCP: links between control replicas.
+    pub links: u16,
+}
+
+impl FleetPorts {
+    /// Takes the first ports of a range.
+    #[must_use]
+    pub const fn starting_at(first: u16) -> Self {
+        Self {
+            datagrams: first,
+            watch: first + 1,
+            links: first + 2,
+        }
+    }
+}
+
+/// What every process of a deployment is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FleetSettings {
+    /// The VM's name, for logs.
+    pub name: String,
+    /// The VM's address.
+    pub address: Ipv4Addr,
+    /// The failure domain.
+    pub domain: String,
+    /// The ports among processes.
+    pub ports: FleetPorts,
+    /// VMs to ask first; the port is where they answer operators.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Whether the whole deployment starts for the first time.
+    pub first_start: bool,
+    /// The folder of the control replica, on VMs with a disk.
+    pub data_folder: Option<PathBuf>,
+    /// How many control replicas may be lost at once.
+    pub tolerated_losses: usize,
+    /// Where packets arrive, from callers or from balancers.
+    pub packets: SocketAddrV4,
+    /// How long a stopping process may take.
+    pub grace: SpanMillis,
+    /// The age from which a flow may be forgotten.
+    pub flow_age: SpanMillis,
+    /// How long what was accepted may take to be in force everywhere.
+    pub apply_bound: SpanMillis,
+}
+
+/// What an agent is told besides.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SideSettings {
+    /// What every process is told.
+    pub fleet: FleetSettings,
+    /// The name of the target's service.
+    pub service: String,
+    /// Where the target takes packets.
+    pub target: SocketAddrV4,
+    /// Where the target sends its packets.
+    pub outbound: SocketAddrV4,
+    /// How often the target announces itself.
+    pub heartbeat: SpanMillis,
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,34 @@
+//! A deployment whose machines find each other from a few seeds.
+//!
+//! Every entry VM runs a balancer; those with a disk also hold a replica of the
+//! control group. An agent runs beside every target. The shells here own
+//! sockets, clocks and tasks; decisions are made in `flow`, `directory`,
+//! `listener` and `control`.
+
+mod control_seat;
+mod core_view;
+mod entry_handle;
+mod entry_node;
+mod entry_sockets;
+mod fleet_datagram;
+mod fleet_error;
+mod fleet_event;
+mod fleet_settings;
+mod log_budget;
+mod settings_source;
+mod side_handle;
+mod side_node;
+mod target_tracker;
+mod watch_client;
+mod watch_frame;
+mod watch_server;
+
+pub use entry_handle::{ApplyRefusal, EntryHandle, ReadRefusal};
+pub use entry_node::EntryNode;
+pub use fleet_error::FleetError;
+pub use fleet_settings::{FleetPorts, FleetSettings, SideSettings};
+pub use settings_source::SettingsSource;
+pub use side_handle::{SideHandle, TargetNotice, TargetState};
+pub use side_node::SideNode;
+
+pub(crate) use fleet_event::FleetEvent;
--- /dev/null
+++ b/src/fleet/target_tracker.rs
@@ -0,0 +1,106 @@
+use super::{TargetNotice, TargetState};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    directory::TargetStanding,
+    flow::AgentTarget,
+};
+
+/// The announcements that a target may miss before it counts as silent.
+const MISSED_ANNOUNCEMENTS: u64 = 3;
+
+/// What became of an announcement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NoticeVerdict {
+    /// It is the newest word of the target.
+    Taken,
+    /// It is older than what is known.
+    Late,
+}
+
+/// What an agent believes of its target, from what the target announces.
+#[derive(Debug)]
+pub(crate) struct TargetTracker {
+    started_at: ClockMillis,
+    silence: SpanMillis,
+    newest: Option<TargetNotice>,
+    ended: bool,
+    heard_at: ClockMillis,
+    warm_at: ClockMillis,
+}
+
+impl TargetTracker {
+    /// Creates the belief of an agent that has just started; the target
+    /// announces itself every `heartbeat`.
+    pub(crate) fn new(heartbeat: SpanMillis, now: ClockMillis) -> Self {
+        Self {
+            started_at: now,
+            silence: heartbeat.times(MISSED_ANNOUNCEMENTS),
+            newest: None,
+            ended: false,
+            heard_at: now,
+            warm_at: now,
+        }
+    }
+
+    /// Takes an announcement; one of an earlier start, or one that was overtaken,
+    /// changes nothing.
+    pub(crate) fn take(&mut self, notice: TargetNotice, now: ClockMillis) -> NoticeVerdict {
+        if let Some(newest) = &self.newest {
+            let same = newest.id == notice.id && newest.started_at == notice.started_at;
+            let late = notice.started_at < newest.started_at
+                || (same && (self.ended || notice.sequence <= newest.sequence));
+            if late {
+                return NoticeVerdict::Late;
+            }
+        }
+        self.warm_at = now.after(notice.warm_in);
+        self.heard_at = now;
+        self.ended = false;
+        self.newest = Some(notice);
+        NoticeVerdict::Taken
+    }
+
+    /// Notes that the target called `id` has ended.
+    pub(crate) fn end(&mut self, id: &str) -> NoticeVerdict {
+        match &self.newest {
+            Some(newest) if newest.id == id => {
+                self.ended = true;
+                NoticeVerdict::Taken
+            }
+            Some(_) => NoticeVerdict::Late,
+            None => {
+                self.ended = true;
+                NoticeVerdict::Taken
+            }
+        }
+    }
+
+    /// Returns whether the target takes new flows.
+    pub(crate) fn target(&self) -> AgentTarget {
+        if self.ended {
+            return AgentTarget::Ended;
+        }
+        match &self.newest {
+            None => AgentTarget::Unproved,
+            Some(notice) => match notice.state {
+                TargetState::Ready => AgentTarget::Serving,
+                TargetState::Draining => AgentTarget::Leaving,
+            },
+        }
+    }
+
+    /// Returns what balancers should know; `suspect` tells whether the target
+    /// leaves openings unanswered.
+    pub(crate) fn standing(&self, suspect: bool, now: ClockMillis) -> TargetStanding {
+        match self.target() {
+            AgentTarget::Ended => TargetStanding::Ended,
+            AgentTarget::Leaving => TargetStanding::Leaving,
+            AgentTarget::Unproved if now.since(self.started_at) >= self.silence => {
+                TargetStanding::Silent
+            }
+            _ if suspect || now.since(self.heard_at) >= self.silence => TargetStanding::Silent,
+            _ if now < self.warm_at => TargetStanding::Warming,
+            AgentTarget::Unproved | AgentTarget::Serving => TargetStanding::Serving,
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/watch_client.rs
@@ -0,0 +1,147 @@
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddrV4},
+};
+
+use rand::seq::SliceRandom;
+use tokio::{
+    net::TcpStream,
+    sync::mpsc,
+    time::{sleep, timeout},
+};
+
+use super::{
+    core_view::CoreView,
+    watch_frame::{WatchNews, WatchPoll, read_frame, write_frame},
+    watch_server::HOLD_MILLIS,
+};
+use crate::{clock::SpanMillis, directory::DirectoryPlace};
+
+/// How long connecting may take.
+const CONNECT_MILLIS: SpanMillis = SpanMillis::new(400);
+/// How long an answer may take beyond the time that the server holds it.
+const ANSWER_MILLIS: SpanMillis = HOLD_MILLIS.times(2);
+/// The pause before another replica is tried.
+const RETRY_MILLIS: SpanMillis = SpanMillis::new(100);
+/// The shortest time between two polls, while news come in quick succession.
+const SPACING_MILLIS: SpanMillis = SpanMillis::new(20);
+
+/// What the watch tells the balancer.
+#[derive(Debug)]
+pub(super) enum WatchTidings {
+    /// A replica answered; the place says how far its directory is followed.
+    News(Box<WatchNews>),
+    /// The replica that was followed is lost.
+    Lost {
+        /// The replica.
+        replica: Ipv4Addr,
+    },
+}
+
+/// Follows the routes and the directory of one replica at a time.
+#[derive(Debug)]
+pub(super) struct WatchClient {
+    own: Ipv4Addr,
+    port: u16,
+    core: CoreView,
+    tidings: mpsc::Sender<WatchTidings>,
+    version: u64,
+    place: DirectoryPlace,
+}
+
+impl WatchClient {
+    /// Creates a client that reports to `tidings`.
+    pub(super) fn new(
+        own: Ipv4Addr,
+        port: u16,
+        core: CoreView,
+        tidings: mpsc::Sender<WatchTidings>,
+    ) -> Self {
+        Self {
+            own,
+            port,
+            core,
+            tidings,
+            version: 0,
+            place: DirectoryPlace::default(),
+        }
+    }
+
+    /// Follows one replica after the other until nobody listens.
+    pub(super) async fn run(mut self) {
+        while !self.tidings.is_closed() {
+            for replica in self.candidates() {
+                // The cause matters only to the next attempt, which is made at once.
+                if self.follow(replica).await.is_ok() {
+                    return;
+                }
+            }
+            sleep(RETRY_MILLIS.duration()).await;
+        }
+    }
+
+    /// Returns whom to follow: this VM's replica first, then any other.
+    fn candidates(&self) -> Vec<Ipv4Addr> {
+        let mut members = self.core.contacts();
+        members.shuffle(&mut rand::rng());
+        members.sort_by_key(|member| *member != self.own);
+        members
+    }
+
+    /// Follows a replica until it fails or no longer hears a leader; succeeds
+    /// when nobody listens any more.
+    async fn follow(&mut self, replica: Ipv4Addr) -> io::Result<()> {
+        let address = SocketAddrV4::new(replica, self.port);
+        let connect = TcpStream::connect(address);
+        let mut stream = timeout(CONNECT_MILLIS.duration(), connect).await??;
+        stream.set_nodelay(true)?;
+        loop {
+            let news = match self.poll(&mut stream).await {
+                Ok(news) => news,
+                Err(error) => {
+                    // A full queue will be told by the next loss.
+                    let _ = self.tidings.try_send(WatchTidings::Lost { replica });
+                    return Err(error);
+                }
+            };
+            if let Some(routes) = &news.routes {
+                self.version = routes.version;
+            }
+            if let Some(targets) = &news.targets {
+                self.place = if targets.settled {
+                    targets.place
+                } else {
+                    DirectoryPlace::default()
+                };
+            }
+            let current = news.current;
+            let unsettled = self.place == DirectoryPlace::default();
+            if self
+                .tidings
+                .send(WatchTidings::News(Box::new(news)))
+                .await
+                .is_err()
+            {
+                return Ok(());
+            }
+            if !current {
+                return Err(io::ErrorKind::NotConnected.into());
+            }
+            let pause = if unsettled {
+                RETRY_MILLIS
+            } else {
+                SPACING_MILLIS
+            };
+            sleep(pause.duration()).await;
+        }
+    }
+
+    async fn poll(&self, stream: &mut TcpStream) -> io::Result<WatchNews> {
+        let poll = WatchPoll {
+            version: self.version,
+            place: self.place,
+        };
+        write_frame(stream, &poll, ANSWER_MILLIS.duration()).await?;
+        read_frame(stream, ANSWER_MILLIS.duration()).await
+    }
+}
--- /dev/null
+++ b/src/fleet/watch_frame.rs
@@ -0,0 +1,71 @@
+use std::{io, net::Ipv4Addr, time::Duration};
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
+use crate::{
+    directory::{DirectoryNews, DirectoryPlace},
+    listener::ListenerManifest,
+};
+
+/// The largest frame in bytes: a manifest of 100,000 routes.
+const MAX_FRAME_BYTES: usize = 8 << 20;
+
+/// What a watcher has; asks for what is newer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct WatchPoll {
+    /// The version of the routes in force at the watcher.
+    pub(super) version: u64,
+    /// How far the watcher has followed this replica's directory.
+    pub(super) place: DirectoryPlace,
+}
+
+/// What a watcher lacks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct WatchNews {
+    /// Newer routes.
+    pub(super) routes: Option<ListenerManifest>,
+    /// Changes of the directory.
+    pub(super) targets: Option<DirectoryNews>,
+    /// The members of the control group.
+    pub(super) members: Vec<Ipv4Addr>,
+    /// The leader, if one is known.
+    pub(super) leader: Option<Ipv4Addr>,
+    /// Whether the replica hears a leader, so that its routes are current.
+    pub(super) current: bool,
+}
+
+/// Writes a value with its length in front.
+pub(super) async fn write_frame<T: Serialize>(
+    stream: &mut TcpStream,
+    value: &T,
+    limit: Duration,
+) -> io::Result<()> {
+    let payload = postcard::to_stdvec(value).map_err(io::Error::other)?;
+    let length = u32::try_from(payload.len()).map_err(io::Error::other)?;
+    let mut bytes = Vec::with_capacity(4 + payload.len());
+    bytes.extend_from_slice(&length.to_be_bytes());
+    bytes.extend_from_slice(&payload);
+    timeout(limit, stream.write_all(&bytes)).await?
+}
+
+/// Reads a value with its length in front.
+pub(super) async fn read_frame<T: DeserializeOwned>(
+    stream: &mut TcpStream,
+    limit: Duration,
+) -> io::Result<T> {
+    timeout(limit, async {
+        let length = stream.read_u32().await? as usize;
+        if length > MAX_FRAME_BYTES {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        let mut payload = vec![0; length];
+        stream.read_exact(&mut payload).await?;
+        postcard::from_bytes(&payload).map_err(io::Error::other)
+    })
+    .await?
+}
--- /dev/null
+++ b/src/fleet/watch_server.rs
@@ -0,0 +1,161 @@
+use std::{
+    io,
+    net::SocketAddrV4,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+    time::{sleep, timeout},
+};
+
+use super::{
+    FleetError,
+    control_seat::ControlSeat,
+    watch_frame::{WatchNews, WatchPoll, read_frame, write_frame},
+};
+use crate::{
+    clock::{ProcessClock, SpanMillis},
+    directory::TargetDirectory,
+};
+
+/// How long a poll waits for news before it is answered without any.
+pub(super) const HOLD_MILLIS: SpanMillis = SpanMillis::new(400);
+/// The time in which a frame must have been sent or received.
+const FRAME_MILLIS: SpanMillis = SpanMillis::new(2_000);
+/// The pause after the system refused to hand over a connection.
+const ACCEPT_PAUSE_MILLIS: SpanMillis = SpanMillis::new(100);
+/// The most watchers of one replica.
+const MAX_WATCHERS: usize = 1_024;
+
+/// The directory of this replica, shared with its watchers.
+#[derive(Debug, Clone)]
+pub(super) struct SharedDirectory {
+    directory: Arc<Mutex<TargetDirectory>>,
+    changes: watch::Sender<()>,
+}
+
+impl SharedDirectory {
+    /// Shares `directory`.
+    pub(super) fn new(directory: TargetDirectory) -> Self {
+        Self {
+            directory: Arc::new(Mutex::new(directory)),
+            changes: watch::Sender::new(()),
+        }
+    }
+
+    /// Changes the directory; `change` tells whether watchers need to know.
+    pub(super) fn change(&self, change: impl FnOnce(&mut TargetDirectory) -> bool) {
+        if self.look(change) {
+            self.changes.send_replace(());
+        }
+    }
+
+    fn look<T>(&self, look: impl FnOnce(&mut TargetDirectory) -> T) -> T {
+        look(
+            &mut self
+                .directory
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner),
+        )
+    }
+}
+
+/// Answers watchers with routes and targets.
+#[derive(Debug, Clone)]
+pub(super) struct WatchServer {
+    seat: ControlSeat,
+    directory: SharedDirectory,
+    clock: ProcessClock,
+}
+
+impl WatchServer {
+    /// Creates a server of this replica's routes and directory.
+    pub(super) fn new(seat: ControlSeat, directory: SharedDirectory, clock: ProcessClock) -> Self {
+        Self {
+            seat,
+            directory,
+            clock,
+        }
+    }
+
+    /// Starts to accept watchers; it must be called within the runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be had.
+    pub(super) async fn start(self, address: SocketAddrV4) -> Result<(), FleetError> {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|cause| FleetError::Address {
+                address,
+                purpose: "watchers",
+                cause,
+            })?;
+        tokio::spawn(async move {
+            let permits = Arc::new(Semaphore::new(MAX_WATCHERS));
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    sleep(ACCEPT_PAUSE_MILLIS.duration()).await;
+                    continue;
+                };
+                let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+                    continue;
+                };
+                let server = self.clone();
+                tokio::spawn(async move {
+                    // A watcher that went away connects again where it likes.
+                    let _ = server.serve(stream).await;
+                    drop(permit);
+                });
+            }
+        });
+        Ok(())
+    }
+
+    async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut routes = self.seat.store().subscribe();
+        let mut changes = self.directory.changes.subscribe();
+        loop {
+            let poll: WatchPoll = read_frame(&mut stream, FRAME_MILLIS.duration()).await?;
+            routes.mark_unchanged();
+            changes.mark_unchanged();
+            if !self.has_news(&poll) {
+                let _ = timeout(HOLD_MILLIS.duration(), async {
+                    tokio::select! {
+                        _ = routes.changed() => {}
+                        _ = changes.changed() => {}
+                    }
+                })
+                .await;
+            }
+            write_frame(&mut stream, &self.news(&poll), FRAME_MILLIS.duration()).await?;
+        }
+    }
+
+    fn has_news(&self, poll: &WatchPoll) -> bool {
+        self.seat.store().revision().count() > poll.version
+            || self.directory.look(|directory| directory.place()) != poll.place
+    }
+
+    fn news(&self, poll: &WatchPoll) -> WatchNews {
+        let now = self.clock.now();
+        let held = self.seat.store().current();
+        let routes = held
+            .filter(|held| held.manifest.version > poll.version)
+            .map(|held| held.manifest.clone());
+        let targets = self.directory.look(|directory| {
+            (directory.place() != poll.place).then(|| directory.news(poll.place, now))
+        });
+        let leader = self.seat.leader();
+        WatchNews {
+            routes,
+            targets,
+            members: self.seat.members(),
+            leader,
+            current: leader.is_some(),
+        }
+    }
+}
--- /dev/null
+++ b/src/flow/agent_flows.rs
@@ -0,0 +1,327 @@
+use std::{collections::HashMap, net::Ipv4Addr};
+
+use super::{
+    FlowKey, FlowPacket, FlowReport, FlowReset, HopHeader, PacketSigns, ReportKind,
+    opening_watch::{OpeningWatch, WatchedOpening},
+    pass_ring::PassRing,
+    target_health::TargetHealth,
+};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    listener::ServiceTag,
+};
+
+/// How long a target may take to answer an opening packet; a healthy one
+/// answers within a few milliseconds.
+const ANSWER_MILLIS: SpanMillis = SpanMillis::new(30);
+/// The most flows that an agent remembers.
+const MAX_HELD: usize = 16_384;
+
+/// Whether the target takes new flows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AgentTarget {
+    /// The agent has just started and has not heard of the target; it may hold
+    /// flows and may take new ones.
+    Unproved,
+    /// It takes new flows.
+    Serving,
+    /// It keeps its flows and gets no new ones.
+    Leaving,
+    /// It has ended; its flows are gone.
+    Ended,
+}
+
+/// What the shell does with the packet at hand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AgentAction {
+    /// Hand it to the target with this tag.
+    Deliver {
+        /// The tag to write into the packet.
+        tag: u32,
+    },
+    /// Send it to the caller.
+    Return,
+    /// Send it to another agent.
+    PassOn {
+        /// The agent.
+        to: Ipv4Addr,
+        /// The frame's header.
+        header: HopHeader,
+    },
+    /// Send a reset to the caller instead.
+    Reset(FlowReset),
+    /// Drop it: nobody is known who may take it.
+    Drop,
+}
+
+/// What to do with a packet, and what to tell the balancer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct AgentStep {
+    /// What becomes of the packet.
+    pub(crate) action: AgentAction,
+    /// The balancer and the report for it.
+    pub(crate) report: Option<(Ipv4Addr, FlowReport)>,
+}
+
+impl AgentStep {
+    const fn quiet(action: AgentAction) -> Self {
+        Self {
+            action,
+            report: None,
+        }
+    }
+}
+
+/// What an agent remembers of a flow.
+#[derive(Debug, Clone, Copy)]
+struct HeldFlow {
+    balancer: Ipv4Addr,
+    /// Whether the balancer was told that the target answers.
+    reported: bool,
+    /// Whether the target has sent more than the answer to the opening: only
+    /// the target that holds a flow does.
+    established: bool,
+    used_at: ClockMillis,
+}
+
+/// The flows of one target as its agent sees them.
+#[derive(Debug)]
+pub(crate) struct AgentFlows {
+    own: Ipv4Addr,
+    service: ServiceTag,
+    target: AgentTarget,
+    health: TargetHealth,
+    held: HashMap<FlowKey, HeldFlow>,
+    openings: OpeningWatch,
+    ring: PassRing,
+    idle: SpanMillis,
+}
+
+impl AgentFlows {
+    /// Creates the state of an agent that has just started; flows without a
+    /// packet for `idle` are forgotten.
+    pub(crate) fn new(
+        own: Ipv4Addr,
+        service: ServiceTag,
+        first_tag: u32,
+        idle: SpanMillis,
+    ) -> Self {
+        Self {
+            own,
+            service,
+            target: AgentTarget::Unproved,
+            health: TargetHealth::default(),
+            held: HashMap::new(),
+            openings: OpeningWatch::new(ANSWER_MILLIS),
+            ring: PassRing::new(first_tag),
+            idle,
+        }
+    }
+
+    /// Sets whether the target takes new flows.
+    pub(crate) fn set_target(&mut self, target: AgentTarget) {
+        self.target = target;
+    }
+
+    /// Returns whether the target is suspected to be unable to answer.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.health.is_suspect()
+    }
+
+    /// Returns the number of remembered flows.
+    pub(crate) fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Notes that the target has announced itself; returns whether it had been
+    /// suspected.
+    pub(crate) fn hear_target(&mut self, now: ClockMillis) -> bool {
+        self.health.hear(now)
+    }
+
+    /// Takes a packet of a caller.
+    pub(crate) fn take_frame(
+        &mut self,
+        header: HopHeader,
+        packet: &FlowPacket,
+        bytes: &[u8],
+        now: ClockMillis,
+    ) -> AgentStep {
+        if packet.opens() {
+            if header.service != self.service {
+                // The address was another service's before.
+                return self.pass_on(header, packet);
+            }
+            return self.take_opening(header, packet, bytes, now);
+        }
+        // A target gives back what it does not hold, so an open flow is looked
+        // for at former services of its route, too.
+        let flow = packet.caller_flow();
+        if self.target == AgentTarget::Ended {
+            return match self.held.remove(&flow) {
+                Some(held) if held.established => self.end_flow(header, packet, ReportKind::Gone),
+                _ => self.pass_on(header, packet),
+            };
+        }
+        self.remember(flow, header.balancer, now);
+        let tag = self.ring.remember(header);
+        AgentStep::quiet(AgentAction::Deliver { tag })
+    }
+
+    fn take_opening(
+        &mut self,
+        header: HopHeader,
+        packet: &FlowPacket,
+        bytes: &[u8],
+        now: ClockMillis,
+    ) -> AgentStep {
+        let flow = packet.caller_flow();
+        let copy = self.held.contains_key(&flow) || self.openings.holds(flow);
+        let takes = match self.target {
+            AgentTarget::Unproved | AgentTarget::Serving => {
+                copy || !self.health.is_suspect() || header.candidates().is_empty()
+            }
+            AgentTarget::Leaving => self.held.contains_key(&flow),
+            AgentTarget::Ended => false,
+        };
+        if !takes {
+            return self.pass_on(header, packet);
+        }
+        self.openings.watch(WatchedOpening {
+            flow,
+            header,
+            packet: bytes.to_vec(),
+            sent_at: now,
+        });
+        let tag = self.ring.remember(header);
+        AgentStep::quiet(AgentAction::Deliver { tag })
+    }
+
+    /// Takes a packet that the target has sent or given back.
+    pub(crate) fn take_answer(&mut self, packet: &FlowPacket, now: ClockMillis) -> AgentStep {
+        self.health.hear(now);
+        if packet.signs.has(PacketSigns::BOUNCED) {
+            return self.take_bounce(packet);
+        }
+        let flow = packet.target_flow();
+        if packet.signs.has(PacketSigns::RESET) {
+            self.held.remove(&flow);
+            return AgentStep::quiet(AgentAction::Return);
+        }
+        let opening = self.openings.take(flow);
+        let balancer = opening.map(|opening| opening.header.balancer);
+        if let Some(balancer) = balancer {
+            self.remember(flow, balancer, now);
+        }
+        let mut report = None;
+        if let Some(held) = self.held.get_mut(&flow) {
+            held.used_at = now;
+            held.established |= !packet.signs.has(PacketSigns::OPEN);
+            if !held.reported {
+                held.reported = true;
+                report = Some((held.balancer, self.report(flow, ReportKind::Held)));
+            }
+        }
+        AgentStep {
+            action: AgentAction::Return,
+            report,
+        }
+    }
+
+    /// Takes a packet back that the target does not want.
+    fn take_bounce(&mut self, packet: &FlowPacket) -> AgentStep {
+        let Some(header) = self.ring.take(packet.tag) else {
+            return AgentStep::quiet(AgentAction::Drop);
+        };
+        let flow = packet.caller_flow();
+        if packet.opens() {
+            self.openings.take(flow);
+            return self.pass_on(header, packet);
+        }
+        match self.held.remove(&flow) {
+            // The target held the flow and does no longer: it has restarted.
+            Some(held) if held.established => self.end_flow(header, packet, ReportKind::Gone),
+            _ => self.pass_on(header, packet),
+        }
+    }
+
+    /// Returns the openings that the target left unanswered and what becomes
+    /// of each.
+    pub(crate) fn expire_openings(
+        &mut self,
+        now: ClockMillis,
+    ) -> Vec<(Vec<u8>, FlowKey, AgentStep)> {
+        let mut steps = Vec::new();
+        while let Some(opening) = self.openings.take_due(now) {
+            self.health.miss(opening.sent_at);
+            let step = match opening.header.next_hop() {
+                Some((to, header)) => AgentStep::quiet(AgentAction::PassOn { to, header }),
+                None => AgentStep::quiet(AgentAction::Drop),
+            };
+            steps.push((opening.packet, opening.flow, step));
+        }
+        steps
+    }
+
+    /// Returns when an opening may next be overdue.
+    pub(crate) fn next_due(&self) -> Option<ClockMillis> {
+        self.openings.next_due()
+    }
+
+    /// Forgets flows without a packet for long.
+    pub(crate) fn sweep(&mut self, now: ClockMillis) {
+        let idle = self.idle;
+        self.held.retain(|_, held| now.since(held.used_at) < idle);
+    }
+
+    fn remember(&mut self, flow: FlowKey, balancer: Ipv4Addr, now: ClockMillis) {
+        if self.held.len() >= MAX_HELD {
+            self.sweep(now);
+        }
+        if self.held.len() >= MAX_HELD {
+            return;
+        }
+        let held = self.held.entry(flow).or_insert(HeldFlow {
+            balancer,
+            reported: false,
+            established: false,
+            used_at: now,
+        });
+        held.used_at = now;
+        if held.balancer != balancer {
+            held.balancer = balancer;
+            held.reported = false;
+        }
+    }
+
+    /// Passes a packet on to the next candidate; an opening that none can take
+    /// is refused, since it has not run anywhere.
+    fn pass_on(&self, header: HopHeader, packet: &FlowPacket) -> AgentStep {
+        match header.next_hop() {
+            Some((to, header)) => AgentStep::quiet(AgentAction::PassOn { to, header }),
+            None if packet.opens() => self.end_flow(header, packet, ReportKind::Refused),
+            None => AgentStep {
+                action: AgentAction::Drop,
+                report: Some((
+                    header.balancer,
+                    self.report(packet.caller_flow(), ReportKind::NotHeld),
+                )),
+            },
+        }
+    }
+
+    fn end_flow(&self, header: HopHeader, packet: &FlowPacket, kind: ReportKind) -> AgentStep {
+        AgentStep {
+            action: AgentAction::Reset(FlowReset::answering(packet)),
+            report: Some((header.balancer, self.report(packet.caller_flow(), kind))),
+        }
+    }
+
+    fn report(&self, flow: FlowKey, kind: ReportKind) -> FlowReport {
+        FlowReport {
+            flow,
+            agent: self.own,
+            kind,
+        }
+    }
+}
--- /dev/null
+++ b/src/flow/balancer_flows.rs
@@ -0,0 +1,274 @@
+use std::{collections::HashMap, net::Ipv4Addr};
+
+use super::{
+    FlowKey, FlowPacket, FlowReport, FlowReset, HopHeader, ReportKind, TargetRanking,
+    hop_frame::MAX_CANDIDATES,
+    opening_watch::{OpeningWatch, WatchedOpening},
+    owner_cache::OwnerCache,
+};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    listener::{ListenerTable, ServiceTag},
+};
+
+/// How long an agent may take to report an opening; it waits for its target
+/// half as long before it passes the packet on.
+const REPORT_MILLIS: SpanMillis = SpanMillis::new(60);
+/// How long new flows avoid an agent that left an opening unreported.
+const SUSPECT_MILLIS: SpanMillis = SpanMillis::new(1_000);
+/// The candidates that an opening is offered to besides the first one.
+const OPENING_CANDIDATES: usize = 5;
+
+/// The targets of a service.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ServiceTargets {
+    /// Those that take new flows.
+    pub(crate) open: TargetRanking,
+    /// Those that may hold flows.
+    pub(crate) hold: TargetRanking,
+}
+
+/// What a balancer does with a packet of a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum FlowVerdict {
+    /// Send it to an agent.
+    Forward {
+        /// The agent.
+        to: Ipv4Addr,
+        /// The frame's header.
+        header: HopHeader,
+    },
+    /// Answer with a reset: the flow can't be served.
+    Reset(FlowReset, RefusalCause),
+    /// Drop it.
+    Drop(RefusalCause),
+}
+
+/// Why a packet is not forwarded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RefusalCause {
+    /// No route has its address and port.
+    NoRoute,
+    /// No target of the route's service is known.
+    NoTarget,
+    /// The routes or the targets are not known yet.
+    NotReady,
+}
+
+/// The flows of a balancer: which agent gets which packet.
+#[derive(Debug)]
+pub(crate) struct BalancerFlows {
+    own: Ipv4Addr,
+    table: ListenerTable,
+    services: HashMap<ServiceTag, ServiceTargets>,
+    owners: OwnerCache,
+    openings: OpeningWatch,
+    /// Where each watched opening was sent first.
+    sent_to: HashMap<FlowKey, Ipv4Addr>,
+    suspects: HashMap<Ipv4Addr, ClockMillis>,
+    /// Whether routes and targets are current, so that refusals are true.
+    current: bool,
+}
+
+impl BalancerFlows {
+    /// Creates the state of a balancer that knows nothing yet.
+    pub(crate) fn new(own: Ipv4Addr, table: ListenerTable, idle: SpanMillis) -> Self {
+        Self {
+            own,
+            table,
+            services: HashMap::new(),
+            owners: OwnerCache::new(idle),
+            openings: OpeningWatch::new(REPORT_MILLIS),
+            sent_to: HashMap::new(),
+            suspects: HashMap::new(),
+            current: false,
+        }
+    }
+
+    /// Returns the routes in force.
+    pub(crate) fn table(&self) -> &ListenerTable {
+        &self.table
+    }
+
+    /// Returns the routes in force, to replace them.
+    pub(crate) fn table_mut(&mut self) -> &mut ListenerTable {
+        &mut self.table
+    }
+
+    /// Replaces the targets of every service.
+    pub(crate) fn set_services(&mut self, services: HashMap<ServiceTag, ServiceTargets>) {
+        self.services = services;
+    }
+
+    /// Sets whether routes and targets are known to be current.
+    pub(crate) fn set_current(&mut self, current: bool) {
+        self.current = current;
+    }
+
+    /// Returns whether there are routes and targets to forward to.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.table.version() > 0 && self.services.values().any(|targets| targets.open.len() > 0)
+    }
+
+    /// Returns the number of remembered flows.
+    pub(crate) fn remembered(&self) -> usize {
+        self.owners.len()
+    }
+
+    /// Returns the agents that new flows avoid.
+    pub(crate) fn suspects(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Takes a packet of a caller.
+    pub(crate) fn take_packet(
+        &mut self,
+        packet: &FlowPacket,
+        bytes: &[u8],
+        now: ClockMillis,
+    ) -> FlowVerdict {
+        let flow = packet.caller_flow();
+        let Some(choice) = self.table.choose(flow.listener, flow.spread(), now) else {
+            self.owners.forget(flow);
+            return self.refuse(packet, RefusalCause::NoRoute);
+        };
+        if packet.opens() {
+            return self.open_flow(packet, bytes, choice.opens, now);
+        }
+        self.continue_flow(packet, &choice.holds, now)
+    }
+
+    fn open_flow(
+        &mut self,
+        packet: &FlowPacket,
+        bytes: &[u8],
+        service: ServiceTag,
+        now: ClockMillis,
+    ) -> FlowVerdict {
+        let flow = packet.caller_flow();
+        let ranked = self
+            .services
+            .get(&service)
+            .map_or_else(Vec::new, |targets| {
+                targets.open.rank(flow, OPENING_CANDIDATES + 1)
+            });
+        self.suspects.retain(|_, until| *until > now);
+        // A copy follows the first packet while its agent is trusted.
+        let first = self
+            .owners
+            .find(flow, now)
+            .map(|owner| owner.agent)
+            .filter(|agent| ranked.contains(agent));
+        let (trusted, doubted): (Vec<Ipv4Addr>, Vec<Ipv4Addr>) = first
+            .into_iter()
+            .chain(ranked.iter().copied().filter(|agent| Some(*agent) != first))
+            .partition(|agent| !self.suspects.contains_key(agent));
+        let mut order = trusted.into_iter().chain(doubted);
+        let Some(to) = order.next() else {
+            return self.refuse(packet, RefusalCause::NoTarget);
+        };
+        let header = HopHeader::new(service, self.own).with_candidates(order);
+        self.owners.assume(flow, to, now);
+        if !self.openings.holds(flow) {
+            self.sent_to.insert(flow, to);
+        }
+        self.openings.watch(WatchedOpening {
+            flow,
+            header,
+            packet: bytes.to_vec(),
+            sent_at: now,
+        });
+        FlowVerdict::Forward { to, header }
+    }
+
+    fn continue_flow(
+        &mut self,
+        packet: &FlowPacket,
+        services: &[ServiceTag],
+        now: ClockMillis,
+    ) -> FlowVerdict {
+        let flow = packet.caller_flow();
+        let owner = self.owners.find(flow, now);
+        let service = services[0];
+        if let Some(owner) = owner.filter(|owner| owner.confirmed) {
+            let header = HopHeader::new(service, self.own);
+            return FlowVerdict::Forward {
+                to: owner.agent,
+                header,
+            };
+        }
+        let mut order: Vec<Ipv4Addr> = owner.map(|owner| owner.agent).into_iter().collect();
+        for service in services {
+            if let Some(targets) = self.services.get(service) {
+                let ranked = targets.hold.rank(flow, MAX_CANDIDATES + 1);
+                order.extend(
+                    ranked
+                        .into_iter()
+                        .filter(|agent| owner.is_none_or(|owner| owner.agent != *agent)),
+                );
+            }
+        }
+        let Some((to, rest)) = order.split_first() else {
+            return FlowVerdict::Drop(RefusalCause::NoTarget);
+        };
+        self.owners.assume(flow, *to, now);
+        let header = HopHeader::new(service, self.own).with_candidates(rest.iter().copied());
+        FlowVerdict::Forward { to: *to, header }
+    }
+
+    /// Takes an agent's news of a flow.
+    pub(crate) fn take_report(&mut self, report: &FlowReport, now: ClockMillis) {
+        self.suspects.remove(&report.agent);
+        self.openings.take(report.flow);
+        self.sent_to.remove(&report.flow);
+        match report.kind {
+            ReportKind::Held => self.owners.confirm(report.flow, report.agent, now),
+            ReportKind::NotHeld | ReportKind::Refused | ReportKind::Gone => {
+                self.owners.forget(report.flow);
+            }
+        }
+    }
+
+    /// Returns the openings that no agent reported, each with the agent that is
+    /// tried next; the silent agents are suspected.
+    pub(crate) fn expire_openings(
+        &mut self,
+        now: ClockMillis,
+    ) -> Vec<(FlowKey, Vec<u8>, Ipv4Addr, HopHeader)> {
+        let mut resent = Vec::new();
+        while let Some(mut opening) = self.openings.take_due(now) {
+            if let Some(silent) = self.sent_to.remove(&opening.flow) {
+                self.suspects.insert(silent, now.after(SUSPECT_MILLIS));
+            }
+            let Some((to, header)) = opening.header.next_hop() else {
+                continue;
+            };
+            self.owners.assume(opening.flow, to, now);
+            resent.push((opening.flow, opening.packet.clone(), to, header));
+            opening.header = header;
+            opening.sent_at = now;
+            self.sent_to.insert(opening.flow, to);
+            self.openings.watch(opening);
+        }
+        resent
+    }
+
+    /// Returns when an opening may next be overdue.
+    pub(crate) fn next_due(&self) -> Option<ClockMillis> {
+        self.openings.next_due()
+    }
+
+    /// Forgets idle flows.
+    pub(crate) fn sweep(&mut self, now: ClockMillis) {
+        self.owners.sweep(now);
+    }
+
+    /// Refuses a packet truthfully, or drops it while that can't be known.
+    fn refuse(&self, packet: &FlowPacket, cause: RefusalCause) -> FlowVerdict {
+        if self.current {
+            FlowVerdict::Reset(FlowReset::answering(packet), cause)
+        } else {
+            FlowVerdict::Drop(RefusalCause::NotReady)
+        }
+    }
+}
--- /dev/null
+++ b/src/flow/mod.rs
@@ -0,0 +1,32 @@
+//! Flows of packets that carry no route: only the two ends know a flow.
+//!
+//! A balancer ranks the targets of a service for each flow by hashing, so that
+//! any balancer finds the same order. The agent beside a target hands a packet
+//! to it and, when the target bounces it, passes it on to the next candidate.
+//! What a balancer or an agent remembers of a flow only saves hops.
+
+mod agent_flows;
+mod balancer_flows;
+mod flow_key;
+mod flow_packet;
+mod flow_report;
+mod hop_frame;
+mod opening_watch;
+mod owner_cache;
+mod packet_codec;
+mod pass_ring;
+mod target_health;
+mod target_ranking;
+
+pub use flow_key::FlowKey;
+pub use flow_packet::{FlowPacket, FlowReset, PacketSigns};
+pub use packet_codec::{PacketCodec, PacketFault};
+
+pub(crate) use agent_flows::{AgentAction, AgentFlows, AgentStep, AgentTarget};
+pub(crate) use balancer_flows::{BalancerFlows, FlowVerdict, RefusalCause, ServiceTargets};
+pub(crate) use flow_report::{FlowReport, ReportKind};
+pub(crate) use hop_frame::{HopFrame, HopHeader};
+pub(crate) use target_ranking::{RankedTarget, TargetRanking};
+
+#[cfg(test)]
+mod tests;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,10 @@
 pub mod clock;
 pub mod control;
 pub mod demo;
+pub mod directory;
 pub mod event;
+pub mod fleet;
+pub mod flow;
 pub mod key;
 #[allow(
     clippy::cast_possible_truncation,
@@ -19,6 +22,7 @@
     reason = "the figures of the model are rounded"
 )]
 pub mod lab;
+pub mod listener;
 pub mod manifest;
 pub mod program;
 pub mod proof;
--- /dev/null
+++ b/src/listener/tests/mod.rs
@@ -0,0 +1,1 @@
+//! Tests of routes that listeners have.
--- a/src/program/log_setup.rs
+++ b/src/program/log_setup.rs
@@ -26,6 +26,22 @@
     start_filtered(format, DEFAULT_FILTER);
 }
 
+/// Starts logs on standard output; a second call changes nothing.
+pub fn start_output_logs(format: LogFormat) {
+    let filter =
+        EnvFilter::try_from_env(FILTER_VARIABLE).unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_ansi(false)
+        .with_target(false)
+        .with_writer(io::stdout);
+    // A process that has logs already keeps them.
+    let _ = match format {
+        LogFormat::Text => builder.try_init(),
+        LogFormat::Json => builder.json().flatten_event(true).try_init(),
+    };
+}
+
 /// Starts the logs of an operator's command, which reports by its output.
 pub(crate) fn start_quiet_logs() {
     start_filtered(LogFormat::Text, QUIET_FILTER);
