Tests of flows, routes and the directory without a network

Cause: the path landed with no tests of its own. Change: properties of ranking, frames and versions; agent and balancer steps; a burst that finds no room; a directory that restarts or loses most of its agents.

--- a/src/control/replica/tests/shuffler.rs
+++ b/src/control/replica/tests/shuffler.rs
@@ -10,8 +10,8 @@
     control::{
         api::ReplicaRole,
         replica::{
-            EntryPayload, PeerMessage, ProposalKey, ReadKey, ReplicaAction, ReplicaCore,
-            ReplicaEvent, ReplicaId, ReplicaPeers, ReplicaView, TICK_MILLIS,
+            EntryPayload, GroupAdmission, PeerMessage, ProposalKey, ReadKey, ReplicaAction,
+            ReplicaCore, ReplicaEvent, ReplicaId, ReplicaPeers, ReplicaView, TICK_MILLIS,
             replica_log::LogCompaction,
         },
     },
@@ -266,7 +266,7 @@
     fn act(&mut self, node: usize, action: ReplicaAction) {
         match action {
             ReplicaAction::Send { to, message } => {
-                let to = usize::from(to.number()) - 1;
+                let to = usize::try_from(to.number()).expect("few replicas") - 1;
                 if self
                     .counted
                     .is_none_or(|counted| counted == node || counted == to)
--- a/src/control/replica/tests/single_core.rs
+++ b/src/control/replica/tests/single_core.rs
@@ -74,7 +74,7 @@
         actions
     }
 
-    fn receive(&mut self, from: u8, term: u64, body: PeerBody) -> Vec<ReplicaAction> {
+    fn receive(&mut self, from: u32, term: u64, body: PeerBody) -> Vec<ReplicaAction> {
         self.handle(ReplicaEvent::Received(PeerMessage {
             group: Some(GROUP),
             from: seat(from),
@@ -93,7 +93,7 @@
         }
     }
 
-    fn ask_vote(&mut self, from: u8, term: u64) -> bool {
+    fn ask_vote(&mut self, from: u32, term: u64) -> bool {
         let body = PeerBody::VoteAsked {
             trial: false,
             urged: false,
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -1,1 +1,95 @@
-//! Tests of the directory.
+//! Tests of the directory of targets.
+
+use std::net::Ipv4Addr;
+
+use super::{DirectoryPlace, TargetDirectory, TargetRecord, TargetStanding, TargetView};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    listener::ServiceTag,
+};
+
+const START: ClockMillis = ClockMillis::new(1_000);
+const SETTLED: ClockMillis = ClockMillis::new(10_000);
+
+fn record(number: u8, sequence: u64, standing: TargetStanding) -> TargetRecord {
+    TargetRecord {
+        agent: Ipv4Addr::new(10, 0, 1, number),
+        service: ServiceTag::of("tavole"),
+        agent_run: 1,
+        sequence,
+        standing,
+    }
+}
+
+fn directory(targets: u8, now: ClockMillis) -> TargetDirectory {
+    let mut directory = TargetDirectory::new(7, START);
+    for number in 0..targets {
+        directory.announce(record(number, 1, TargetStanding::Serving), now);
+    }
+    directory
+}
+
+fn open_targets(view: &TargetView) -> usize {
+    let services = view.services();
+    services
+        .get(&ServiceTag::of("tavole"))
+        .map_or(0, |targets| targets.open.len())
+}
+
+#[test]
+fn a_late_announcement_changes_nothing() {
+    let mut directory = directory(1, START);
+    assert!(directory.announce(record(0, 5, TargetStanding::Leaving), START));
+    assert!(!directory.announce(record(0, 4, TargetStanding::Serving), START));
+    let news = directory.news(DirectoryPlace::default(), SETTLED);
+    assert_eq!(news.records, [record(0, 5, TargetStanding::Leaving)]);
+}
+
+#[test]
+fn a_restarted_agent_counts_from_the_beginning() {
+    let mut directory = directory(1, START);
+    let mut fresh = record(0, 1, TargetStanding::Leaving);
+    fresh.agent_run = 2;
+    assert!(directory.announce(fresh, START));
+}
+
+#[test]
+fn a_watcher_gets_only_what_it_lacks() {
+    let mut directory = directory(3, START);
+    let place = directory.place();
+    assert!(directory.news(place, SETTLED).records.is_empty());
+    directory.announce(record(1, 2, TargetStanding::Leaving), START);
+    let news = directory.news(place, SETTLED);
+    assert!(!news.whole);
+    assert_eq!(news.records, [record(1, 2, TargetStanding::Leaving)]);
+}
+
+#[test]
+fn a_silent_agent_gets_no_new_flows() {
+    let mut directory = directory(5, START);
+    let later = START.after(SpanMillis::new(3_000));
+    for number in 0..4 {
+        directory.announce(record(number, 2, TargetStanding::Serving), later);
+    }
+    assert!(directory.expire(later));
+    let mut view = TargetView::default();
+    view.take_news(directory.news(DirectoryPlace::default(), SETTLED));
+    assert_eq!(open_targets(&view), 4);
+}
+
+#[test]
+fn agents_that_fall_silent_together_are_kept() {
+    let mut directory = directory(6, START);
+    assert!(!directory.expire(START.after(SpanMillis::new(5_000))));
+}
+
+#[test]
+fn a_balancer_keeps_what_a_restarted_replica_has_not_heard_yet() {
+    let mut view = TargetView::default();
+    view.take_news(directory(4, START).news(DirectoryPlace::default(), SETTLED));
+    let restarted = directory(1, START);
+    view.take_news(restarted.news(DirectoryPlace::default(), START));
+    assert_eq!(open_targets(&view), 4);
+    view.take_news(restarted.news(DirectoryPlace::default(), SETTLED));
+    assert_eq!(open_targets(&view), 1);
+}
--- a/src/fleet/entry_handle.rs
+++ b/src/fleet/entry_handle.rs
@@ -81,8 +81,7 @@
         let result = match &self.seat {
             Some(seat) => match seat.apply(&stored).await {
                 Ok(()) => Ok(()),
-                Err(refusal) => Err(self
-                    .redirect(&refusal)
+                Err(refusal) => Err(Self::redirect(&refusal)
                     .map_or(ApplyRefusal::Unavailable, ApplyRefusal::Redirect)),
             },
             None => Err(self
@@ -119,7 +118,7 @@
     }
 
     /// Returns where a refused call should go.
-    fn redirect(&self, refusal: &CallRefusal) -> Option<SocketAddrV4> {
+    fn redirect(refusal: &CallRefusal) -> Option<SocketAddrV4> {
         match refusal {
             CallRefusal::NotLeader { leader } => *leader,
             _ => None,
--- /dev/null
+++ b/src/flow/tests/balancer_verdicts.rs
@@ -0,0 +1,186 @@
+use std::{collections::HashMap, net::Ipv4Addr};
+
+use super::{BALANCER, agent, flow, from_caller, listener};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    flow::{
+        BalancerFlows, FlowReport, FlowVerdict, PacketSigns, RankedTarget, RefusalCause,
+        ReportKind, ServiceTargets, TargetRanking,
+    },
+    listener::{ListenerManifest, ListenerRoute, ListenerTable, ServiceShare, ServiceTag},
+};
+
+const START: ClockMillis = ClockMillis::new(1_000);
+const AGE: SpanMillis = SpanMillis::new(60_000);
+
+fn service() -> ServiceTag {
+    ServiceTag::of("barge-control")
+}
+
+fn manifest(version: u64, routes: Vec<ListenerRoute>) -> ListenerManifest {
+    ListenerManifest {
+        version,
+        routes,
+        idle: SpanMillis::new(15_000),
+    }
+}
+
+fn route(service: ServiceTag) -> ListenerRoute {
+    ListenerRoute {
+        address: listener(),
+        shares: vec![ServiceShare { service, weight: 1 }],
+    }
+}
+
+fn targets(open: &[u8], hold: &[u8]) -> ServiceTargets {
+    let ranking = |agents: &[u8]| {
+        let targets = agents.iter().map(|number| RankedTarget {
+            agent: agent(*number),
+            weight: 1.0,
+        });
+        TargetRanking::new(targets.collect())
+    };
+    ServiceTargets {
+        open: ranking(open),
+        hold: ranking(hold),
+    }
+}
+
+/// A balancer with one route to targets 1 to 5.
+pub(super) fn balancer() -> BalancerFlows {
+    let mut table = ListenerTable::new(AGE);
+    table.replace(&manifest(1, vec![route(service())]), START);
+    let mut flows = BalancerFlows::new(BALANCER, table, AGE);
+    let agents = [1, 2, 3, 4, 5];
+    flows.set_services(HashMap::from([(service(), targets(&agents, &agents))]));
+    flows.set_current(true);
+    flows
+}
+
+fn forwarded(verdict: FlowVerdict) -> (Ipv4Addr, Vec<Ipv4Addr>) {
+    match verdict {
+        FlowVerdict::Forward { to, header } => (to, header.candidates().to_vec()),
+        other => panic!("not forwarded: {other:?}"),
+    }
+}
+
+fn open(flows: &mut BalancerFlows, port: u16, now: ClockMillis) -> (Ipv4Addr, Vec<Ipv4Addr>) {
+    let opening = from_caller(flow(port), PacketSigns::OPEN);
+    forwarded(flows.take_packet(&opening, &[1], now))
+}
+
+fn continued(flows: &mut BalancerFlows, port: u16) -> (Ipv4Addr, Vec<Ipv4Addr>) {
+    let data = from_caller(flow(port), PacketSigns::ACKNOWLEDGE);
+    forwarded(flows.take_packet(&data, &[1], START))
+}
+
+fn report(port: u16, from: Ipv4Addr, kind: ReportKind) -> FlowReport {
+    FlowReport {
+        flow: flow(port),
+        agent: from,
+        kind,
+    }
+}
+
+#[test]
+fn packets_follow_the_agent_that_reported_the_flow() {
+    let mut flows = balancer();
+    let (first, candidates) = open(&mut flows, 1, START);
+    let holder = candidates[1];
+    assert_ne!(first, holder);
+    flows.take_report(&report(1, holder, ReportKind::Held), START);
+    assert_eq!(continued(&mut flows, 1), (holder, Vec::new()));
+}
+
+#[test]
+fn any_balancer_looks_for_an_owner_in_the_same_order() {
+    let (first, candidates) = open(&mut balancer(), 1, START);
+    let (asked, others) = continued(&mut balancer(), 1);
+    assert_eq!(asked, first);
+    assert!(candidates.iter().all(|agent| others.contains(agent)));
+}
+
+#[test]
+fn a_flow_that_its_agent_does_not_hold_is_looked_for_again() {
+    let mut flows = balancer();
+    flows.take_report(&report(1, agent(9), ReportKind::Held), START);
+    assert_eq!(continued(&mut flows, 1).0, agent(9));
+    flows.take_report(&report(1, agent(9), ReportKind::NotHeld), START);
+    let (asked, others) = continued(&mut flows, 1);
+    assert_ne!(asked, agent(9));
+    assert_eq!(others.len(), 4);
+}
+
+#[test]
+fn a_copy_of_an_opening_follows_the_first_one() {
+    let mut flows = balancer();
+    let (first, _) = open(&mut flows, 1, START);
+    let agents = [1, 2, 3, 4, 5, 6, 7, 8];
+    flows.set_services(HashMap::from([(service(), targets(&agents, &agents))]));
+    assert_eq!(
+        open(&mut flows, 1, START.after(SpanMillis::new(30))).0,
+        first
+    );
+}
+
+#[test]
+fn an_unreported_opening_is_sent_on_and_its_agent_is_avoided() {
+    let mut flows = balancer();
+    let (silent, candidates) = open(&mut flows, 1, START);
+    let due = flows.next_due().expect("a watched opening");
+    assert!(due.since(START) <= SpanMillis::new(100));
+    let resent = flows.expire_openings(due);
+    assert_eq!(resent.len(), 1);
+    assert_eq!(resent[0].2, candidates[0]);
+    let avoided = (2..200).all(|port| open(&mut flows, port, due).0 != silent);
+    assert!(avoided);
+    // A word of the agent ends the suspicion.
+    flows.take_report(&report(900, silent, ReportKind::Held), due);
+    assert!((200..400).any(|port| open(&mut flows, port, due).0 == silent));
+}
+
+#[test]
+fn a_target_that_takes_no_new_flows_is_still_asked_for_its_own() {
+    let mut flows = balancer();
+    let (owner, _) = open(&mut flows, 1, START);
+    let others: Vec<u8> = (1..6).filter(|number| agent(*number) != owner).collect();
+    flows.set_services(HashMap::from([(
+        service(),
+        targets(&others, &[1, 2, 3, 4, 5]),
+    )]));
+    let (asked, more) = continued(&mut flows, 1);
+    assert!(asked == owner || more.contains(&owner));
+    let (next, _) = open(&mut flows, 2, START);
+    assert_ne!(next, owner);
+}
+
+#[test]
+fn an_open_flow_is_found_at_the_service_that_its_route_had_before() {
+    let mut flows = balancer();
+    let other = ServiceTag::of("logbook");
+    flows
+        .table_mut()
+        .replace(&manifest(2, vec![route(other)]), START);
+    flows.set_services(HashMap::from([
+        (service(), targets(&[1], &[1])),
+        (other, targets(&[8], &[8])),
+    ]));
+    assert_eq!(open(&mut flows, 2, START).0, agent(8));
+    let (asked, others) = continued(&mut flows, 1);
+    assert_eq!((asked, others), (agent(8), vec![agent(1)]));
+}
+
+#[test]
+fn a_dropped_route_is_refused_only_while_the_routes_are_current() {
+    let mut flows = balancer();
+    flows.table_mut().replace(&manifest(2, Vec::new()), START);
+    let opening = from_caller(flow(1), PacketSigns::OPEN);
+    let verdict = flows.take_packet(&opening, &[1], START);
+    assert!(matches!(
+        verdict,
+        FlowVerdict::Reset(_, RefusalCause::NoRoute)
+    ));
+    flows.set_current(false);
+    let verdict = flows.take_packet(&opening, &[1], START);
+    assert_eq!(verdict, FlowVerdict::Drop(RefusalCause::NotReady));
+}
--- a/src/flow/tests/mod.rs
+++ b/src/flow/tests/mod.rs
@@ -1,1 +1,62 @@
-//! Tests of flows.
+//! Tests of flows without a network.
+
+mod agent_steps;
+mod balancer_verdicts;
+mod frames;
+mod overload;
+mod ranking;
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use super::{FlowKey, FlowPacket, PacketSigns};
+
+/// The balancer of the tests.
+const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
+
+/// Returns the agent with a number.
+fn agent(number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 1, number)
+}
+
+/// Returns the listener of the tests' only route.
+fn listener() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+/// Returns a flow of a caller with this port.
+fn flow(port: u16) -> FlowKey {
+    FlowKey {
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), port),
+        listener: listener(),
+    }
+}
+
+/// Returns a packet of a flow's caller.
+fn from_caller(flow: FlowKey, signs: PacketSigns) -> FlowPacket {
+    FlowPacket {
+        source: flow.caller,
+        destination: flow.listener,
+        signs,
+        sequence: 1,
+        acknowledged: 7,
+        data_bytes: 0,
+        tag: 0,
+    }
+}
+
+/// Returns a packet of a flow's target.
+fn from_target(flow: FlowKey, signs: PacketSigns) -> FlowPacket {
+    FlowPacket {
+        source: flow.listener,
+        destination: flow.caller,
+        ..from_caller(flow, signs)
+    }
+}
+
+/// Returns a caller's packet as its target gives it back.
+fn bounced(flow: FlowKey, signs: PacketSigns, tag: u32) -> FlowPacket {
+    FlowPacket {
+        tag,
+        ..from_caller(flow, signs.with(PacketSigns::BOUNCED))
+    }
+}
--- a/src/listener/tests/mod.rs
+++ b/src/listener/tests/mod.rs
@@ -1,1 +1,136 @@
-//! Tests of routes that listeners have.
+//! Tests of the routes of listeners.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use proptest::prelude::*;
+use rstest::rstest;
+
+use super::{
+    ListenerFault, ListenerManifest, ListenerRoute, ListenerStore, ListenerTable, ServiceShare,
+    ServiceTag, StoredManifest,
+};
+use crate::clock::{ClockMillis, SpanMillis};
+
+const START: ClockMillis = ClockMillis::new(1_000);
+const AGE: SpanMillis = SpanMillis::new(60_000);
+
+fn address(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port)
+}
+
+fn route(port: u16, service: &str) -> ListenerRoute {
+    ListenerRoute {
+        address: address(port),
+        shares: vec![ServiceShare {
+            service: ServiceTag::of(service),
+            weight: 1,
+        }],
+    }
+}
+
+fn manifest(version: u64, routes: Vec<ListenerRoute>) -> ListenerManifest {
+    ListenerManifest {
+        version,
+        routes,
+        idle: SpanMillis::new(15_000),
+    }
+}
+
+fn command(version: u64, mark: u8) -> Vec<u8> {
+    let stored = StoredManifest {
+        manifest: manifest(version, Vec::new()),
+        document: vec![mark],
+    };
+    stored.encode().expect("encodable")
+}
+
+proptest! {
+    /// Whatever the order and however often they are sent, the highest version
+    /// is in force with the content that came first.
+    #[test]
+    fn the_highest_version_wins(versions in proptest::collection::vec(1_u64..9, 1..24)) {
+        let store = ListenerStore::new();
+        let mut highest: Option<(u64, u8)> = None;
+        for (mark, version) in (0_u8..).zip(&versions) {
+            store.apply(&command(*version, mark));
+            if highest.is_none_or(|(held, _)| held < *version) {
+                highest = Some((*version, mark));
+            }
+            let held = store.current().expect("a manifest");
+            prop_assert_eq!(Some((held.manifest.version, held.document[0])), highest);
+        }
+        let copy = ListenerStore::new();
+        copy.restore(&store.snapshot().expect("encodable")).expect("a state");
+        prop_assert_eq!(copy.current(), store.current());
+    }
+
+    #[test]
+    fn bytes_that_are_no_command_change_nothing(bytes: Vec<u8>) {
+        let store = ListenerStore::new();
+        store.apply(&command(3, 1));
+        let before = store.current();
+        if postcard::from_bytes::<StoredManifest>(&bytes).is_err() {
+            store.apply(&bytes);
+            prop_assert_eq!(store.current(), before);
+        }
+    }
+}
+
+#[test]
+fn a_table_never_goes_back() {
+    let mut table = ListenerTable::new(AGE);
+    assert!(table.replace(&manifest(5, vec![route(1, "tavole")]), START));
+    assert!(!table.replace(&manifest(4, Vec::new()), START));
+    assert!(!table.replace(&manifest(5, Vec::new()), START));
+    assert_eq!(table.version(), 5);
+    assert!(table.choose(address(1), 0, START).is_some());
+}
+
+#[test]
+fn former_services_are_remembered_for_as_long_as_flows_live() {
+    let mut table = ListenerTable::new(AGE);
+    table.replace(&manifest(1, vec![route(1, "tavole")]), START);
+    table.replace(&manifest(2, vec![route(1, "raccolta")]), START);
+    let choice = table.choose(address(1), 0, START).expect("a route");
+    assert_eq!(choice.opens, ServiceTag::of("raccolta"));
+    assert_eq!(
+        choice.holds,
+        [ServiceTag::of("raccolta"), ServiceTag::of("tavole")]
+    );
+    let later = START.after(AGE);
+    let choice = table.choose(address(1), 0, later).expect("a route");
+    assert_eq!(choice.holds, [ServiceTag::of("raccolta")]);
+}
+
+#[test]
+fn new_flows_are_split_by_weight() {
+    let mut split = route(1, "tavole");
+    split.shares[0].weight = 90;
+    split.shares.push(ServiceShare {
+        service: ServiceTag::of("raccolta"),
+        weight: 10,
+    });
+    let mut table = ListenerTable::new(AGE);
+    table.replace(&manifest(1, vec![split]), START);
+    let few = (0..1_000)
+        .filter(|spread| {
+            let choice = table.choose(address(1), *spread, START);
+            choice.is_some_and(|choice| choice.opens == ServiceTag::of("raccolta"))
+        })
+        .count();
+    assert_eq!(few, 100);
+}
+
+#[rstest]
+#[case::shared_address(
+    vec![route(1, "tavole"), route(1, "raccolta")],
+    ListenerFault::AddressTaken { route: "r1".to_owned(), address: address(1) }
+)]
+#[case::no_share(
+    vec![ListenerRoute { address: address(1), shares: Vec::new() }],
+    ListenerFault::NoWeight { route: "r0".to_owned() }
+)]
+fn a_faulty_manifest_is_refused(#[case] routes: Vec<ListenerRoute>, #[case] fault: ListenerFault) {
+    let names: Vec<String> = (0..routes.len()).map(|place| format!("r{place}")).collect();
+    assert_eq!(manifest(1, routes).check(&names), Err(fault));
+}
