A replica that starts again shows the routes it knows to be committed

Change: open groups sync a mark of the commit and apply up to it at the start; a replica says that it is current only once an entry of its leader's term is committed; no refusal before the first routes.

--- /dev/null
+++ b/src/control/journal/commit_mark.rs
@@ -0,0 +1,96 @@
+use std::{
+    fs::{self, File, OpenOptions},
+    io::ErrorKind,
+    os::unix::fs::FileExt,
+    path::{Path, PathBuf},
+};
+
+use super::{JournalError, atomic_file::sync_folder};
+use crate::control::replica::LogIndex;
+
+/// The name of the file.
+const MARK_NAME: &str = "commit-mark";
+/// An index and its checksum.
+const MARK_BYTES: usize = 12;
+/// The distance between the two marks: a torn write harms one of them only.
+const SLOT_BYTES: u64 = 512;
+
+/// The last entry that is known to be committed, so that a replica that starts
+/// again knows a state that was in force before it hears the others.
+///
+/// The two slots are written in turn; a mark that is torn or lost counts as the
+/// older one.
+#[derive(Debug)]
+pub(super) struct CommitMark {
+    path: PathBuf,
+    file: Option<File>,
+    writes: u64,
+}
+
+impl CommitMark {
+    /// Names the mark of a data folder; the file is created by the first write.
+    pub(super) fn new(folder: &Path) -> Self {
+        Self {
+            path: folder.join(MARK_NAME),
+            file: None,
+            writes: 0,
+        }
+    }
+
+    /// Returns the mark, zero if there is none.
+    pub(super) fn read(&self) -> Result<LogIndex, JournalError> {
+        let bytes = match fs::read(&self.path) {
+            Ok(bytes) => bytes,
+            Err(error) if error.kind() == ErrorKind::NotFound => return Ok(LogIndex::ZERO),
+            Err(error) => return Err(JournalError::storage("read", &self.path)(error)),
+        };
+        let slots = [0, usize::try_from(SLOT_BYTES).unwrap_or_default()];
+        let marks = slots
+            .into_iter()
+            .filter_map(|start| decode(bytes.get(start..start + MARK_BYTES)?));
+        Ok(marks.max().unwrap_or_default())
+    }
+
+    /// Writes and syncs the mark.
+    pub(super) fn write(&mut self, index: LogIndex) -> Result<(), JournalError> {
+        let file = match self.file.take() {
+            Some(file) => file,
+            None => self.open()?,
+        };
+        let slot = (self.writes % 2) * SLOT_BYTES;
+        self.writes += 1;
+        file.write_all_at(&encode(index), slot)
+            .and_then(|()| file.sync_data())
+            .map_err(JournalError::storage("write", &self.path))?;
+        self.file = Some(file);
+        Ok(())
+    }
+
+    fn open(&self) -> Result<File, JournalError> {
+        let existed = self.path.exists();
+        let file = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(&self.path)
+            .map_err(JournalError::storage("open", &self.path))?;
+        if !existed {
+            sync_folder(&self.path)?;
+        }
+        Ok(file)
+    }
+}
+
+fn encode(index: LogIndex) -> [u8; MARK_BYTES] {
+    let mut bytes = [0; MARK_BYTES];
+    bytes[..8].copy_from_slice(&index.number().to_le_bytes());
+    let checksum = crc32fast::hash(&bytes[..8]);
+    bytes[8..].copy_from_slice(&checksum.to_le_bytes());
+    bytes
+}
+
+fn decode(bytes: &[u8]) -> Option<LogIndex> {
+    let (index, checksum) = bytes.split_first_chunk::<8>()?;
+    (checksum == crc32fast::hash(index).to_le_bytes())
+        .then(|| LogIndex::new(u64::from_le_bytes(*index)))
+}
--- a/src/control/journal/mod.rs
+++ b/src/control/journal/mod.rs
@@ -2,6 +2,7 @@
 //! acknowledged, and what is damaged is never read as if it were whole.
 
 mod atomic_file;
+mod commit_mark;
 mod folder_lock;
 mod journal_error;
 mod log_record;
--- a/src/control/journal/recovery.rs
+++ b/src/control/journal/recovery.rs
@@ -8,6 +8,7 @@
 use super::{
     JournalError,
     atomic_file::{TEMPORARY_EXTENSION, read_file, replace_file, sync_folder},
+    commit_mark::CommitMark,
     journal_error::DamageFault,
     segment_file::{SegmentFile, segment_number},
 };
@@ -74,6 +75,7 @@
         hard_state,
         snapshot,
         entries,
+        commit: CommitMark::new(folder).read()?,
     };
     let mut content = FolderContent {
         recovered,
--- a/src/control/journal/replica_journal.rs
+++ b/src/control/journal/replica_journal.rs
@@ -6,6 +6,7 @@
 use super::{
     JournalError,
     atomic_file::{replace_file, sync_folder},
+    commit_mark::CommitMark,
     folder_lock::FolderLock,
     recovery::{HARD_STATE_NAME, read_folder, remove_segments, write_snapshot},
     segment_file::SegmentFile,
@@ -26,6 +27,7 @@
     segment_bytes: usize,
     closed: bool,
     disk: DiskId,
+    mark: CommitMark,
     _lock: FolderLock,
 }
 
@@ -47,6 +49,7 @@
             segment_bytes: SEGMENT_BYTES,
             closed: false,
             disk: content.recovered.hard_state.disk,
+            mark: CommitMark::new(folder),
             _lock: lock,
         };
         Ok((journal, content.recovered))
@@ -100,6 +103,9 @@
             }
         }
         self.append(&batch.entries)?;
+        if let Some(commit) = batch.commit {
+            self.mark.write(commit)?;
+        }
         self.compact(batch.drop_to)
     }
 
--- a/src/control/journal/tests/mod.rs
+++ b/src/control/journal/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the data folder.
 
+mod commit_mark;
 mod damage;
 mod folder;
 mod measures;
--- a/src/control/replica/disk_queue.rs
+++ b/src/control/replica/disk_queue.rs
@@ -19,6 +19,8 @@
     pub(crate) drop_to: LogIndex,
     /// Entries; the first one replaces what was written at its place or after.
     pub(crate) entries: Vec<LogEntry>,
+    /// The last entry that is committed, if that is to be remembered.
+    pub(crate) commit: Option<LogIndex>,
 }
 
 /// A message that must not leave before a batch is synced.
@@ -72,6 +74,12 @@
         self.dirty = true;
     }
 
+    /// Adds the last entry that is committed.
+    pub(crate) fn save_commit(&mut self, commit: LogIndex) {
+        self.batch.commit = Some(commit);
+        self.dirty = true;
+    }
+
     /// Adds an entry; it replaces what was added at its place or after.
     pub(crate) fn save_entry(&mut self, entry: LogEntry) {
         let first = entry.index;
--- a/src/control/replica/hard_state.rs
+++ b/src/control/replica/hard_state.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use super::{DiskId, GroupId, GroupSnapshot, LogEntry, TermNumber};
+use super::{DiskId, GroupId, GroupSnapshot, LogEntry, LogIndex, TermNumber};
 
 /// What a replica must remember besides the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,6 +36,8 @@
     pub(crate) snapshot: Option<GroupSnapshot>,
     /// The entries in order without gaps.
     pub(crate) entries: Vec<LogEntry>,
+    /// The last entry that was known to be committed, zero if unknown.
+    pub(crate) commit: LogIndex,
 }
 
 impl RecoveredState {
@@ -66,6 +68,7 @@
             hard_state: HardState::new(disk),
             snapshot: None,
             entries: Vec::new(),
+            commit: LogIndex::ZERO,
         }
     }
 }
--- a/src/control/replica/log_position.rs
+++ b/src/control/replica/log_position.rs
@@ -14,7 +14,6 @@
     pub(crate) const ZERO: Self = Self(0);
 
     /// Wraps a plain number.
-    #[cfg(test)]
     pub(crate) const fn new(number: u64) -> Self {
         Self(number)
     }
--- a/src/control/replica/replica_core.rs
+++ b/src/control/replica/replica_core.rs
@@ -71,6 +71,8 @@
     pub(super) election_at: ClockMillis,
     pub(super) commit: LogIndex,
     pub(super) applied: LogIndex,
+    /// The commit that the data folder remembers.
+    pub(super) marked: LogIndex,
     pub(super) compaction: LogCompaction,
     pub(super) snapshot_asked: bool,
     pub(super) incoming: Option<IncomingSnapshot>,
@@ -93,6 +95,7 @@
         now: ClockMillis,
     ) -> Self {
         let mut hard_state = recovered.hard_state;
+        let known_commit = recovered.commit;
         let log = ReplicaLog::new(recovered);
         if log.last_term() > hard_state.term {
             hard_state.term = log.last_term();
@@ -110,6 +113,7 @@
             election_at: now,
             commit: start,
             applied: start,
+            marked: start,
             compaction: LogCompaction::new(),
             snapshot_asked: false,
             incoming: None,
@@ -121,6 +125,9 @@
             actions: Vec::new(),
         };
         core.restore_snapshot();
+        // What was committed stays so: it may be shown before a leader is heard.
+        core.commit_to(known_commit);
+        core.marked = core.commit;
         if !core.is_alone() {
             core.wait_between(START_MIN_MILLIS, START_MAX_MILLIS, now);
         }
@@ -150,12 +157,23 @@
         self.advance_membership(now);
         self.replicate(now);
         self.ask_snapshot();
+        self.mark_commit();
         if let Some(batch) = self.disk.next_batch() {
             self.actions.push(ReplicaAction::Persist(batch));
         }
         std::mem::take(&mut self.actions)
     }
 
+    /// Has an open group's data folder remember the commit, as far as it holds
+    /// it, so that all that start again together know routes at once.
+    fn mark_commit(&mut self) {
+        let commit = self.commit.min(self.disk.durable());
+        if self.peers.admission.is_open() && commit > self.marked {
+            self.marked = commit;
+            self.disk.save_commit(commit);
+        }
+    }
+
     fn tick(&mut self, now: ClockMillis) {
         self.expire_reads(now);
         self.seek_group(now);
--- a/src/control/replica/replica_view.rs
+++ b/src/control/replica/replica_view.rs
@@ -46,6 +46,9 @@
     pub(crate) members: Vec<MemberView>,
     /// Whether these members are committed.
     pub(crate) members_settled: bool,
+    /// Whether a leader is heard, or is this replica, and an entry of its term
+    /// is committed: nothing accepted by earlier leaders is missing here.
+    pub(crate) caught_up: bool,
 }
 
 impl ReplicaCore {
@@ -64,6 +67,8 @@
             snapshot: self.log.snapshot_index(),
             members: self.member_views(now),
             members_settled: self.log.members_index() <= self.commit,
+            caught_up: self.leader.is_some()
+                && self.log.term_at(self.commit) == Some(self.hard_state.term),
         }
     }
 
--- a/src/control/replica/tests/single_core.rs
+++ b/src/control/replica/tests/single_core.rs
@@ -28,6 +28,11 @@
 impl SingleCore {
     /// Starts replica 1 with one change of term 1 behind the members.
     fn new() -> Self {
+        Self::with_commit(LogIndex::ZERO)
+    }
+
+    /// Starts replica 1 whose data folder remembers a commit.
+    fn with_commit(commit: LogIndex) -> Self {
         let members = GroupMembers::new([seat(1), seat(2), seat(3)]);
         let bodies = [
             EntryBody::Members(members),
@@ -47,6 +52,7 @@
             },
             snapshot: None,
             entries: entries.collect(),
+            commit,
         };
         let peers = ReplicaPeers {
             own: ReplicaId::new(1),
@@ -185,3 +191,23 @@
     let persists = |action: &ReplicaAction| matches!(action, ReplicaAction::Persist(_));
     assert!(!actions.iter().any(persists));
 }
+
+#[test]
+fn a_remembered_commit_is_applied_before_a_leader_is_heard() {
+    let mut replica = SingleCore::with_commit(LogIndex::new(2));
+    let actions = replica.handle(ReplicaEvent::Tick);
+    let applied = |action: &ReplicaAction| matches!(action, ReplicaAction::Apply { index, .. } if *index == LogIndex::new(2));
+    assert!(actions.iter().any(applied));
+    // Others may have committed more meanwhile.
+    assert!(!replica.core.view(replica.now).caught_up);
+}
+
+#[test]
+fn a_new_leader_is_caught_up_once_an_entry_of_its_term_is_committed() {
+    let mut replica = SingleCore::with_commit(LogIndex::new(2));
+    replica.lead();
+    assert!(!replica.core.view(replica.now).caught_up);
+    let matched = LogIndex::new(3);
+    replica.receive(2, 2, PeerBody::AppendHeld { matched });
+    assert!(replica.core.view(replica.now).caught_up);
+}
--- a/src/fleet/control_seat.rs
+++ b/src/fleet/control_seat.rs
@@ -91,6 +91,12 @@
         }
     }
 
+    /// Returns whether the routes applied here are as new as the leader's.
+    pub(super) fn is_caught_up(&self) -> bool {
+        self.handle()
+            .is_some_and(|replica| replica.view().caught_up)
+    }
+
     /// Names the places to ask for admission.
     pub(super) fn meet_peers(&self, members: &[Ipv4Addr]) {
         if let Some(replica) = self.handle() {
--- a/src/fleet/watch_server.rs
+++ b/src/fleet/watch_server.rs
@@ -155,7 +155,7 @@
             targets,
             members: self.seat.members(),
             leader,
-            current: leader.is_some(),
+            current: self.seat.is_caught_up(),
         }
     }
 }
--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -265,7 +265,7 @@
 
     /// Refuses a packet truthfully, or drops it while that can't be known.
     fn refuse(&self, packet: &FlowPacket, cause: RefusalCause) -> FlowVerdict {
-        if self.current {
+        if self.current && self.table.version() > 0 {
             FlowVerdict::Reset(FlowReset::answering(packet), cause)
         } else {
             FlowVerdict::Drop(RefusalCause::NotReady)
--- a/src/flow/tests/balancer_verdicts.rs
+++ b/src/flow/tests/balancer_verdicts.rs
@@ -184,3 +184,12 @@
     let verdict = flows.take_packet(&opening, &[1], START);
     assert_eq!(verdict, FlowVerdict::Drop(RefusalCause::NotReady));
 }
+
+#[test]
+fn nothing_is_refused_before_the_first_routes_are_known() {
+    let mut flows = BalancerFlows::new(BALANCER, ListenerTable::new(AGE), AGE);
+    flows.set_current(true);
+    let opening = from_caller(flow(1), PacketSigns::OPEN);
+    let verdict = flows.take_packet(&opening, &[1], START);
+    assert_eq!(verdict, FlowVerdict::Drop(RefusalCause::NotReady));
+}
