Flows that no target holds are reset, and machines find each other sooner

Change: reports and records name the start of the target; a packet without an owner walks over every target that may hold it, and once each gave it back the caller is told. This needs a directory that has heard every agent: replicas remember the agents that ran. Who hears no control group asks every 50 ms.

--- a/src/control/journal/atomic_file.rs
+++ b/src/control/journal/atomic_file.rs
@@ -18,7 +18,7 @@
 pub(super) const TEMPORARY_EXTENSION: &str = "tmp";
 
 /// Writes a file so that it is found either old or new, and synced.
-pub(super) fn replace_file<T: Serialize>(path: &Path, value: &T) -> Result<(), JournalError> {
+pub(crate) fn replace_file<T: Serialize>(path: &Path, value: &T) -> Result<(), JournalError> {
     let content = encode(path, value)?;
     let temporary = path.with_extension(TEMPORARY_EXTENSION);
     let mut file = File::create(&temporary).map_err(JournalError::storage("create", &temporary))?;
@@ -39,7 +39,7 @@
 }
 
 /// Reads a file, or returns `None` if there is none.
-pub(super) fn read_file<T: DeserializeOwned>(path: &Path) -> Result<Option<T>, JournalError> {
+pub(crate) fn read_file<T: DeserializeOwned>(path: &Path) -> Result<Option<T>, JournalError> {
     let bytes = match fs::read(path) {
         Ok(bytes) => bytes,
         Err(error) if error.kind() == ErrorKind::NotFound => return Ok(None),
--- a/src/control/journal/mod.rs
+++ b/src/control/journal/mod.rs
@@ -10,6 +10,7 @@
 mod replica_journal;
 mod segment_file;
 
+pub(crate) use atomic_file::{read_file, replace_file};
 pub use journal_error::{DamageFault, JournalError};
 pub(crate) use replica_journal::ReplicaJournal;
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,7 +6,7 @@
 mod control_run;
 mod control_settings;
 pub(crate) mod feed;
-mod journal;
+pub(crate) mod journal;
 pub(crate) mod lease;
 mod peer_settings;
 pub(crate) mod replica;
--- a/src/directory/target_directory.rs
+++ b/src/directory/target_directory.rs
@@ -1,4 +1,7 @@
-use std::{collections::BTreeMap, net::Ipv4Addr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::Ipv4Addr,
+};
 
 use super::{DirectoryNews, DirectoryPlace, TargetRecord, TargetStanding};
 use crate::clock::{ClockMillis, SpanMillis};
@@ -33,6 +36,10 @@
     entries: BTreeMap<Ipv4Addr, DirectoryEntry>,
     /// The revision of the last removal; older watchers need everything.
     removed_at: u64,
+    /// Agents that ran before this replica started and were not heard since.
+    awaited: BTreeSet<Ipv4Addr>,
+    /// Whether it is known which agents ran before.
+    remembers: bool,
 }
 
 impl TargetDirectory {
@@ -44,9 +51,32 @@
             started_at: now,
             entries: BTreeMap::new(),
             removed_at: 0,
+            awaited: BTreeSet::new(),
+            remembers: false,
         }
     }
 
+    /// Sets the agents that ran before this replica started; none if that is
+    /// not known.
+    pub(crate) fn await_agents(&mut self, agents: BTreeSet<Ipv4Addr>) {
+        self.remembers = !agents.is_empty();
+        self.awaited = agents;
+        self.awaited
+            .retain(|agent| !self.entries.contains_key(agent));
+    }
+
+    /// Returns the agents that run.
+    pub(crate) fn running(&self) -> BTreeSet<Ipv4Addr> {
+        let running = self.entries.values().filter(|entry| is_live(entry));
+        running.map(|entry| entry.record.agent).collect()
+    }
+
+    /// Returns whether every agent that still runs has been heard.
+    pub(crate) fn is_settled(&self, now: ClockMillis) -> bool {
+        let heard_all = self.remembers && self.awaited.is_empty();
+        heard_all || now.since(self.started_at) >= SETTLE_MILLIS
+    }
+
     /// Returns the place of a watcher that has everything.
     pub(crate) fn place(&self) -> DirectoryPlace {
         DirectoryPlace {
@@ -57,6 +87,7 @@
 
     /// Takes an announcement; returns whether it changed the directory.
     pub(crate) fn announce(&mut self, record: TargetRecord, now: ClockMillis) -> bool {
+        self.awaited.remove(&record.agent);
         let known = self.entries.get_mut(&record.agent);
         if let Some(entry) = known {
             let old = entry.record;
@@ -65,7 +96,7 @@
             }
             entry.heard_at = now;
             entry.record = record;
-            if old.standing == record.standing && old.service == record.service {
+            if old.is_like(&record) {
                 return false;
             }
         }
@@ -80,17 +111,11 @@
     /// the likelier fault.
     pub(crate) fn expire(&mut self, now: ClockMillis) -> bool {
         let before = self.revision;
-        let live = |entry: &&DirectoryEntry| {
-            !matches!(
-                entry.record.standing,
-                TargetStanding::Silent | TargetStanding::Ended
-            )
-        };
-        let serving = self.entries.values().filter(live).count();
+        let serving = self.entries.values().filter(|entry| is_live(entry)).count();
         let lapsed: Vec<TargetRecord> = self
             .entries
             .values()
-            .filter(live)
+            .filter(|entry| is_live(entry))
             .filter(|entry| now.since(entry.heard_at) >= SILENT_MILLIS)
             .map(|entry| entry.record)
             .collect();
@@ -104,7 +129,7 @@
         }
         let held = self.entries.len();
         self.entries
-            .retain(|_, entry| live(&&*entry) || now.since(entry.heard_at) < KEPT_MILLIS);
+            .retain(|_, entry| is_live(entry) || now.since(entry.heard_at) < KEPT_MILLIS);
         if self.entries.len() < held {
             self.revision += 1;
             self.removed_at = self.revision;
@@ -125,7 +150,7 @@
         DirectoryNews {
             place: self.place(),
             whole: !follows,
-            settled: now.since(self.started_at) >= SETTLE_MILLIS,
+            settled: self.is_settled(now),
             records,
         }
     }
@@ -140,3 +165,10 @@
         self.entries.insert(record.agent, entry);
     }
 }
+
+fn is_live(entry: &DirectoryEntry) -> bool {
+    !matches!(
+        entry.record.standing,
+        TargetStanding::Silent | TargetStanding::Ended
+    )
+}
--- a/src/directory/target_record.rs
+++ b/src/directory/target_record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::listener::ServiceTag;
+use crate::{key::IncarnationId, listener::ServiceTag};
 
 /// Whether a target takes new flows, as its agent announces it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,6 +30,15 @@
     pub(crate) agent_run: u64,
     /// Counts the announcements of this run, so that a late one is known.
     pub(crate) sequence: u64,
+    /// Names the start of the target; none before it announced itself.
+    pub(crate) target: Option<IncarnationId>,
     /// Whether the target takes new flows.
     pub(crate) standing: TargetStanding,
 }
+
+impl TargetRecord {
+    /// Returns whether the other record of the same agent tells nothing new.
+    pub(crate) fn is_like(&self, other: &Self) -> bool {
+        (self.service, self.target, self.standing) == (other.service, other.target, other.standing)
+    }
+}
--- a/src/directory/target_view.rs
+++ b/src/directory/target_view.rs
@@ -5,7 +5,7 @@
 
 use super::{DirectoryNews, TargetRecord, TargetStanding};
 use crate::{
-    flow::{RankedTarget, ServiceTargets, TargetRanking},
+    flow::{KnownTargets, RankedTarget, ServiceTargets, TargetRanking, TargetStart},
     listener::ServiceTag,
 };
 
@@ -17,6 +17,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct TargetView {
     records: BTreeMap<Ipv4Addr, TargetRecord>,
+    complete: bool,
 }
 
 impl TargetView {
@@ -30,6 +31,7 @@
     /// What a directory that has just started does not list is kept.
     pub(crate) fn take_news(&mut self, news: DirectoryNews) -> Vec<TargetRecord> {
         let mut changed = Vec::new();
+        self.complete = news.settled;
         if news.whole && news.settled {
             let listed =
                 |agent: &Ipv4Addr| news.records.iter().any(|record| record.agent == *agent);
@@ -37,18 +39,24 @@
         }
         for record in news.records {
             let old = self.records.insert(record.agent, record);
-            let same = old.is_some_and(|old| {
-                old.standing == record.standing && old.service == record.service
-            });
-            if !same {
+            if !old.is_some_and(|old| old.is_like(&record)) {
                 changed.push(record);
             }
         }
         changed
     }
 
+    /// Returns all that is known of the targets, for the balancer's decisions.
+    pub(crate) fn known_targets(&self) -> KnownTargets {
+        KnownTargets {
+            services: self.services(),
+            starts: self.records.values().map(start_of).collect(),
+            complete: self.complete,
+        }
+    }
+
     /// Returns the targets of every service, ready to be ranked.
-    pub(crate) fn services(&self) -> HashMap<ServiceTag, ServiceTargets> {
+    fn services(&self) -> HashMap<ServiceTag, ServiceTargets> {
         let mut open: HashMap<ServiceTag, Vec<RankedTarget>> = HashMap::new();
         let mut hold: HashMap<ServiceTag, Vec<RankedTarget>> = HashMap::new();
         for record in self.records.values() {
@@ -77,3 +85,11 @@
         services
     }
 }
+
+fn start_of(record: &TargetRecord) -> (Ipv4Addr, TargetStart) {
+    let start = TargetStart {
+        target: record.target,
+        ended: record.standing == TargetStanding::Ended,
+    };
+    (record.agent, start)
+}
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -1,10 +1,11 @@
 //! Tests of the directory of targets.
 
-use std::net::Ipv4Addr;
+use std::{collections::BTreeSet, net::Ipv4Addr};
 
 use super::{DirectoryPlace, TargetDirectory, TargetRecord, TargetStanding, TargetView};
 use crate::{
     clock::{ClockMillis, SpanMillis},
+    key::IncarnationId,
     listener::ServiceTag,
 };
 
@@ -17,6 +18,7 @@
         service: ServiceTag::of("tavole"),
         agent_run: 1,
         sequence,
+        target: Some(IncarnationId::new(u64::from(number))),
         standing,
     }
 }
@@ -30,8 +32,9 @@
 }
 
 fn open_targets(view: &TargetView) -> usize {
-    let services = view.services();
-    services
+    let known = view.known_targets();
+    known
+        .services
         .get(&ServiceTag::of("tavole"))
         .map_or(0, |targets| targets.open.len())
 }
@@ -93,3 +96,20 @@
     view.take_news(restarted.news(DirectoryPlace::default(), SETTLED));
     assert_eq!(open_targets(&view), 1);
 }
+
+#[test]
+fn a_directory_that_remembers_its_agents_is_settled_once_they_are_heard() {
+    let agents: BTreeSet<Ipv4Addr> = (0..3)
+        .map(|number| Ipv4Addr::new(10, 0, 1, number))
+        .collect();
+    let mut restarted = TargetDirectory::new(8, START);
+    restarted.await_agents(agents);
+    for number in 0..3 {
+        assert!(!restarted.is_settled(START));
+        restarted.announce(record(number, 1, TargetStanding::Serving), START);
+    }
+    assert!(restarted.is_settled(START));
+    // One that remembers nothing waits for whoever may still announce itself.
+    assert!(!directory(3, START).is_settled(START));
+    assert!(directory(3, START).is_settled(SETTLED));
+}
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -18,6 +18,7 @@
     EntryHandle, FleetError, FleetEvent, FleetSettings, SettingsSource,
     control_seat::ControlSeat,
     core_view::CoreView,
+    directory_file::DirectoryFile,
     entry_sockets::{FleetSocket, open_socket},
     fleet_datagram::{FleetDatagram, MAX_DATAGRAM_BYTES},
     log_budget::LogBudget,
@@ -29,7 +30,10 @@
     clock::{ClockMillis, ProcessClock, SpanMillis},
     directory::{TargetDirectory, TargetView},
     event::log_event,
-    flow::{BalancerFlows, FlowPacket, FlowVerdict, HopHeader, PacketCodec, RefusalCause},
+    flow::{
+        BalancerFlows, FlowPacket, FlowReport, FlowVerdict, HopHeader, PacketCodec, RefusalCause,
+        ReportStep,
+    },
     listener::ListenerTable,
 };
 
@@ -39,6 +43,9 @@
 const PACKETS_A_TURN: usize = 64;
 /// How often slow work is done: expiry, discovery, sweeps.
 const UPKEEP_MILLIS: SpanMillis = SpanMillis::new(250);
+/// How often it is done while the control group is not heard: all VMs may have
+/// just started together.
+const SEEK_MILLIS: SpanMillis = SpanMillis::new(50);
 /// How long a stopping process forwards packets: two missed probes of the
 /// network at two a second, and what is on its way.
 const LEAVE_MILLIS: SpanMillis = SpanMillis::new(2_500);
@@ -60,6 +67,7 @@
     core: CoreView,
     seat: Option<ControlSeat>,
     directory: Option<SharedDirectory>,
+    agents_file: Option<DirectoryFile>,
     flows: BalancerFlows,
     view: TargetView,
     ready: Arc<AtomicBool>,
@@ -91,8 +99,10 @@
             Some(folder) => Some(ControlSeat::start(&settings, calls, folder)?),
             None => None,
         };
-        let directory = match &seat {
-            Some(seat) => {
+        let mut agents_file = None;
+        let directory = match (&seat, &settings.data_folder) {
+            (Some(seat), Some(folder)) => {
+                agents_file = Some(DirectoryFile::open(folder));
                 let directory = TargetDirectory::new(rand::random(), clock.now());
                 let shared = SharedDirectory::new(directory);
                 let server = WatchServer::new(seat.clone(), shared.clone(), clock);
@@ -100,7 +110,7 @@
                 server.start(address).await?;
                 Some(shared)
             }
-            None => None,
+            _ => None,
         };
         let ready = Arc::new(AtomicBool::new(false));
         let handle = EntryHandle::new(seat.clone(), core.clone(), calls, Arc::clone(&ready));
@@ -115,6 +125,7 @@
             core,
             seat,
             directory,
+            agents_file,
             view: TargetView::default(),
             ready,
             leaving: false,
@@ -204,14 +215,30 @@
             self.forward(&packet, to, header);
         }
         if now >= self.upkeep_at {
-            self.upkeep_at = now.after(UPKEEP_MILLIS);
             self.keep_up(now);
+            let pause = if self.is_current(now) {
+                UPKEEP_MILLIS
+            } else {
+                SEEK_MILLIS
+            };
+            self.upkeep_at = now.after(pause);
         }
     }
 
     fn keep_up(&mut self, now: ClockMillis) {
         if let Some(directory) = &self.directory {
             directory.change(|directory| directory.expire(now));
+            if let Some(file) = &mut self.agents_file {
+                if let Some(agents) = file.take_read() {
+                    directory.change(|directory| {
+                        directory.await_agents(agents);
+                        false
+                    });
+                }
+                if let Some(agents) = directory.settled_agents(now) {
+                    file.write(agents);
+                }
+            }
         }
         if let Some(seat) = &self.seat {
             let members = seat.members();
@@ -221,10 +248,7 @@
             }
             seat.meet_peers(&self.core.contacts());
         }
-        let lost = self
-            .current_at
-            .is_none_or(|at| now.since(at) >= CURRENT_MILLIS);
-        if lost {
+        if !self.is_current(now) {
             self.flows.set_current(false);
             self.reread_settings();
             self.locate_core();
@@ -233,6 +257,12 @@
         self.update_ready();
     }
 
+    /// Returns whether a replica that hears a leader was heard lately.
+    fn is_current(&self, now: ClockMillis) -> bool {
+        self.current_at
+            .is_some_and(|at| now.since(at) < CURRENT_MILLIS)
+    }
+
     fn locate_core(&self) {
         for contact in self.core.contacts() {
             if contact != self.settings.address {
@@ -375,7 +405,7 @@
                 }
             }
             FleetDatagram::Report(report) => {
-                self.flows.take_report(report, now);
+                self.answer_report(report, now);
                 if self.budget.allows(FleetEvent::FlowHeld, now) {
                     log_event!(info, FleetEvent::FlowHeld, flow = %report.flow, agent = %report.agent, kind = ?report.kind);
                 }
@@ -383,6 +413,20 @@
         }
     }
 
+    fn answer_report(&mut self, report: &FlowReport, now: ClockMillis) {
+        match self.flows.take_report(report, now) {
+            ReportStep::Nothing => {}
+            ReportStep::Forward { packet, to, header } => self.forward(&packet, to, header),
+            ReportStep::Reset(reset) => {
+                let answer = self.codec.encode_reset(&reset);
+                self.send_to_caller(*reset.flow.caller.ip(), &answer);
+                if self.budget.allows(FleetEvent::FlowEnded, now) {
+                    log_event!(info, FleetEvent::FlowEnded, flow = %reset.flow, targets = self.view.len());
+                }
+            }
+        }
+    }
+
     fn answer_members(&self, to: Ipv4Addr) {
         let members = self.core.members();
         self.fleet.send(to, &FleetDatagram::Located { members });
@@ -420,7 +464,7 @@
             for record in self.view.take_news(targets) {
                 log_event!(info, FleetEvent::TargetChanged, agent = %record.agent, service = %record.service, standing = ?record.standing);
             }
-            self.flows.set_services(self.view.services());
+            self.flows.set_targets(self.view.known_targets());
         }
         self.update_ready();
     }
--- a/src/fleet/fleet_event.rs
+++ b/src/fleet/fleet_event.rs
@@ -24,6 +24,7 @@
         FlowRefused = 6023 => "flow refused",
         FlowDropped = 6024 => "packet dropped",
         FlowLooked = 6025 => "owner of the flow not known; looked for by ranking",
+        FlowEnded = 6026 => "flow reset: no target holds it",
         FlowAccepted = 6030 => "target answered the opening",
         FlowPassed = 6031 => "packet passed on to the next agent",
         FlowUnanswered = 6033 => "target left an opening unanswered",
@@ -31,6 +32,8 @@
         TargetHeard = 6035 => "target answers again",
         NoticeTaken = 6036 => "announcement of the target taken",
         NoticeIgnored = 6037 => "announcement ignored",
+        AgentsUnread = 6040 => "file of running agents not read; they are waited for",
+        AgentsUnwritten = 6041 => "file of running agents not written",
         LinesOmitted = 6090 => "log lines left out",
         DatagramRefused = 6091 => "datagram refused",
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 mod control_seat;
 mod core_view;
+mod directory_file;
 mod entry_handle;
 mod entry_node;
 mod entry_sockets;
--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -26,6 +26,7 @@
     directory::{ANNOUNCE_MILLIS, TargetRecord, TargetStanding},
     event::log_event,
     flow::{AgentAction, AgentFlows, AgentStep, FlowKey, HopFrame, PacketCodec},
+    key::IncarnationId,
     listener::ServiceTag,
 };
 
@@ -60,7 +61,7 @@
     tracker: TargetTracker,
     run: u64,
     sequence: u64,
-    announced: Option<TargetStanding>,
+    announced: Option<(TargetStanding, Option<IncarnationId>)>,
     repeats: u32,
     announce_at: ClockMillis,
     commands: mpsc::Receiver<SideCommand>,
@@ -172,21 +173,24 @@
     /// Announces the target if what balancers should know has changed.
     fn announce_change(&mut self, now: ClockMillis) {
         let standing = self.tracker.standing(self.flows.is_suspect(), now);
-        if self.announced != Some(standing) {
+        if self.announced != Some((standing, self.tracker.incarnation())) {
             self.announce(now);
         }
     }
 
     fn announce(&mut self, now: ClockMillis) {
         let standing = self.tracker.standing(self.flows.is_suspect(), now);
-        if self.announced != Some(standing) {
-            self.announced = Some(standing);
+        let news = Some((standing, self.tracker.incarnation()));
+        if self.announced != news {
+            self.announced = news;
             self.repeats = CHANGE_REPEATS;
             log_event!(info, FleetEvent::TargetChanged, agent = %self.settings.fleet.address, service = %self.service, ?standing);
         }
         let pause = if self.repeats > 0 {
             self.repeats -= 1;
             REPEAT_MILLIS
+        } else if self.core.members().is_empty() {
+            REPEAT_MILLIS
         } else {
             ANNOUNCE_MILLIS
         };
@@ -197,6 +201,7 @@
             service: self.service,
             agent_run: self.run,
             sequence: self.sequence,
+            target: self.tracker.incarnation(),
             standing,
         };
         for contact in self.contacts(now) {
@@ -247,7 +252,8 @@
         if verdict == NoticeVerdict::Late {
             log_event!(info, FleetEvent::NoticeIgnored, ?verdict);
         }
-        self.flows.set_target(self.tracker.target());
+        let incarnation = self.tracker.incarnation();
+        self.flows.set_target(self.tracker.target(), incarnation);
         self.announce_change(now);
         // A caller that went away repeats itself.
         let _ = answer.send(verdict);
--- a/src/fleet/target_tracker.rs
+++ b/src/fleet/target_tracker.rs
@@ -1,8 +1,11 @@
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::{TargetNotice, TargetState};
 use crate::{
     clock::{ClockMillis, SpanMillis},
     directory::TargetStanding,
     flow::AgentTarget,
+    key::IncarnationId,
 };
 
 /// The announcements that a target may miss before it counts as silent.
@@ -75,6 +78,14 @@
         }
     }
 
+    /// Returns which start of the target was heard last.
+    pub(crate) fn incarnation(&self) -> Option<IncarnationId> {
+        self.newest.as_ref().map(|notice| {
+            let started_at = notice.started_at;
+            IncarnationId::new(xxh3_64_with_seed(notice.id.as_bytes(), started_at))
+        })
+    }
+
     /// Returns whether the target takes new flows.
     pub(crate) fn target(&self) -> AgentTarget {
         if self.ended {
--- a/src/fleet/watch_client.rs
+++ b/src/fleet/watch_client.rs
@@ -22,7 +22,7 @@
 /// How long an answer may take beyond the time that the server holds it.
 const ANSWER_MILLIS: SpanMillis = HOLD_MILLIS.times(2);
 /// The pause before another replica is tried.
-const RETRY_MILLIS: SpanMillis = SpanMillis::new(100);
+const RETRY_MILLIS: SpanMillis = SpanMillis::new(50);
 /// The shortest time between two polls, while news come in quick succession.
 const SPACING_MILLIS: SpanMillis = SpanMillis::new(20);
 
--- a/src/fleet/watch_server.rs
+++ b/src/fleet/watch_server.rs
@@ -1,6 +1,7 @@
 use std::{
+    collections::BTreeSet,
     io,
-    net::SocketAddrV4,
+    net::{Ipv4Addr, SocketAddrV4},
     sync::{Arc, Mutex, PoisonError},
 };
 
@@ -16,7 +17,7 @@
     watch_frame::{WatchNews, WatchPoll, read_frame, write_frame},
 };
 use crate::{
-    clock::{ProcessClock, SpanMillis},
+    clock::{ClockMillis, ProcessClock, SpanMillis},
     directory::TargetDirectory,
 };
 
@@ -52,6 +53,11 @@
         }
     }
 
+    /// Returns the agents that run, once all of them have been heard.
+    pub(super) fn settled_agents(&self, now: ClockMillis) -> Option<BTreeSet<Ipv4Addr>> {
+        self.look(|directory| directory.is_settled(now).then(|| directory.running()))
+    }
+
     fn look<T>(&self, look: impl FnOnce(&mut TargetDirectory) -> T) -> T {
         look(
             &mut self
--- a/src/flow/agent_flows.rs
+++ b/src/flow/agent_flows.rs
@@ -8,6 +8,7 @@
 };
 use crate::{
     clock::{ClockMillis, SpanMillis},
+    key::IncarnationId,
     listener::ServiceTag,
 };
 
@@ -90,6 +91,7 @@
     own: Ipv4Addr,
     service: ServiceTag,
     target: AgentTarget,
+    incarnation: Option<IncarnationId>,
     health: TargetHealth,
     held: HashMap<FlowKey, HeldFlow>,
     openings: OpeningWatch,
@@ -110,6 +112,7 @@
             own,
             service,
             target: AgentTarget::Unproved,
+            incarnation: None,
             health: TargetHealth::default(),
             held: HashMap::new(),
             openings: OpeningWatch::new(ANSWER_MILLIS),
@@ -118,9 +121,10 @@
         }
     }
 
-    /// Sets whether the target takes new flows.
-    pub(crate) fn set_target(&mut self, target: AgentTarget) {
+    /// Sets whether the target takes new flows, and which start of it that is.
+    pub(crate) fn set_target(&mut self, target: AgentTarget, incarnation: Option<IncarnationId>) {
         self.target = target;
+        self.incarnation = incarnation;
     }
 
     /// Returns whether the target is suspected to be unable to answer.
@@ -321,6 +325,7 @@
         FlowReport {
             flow,
             agent: self.own,
+            target: self.incarnation,
             kind,
         }
     }
--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -1,7 +1,8 @@
 use std::{collections::HashMap, net::Ipv4Addr};
 
 use super::{
-    FlowKey, FlowPacket, FlowReport, FlowReset, HopHeader, ReportKind, TargetRanking,
+    FlowKey, FlowPacket, FlowReport, FlowReset, HopHeader, KnownTargets, ReportKind,
+    flow_walk::{FlowWalk, WalkTable},
     hop_frame::MAX_CANDIDATES,
     opening_watch::{OpeningWatch, WatchedOpening},
     owner_cache::OwnerCache,
@@ -19,15 +20,6 @@
 /// The candidates that an opening is offered to besides the first one.
 const OPENING_CANDIDATES: usize = 5;
 
-/// The targets of a service.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct ServiceTargets {
-    /// Those that take new flows.
-    pub(crate) open: TargetRanking,
-    /// Those that may hold flows.
-    pub(crate) hold: TargetRanking,
-}
-
 /// What a balancer does with a packet of a caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum FlowVerdict {
@@ -53,6 +45,26 @@
     NoTarget,
     /// The routes or the targets are not known yet.
     NotReady,
+    /// The target that held the flow is gone.
+    TargetGone,
+}
+
+/// What is to be sent after an agent's report.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum ReportStep {
+    /// Nothing.
+    Nothing,
+    /// The packet to the next agents that may hold the flow.
+    Forward {
+        /// The packet.
+        packet: Vec<u8>,
+        /// The first of the agents.
+        to: Ipv4Addr,
+        /// The frame's header.
+        header: HopHeader,
+    },
+    /// A reset: no target holds the flow.
+    Reset(FlowReset),
 }
 
 /// The flows of a balancer: which agent gets which packet.
@@ -60,7 +72,8 @@
 pub(crate) struct BalancerFlows {
     own: Ipv4Addr,
     table: ListenerTable,
-    services: HashMap<ServiceTag, ServiceTargets>,
+    targets: KnownTargets,
+    walks: WalkTable,
     owners: OwnerCache,
     openings: OpeningWatch,
     /// Where each watched opening was sent first.
@@ -76,7 +89,8 @@
         Self {
             own,
             table,
-            services: HashMap::new(),
+            targets: KnownTargets::default(),
+            walks: WalkTable::default(),
             owners: OwnerCache::new(idle),
             openings: OpeningWatch::new(REPORT_MILLIS),
             sent_to: HashMap::new(),
@@ -95,9 +109,9 @@
         &mut self.table
     }
 
-    /// Replaces the targets of every service.
-    pub(crate) fn set_services(&mut self, services: HashMap<ServiceTag, ServiceTargets>) {
-        self.services = services;
+    /// Replaces what is known of the targets.
+    pub(crate) fn set_targets(&mut self, targets: KnownTargets) {
+        self.targets = targets;
     }
 
     /// Sets whether routes and targets are known to be current.
@@ -107,7 +121,12 @@
 
     /// Returns whether there are routes and targets to forward to.
     pub(crate) fn is_ready(&self) -> bool {
-        self.table.version() > 0 && self.services.values().any(|targets| targets.open.len() > 0)
+        self.table.version() > 0
+            && self
+                .targets
+                .services
+                .values()
+                .any(|targets| targets.open.len() > 0)
     }
 
     /// Returns the number of remembered flows.
@@ -135,7 +154,7 @@
         if packet.opens() {
             return self.open_flow(packet, bytes, choice.opens, now);
         }
-        self.continue_flow(packet, &choice.holds, now)
+        self.continue_flow(packet, bytes, &choice.holds, now)
     }
 
     fn open_flow(
@@ -147,6 +166,7 @@
     ) -> FlowVerdict {
         let flow = packet.caller_flow();
         let ranked = self
+            .targets
             .services
             .get(&service)
             .map_or_else(Vec::new, |targets| {
@@ -184,48 +204,109 @@
     fn continue_flow(
         &mut self,
         packet: &FlowPacket,
+        bytes: &[u8],
         services: &[ServiceTag],
         now: ClockMillis,
     ) -> FlowVerdict {
         let flow = packet.caller_flow();
         let owner = self.owners.find(flow, now);
-        let service = services[0];
         if let Some(owner) = owner.filter(|owner| owner.confirmed) {
-            let header = HopHeader::new(service, self.own);
+            if self.targets.is_gone(owner.agent, owner.target) {
+                self.owners.forget(flow);
+                return FlowVerdict::Reset(FlowReset::answering(packet), RefusalCause::TargetGone);
+            }
             return FlowVerdict::Forward {
                 to: owner.agent,
-                header,
+                header: HopHeader::new(services[0], self.own),
             };
         }
-        let mut order: Vec<Ipv4Addr> = owner.map(|owner| owner.agent).into_iter().collect();
+        let walk = FlowWalk {
+            packet: bytes.to_vec(),
+            reset: FlowReset::answering(packet),
+            asked: Vec::new(),
+            asked_at: now,
+        };
+        match self.walk_on(walk, services, owner.map(|owner| owner.agent), now) {
+            Some((to, header)) => {
+                self.owners.assume(flow, to, now);
+                FlowVerdict::Forward { to, header }
+            }
+            None => FlowVerdict::Drop(RefusalCause::NoTarget),
+        }
+    }
+
+    /// Asks the next agents that may hold a flow; returns the first of them, or
+    /// `None` if all were asked.
+    fn walk_on(
+        &mut self,
+        mut walk: FlowWalk,
+        services: &[ServiceTag],
+        likely: Option<Ipv4Addr>,
+        now: ClockMillis,
+    ) -> Option<(Ipv4Addr, HopHeader)> {
+        let flow = walk.reset.flow;
+        let mut order: Vec<Ipv4Addr> = likely.into_iter().collect();
         for service in services {
-            if let Some(targets) = self.services.get(service) {
-                let ranked = targets.hold.rank(flow, MAX_CANDIDATES + 1);
-                order.extend(
-                    ranked
-                        .into_iter()
-                        .filter(|agent| owner.is_none_or(|owner| owner.agent != *agent)),
-                );
+            if let Some(targets) = self.targets.services.get(service) {
+                order.extend(targets.hold.rank(flow, targets.hold.len()));
             }
         }
-        let Some((to, rest)) = order.split_first() else {
-            return FlowVerdict::Drop(RefusalCause::NoTarget);
-        };
-        self.owners.assume(flow, *to, now);
-        let header = HopHeader::new(service, self.own).with_candidates(rest.iter().copied());
-        FlowVerdict::Forward { to: *to, header }
+        // A silent agent ends the walk, so it is asked last.
+        order.sort_by_key(|agent| self.suspects.contains_key(agent));
+        let mut next = Vec::new();
+        for agent in order {
+            if !walk.asked.contains(&agent) && !next.contains(&agent) {
+                next.push(agent);
+            }
+        }
+        next.truncate(MAX_CANDIDATES + 1);
+        let (to, rest) = next.split_first()?;
+        let header = HopHeader::new(services[0], self.own).with_candidates(rest.iter().copied());
+        walk.asked.extend(&next);
+        walk.asked_at = now;
+        self.walks.insert(flow, walk);
+        Some((*to, header))
     }
 
-    /// Takes an agent's news of a flow.
-    pub(crate) fn take_report(&mut self, report: &FlowReport, now: ClockMillis) {
+    /// Takes an agent's news of a flow; returns what is to be sent for it.
+    pub(crate) fn take_report(&mut self, report: &FlowReport, now: ClockMillis) -> ReportStep {
         self.suspects.remove(&report.agent);
         self.openings.take(report.flow);
         self.sent_to.remove(&report.flow);
         match report.kind {
-            ReportKind::Held => self.owners.confirm(report.flow, report.agent, now),
-            ReportKind::NotHeld | ReportKind::Refused | ReportKind::Gone => {
+            ReportKind::Held => {
+                self.walks.end(report.flow);
+                self.owners
+                    .confirm(report.flow, report.agent, report.target, now);
+                ReportStep::Nothing
+            }
+            ReportKind::NotHeld => {
                 self.owners.forget(report.flow);
+                self.continue_walk(report, now)
             }
+            ReportKind::Refused | ReportKind::Gone => {
+                self.walks.end(report.flow);
+                self.owners.forget(report.flow);
+                ReportStep::Nothing
+            }
+        }
+    }
+
+    /// Asks the agents that remain. Once every target that may hold the flow
+    /// has given the packet back, the flow is gone and its caller is told.
+    fn continue_walk(&mut self, report: &FlowReport, now: ClockMillis) -> ReportStep {
+        let flow = report.flow;
+        let Some(walk) = self.walks.take(flow, report.agent) else {
+            return ReportStep::Nothing;
+        };
+        let Some(choice) = self.table.choose(flow.listener, flow.spread(), now) else {
+            return ReportStep::Nothing;
+        };
+        let (packet, reset) = (walk.packet.clone(), walk.reset);
+        match self.walk_on(walk, &choice.holds, None, now) {
+            Some((to, header)) => ReportStep::Forward { packet, to, header },
+            None if self.current && self.targets.complete => ReportStep::Reset(reset),
+            None => ReportStep::Nothing,
         }
     }
 
@@ -261,6 +342,7 @@
     /// Forgets idle flows.
     pub(crate) fn sweep(&mut self, now: ClockMillis) {
         self.owners.sweep(now);
+        self.walks.sweep(now);
     }
 
     /// Refuses a packet truthfully, or drops it while that can't be known.
--- a/src/flow/flow_report.rs
+++ b/src/flow/flow_report.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::FlowKey;
+use crate::key::IncarnationId;
 
 /// What an agent tells the balancer of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,6 +25,8 @@
     pub(crate) flow: FlowKey,
     /// The agent that reports.
     pub(crate) agent: Ipv4Addr,
+    /// The start of its target, if the target has announced itself.
+    pub(crate) target: Option<IncarnationId>,
     /// What it knows.
     pub(crate) kind: ReportKind,
 }
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -10,7 +10,9 @@
 mod flow_key;
 mod flow_packet;
 mod flow_report;
+mod flow_walk;
 mod hop_frame;
+mod known_targets;
 mod opening_watch;
 mod owner_cache;
 mod packet_codec;
@@ -23,9 +25,10 @@
 pub use packet_codec::{PacketCodec, PacketFault};
 
 pub(crate) use agent_flows::{AgentAction, AgentFlows, AgentStep, AgentTarget};
-pub(crate) use balancer_flows::{BalancerFlows, FlowVerdict, RefusalCause, ServiceTargets};
+pub(crate) use balancer_flows::{BalancerFlows, FlowVerdict, RefusalCause, ReportStep};
 pub(crate) use flow_report::{FlowReport, ReportKind};
 pub(crate) use hop_frame::{HopFrame, HopHeader};
+pub(crate) use known_targets::{KnownTargets, ServiceTargets, TargetStart};
 pub(crate) use target_ranking::{RankedTarget, TargetRanking};
 
 #[cfg(test)]
--- a/src/flow/owner_cache.rs
+++ b/src/flow/owner_cache.rs
@@ -4,7 +4,10 @@
 };
 
 use super::FlowKey;
-use crate::clock::{ClockMillis, SpanMillis};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    key::IncarnationId,
+};
 
 /// The most flows that a balancer remembers; beyond, unused ones are dropped.
 const MAX_FLOWS: usize = 65_536;
@@ -16,6 +19,8 @@
     pub(crate) agent: Ipv4Addr,
     /// Whether that agent has said so.
     pub(crate) confirmed: bool,
+    /// The start of the target that holds the flow, if the agent knew it.
+    pub(crate) target: Option<IncarnationId>,
     /// When a packet of the flow was last seen.
     pub(crate) used_at: ClockMillis,
 }
@@ -49,6 +54,7 @@
         let assumed = FlowOwner {
             agent,
             confirmed: false,
+            target: None,
             used_at: now,
         };
         match self.owners.entry(flow) {
@@ -63,11 +69,18 @@
     }
 
     /// Notes that an agent holds a flow.
-    pub(crate) fn confirm(&mut self, flow: FlowKey, agent: Ipv4Addr, now: ClockMillis) {
+    pub(crate) fn confirm(
+        &mut self,
+        flow: FlowKey,
+        agent: Ipv4Addr,
+        target: Option<IncarnationId>,
+        now: ClockMillis,
+    ) {
         self.make_room(now);
         let owner = FlowOwner {
             agent,
             confirmed: true,
+            target,
             used_at: now,
         };
         self.owners.insert(flow, owner);
--- a/src/flow/tests/agent_steps.rs
+++ b/src/flow/tests/agent_steps.rs
@@ -18,7 +18,7 @@
 
 fn flows() -> AgentFlows {
     let mut flows = AgentFlows::new(OWN, service(), 100, SpanMillis::new(60_000));
-    flows.set_target(AgentTarget::Serving);
+    flows.set_target(AgentTarget::Serving, None);
     flows
 }
 
@@ -76,7 +76,7 @@
 #[case::ended(AgentTarget::Ended)]
 fn a_target_that_leaves_gets_no_opening(#[case] target: AgentTarget) {
     let mut flows = flows();
-    flows.set_target(target);
+    flows.set_target(target, None);
     let opening = from_caller(flow(1), PacketSigns::OPEN);
     let step = flows.take_frame(header(&[3]), &opening, &[1], START);
     assert_eq!(next_agent(step.action), agent(3));
@@ -92,7 +92,7 @@
 fn a_leaving_target_keeps_its_flows() {
     let mut flows = flows();
     establish(&mut flows, 1);
-    flows.set_target(AgentTarget::Leaving);
+    flows.set_target(AgentTarget::Leaving, None);
     let data = from_caller(flow(1), PacketSigns::ACKNOWLEDGE);
     delivered(flows.take_frame(header(&[]), &data, &[1], START).action);
 }
--- a/src/flow/tests/balancer_verdicts.rs
+++ b/src/flow/tests/balancer_verdicts.rs
@@ -4,13 +4,15 @@
 use crate::{
     clock::{ClockMillis, SpanMillis},
     flow::{
-        BalancerFlows, FlowReport, FlowVerdict, PacketSigns, RankedTarget, RefusalCause,
-        ReportKind, ServiceTargets, TargetRanking,
+        BalancerFlows, FlowReport, FlowVerdict, KnownTargets, PacketSigns, RankedTarget,
+        RefusalCause, ReportKind, ReportStep, ServiceTargets, TargetRanking, TargetStart,
     },
+    key::IncarnationId,
     listener::{ListenerManifest, ListenerRoute, ListenerTable, ServiceShare, ServiceTag},
 };
 
 const START: ClockMillis = ClockMillis::new(1_000);
+const START_OF_TARGET: IncarnationId = IncarnationId::new(3);
 const AGE: SpanMillis = SpanMillis::new(60_000);
 
 fn service() -> ServiceTag {
@@ -46,13 +48,25 @@
     }
 }
 
+/// All that is known of targets; nothing is missing.
+fn known(services: HashMap<ServiceTag, ServiceTargets>) -> KnownTargets {
+    KnownTargets {
+        services,
+        starts: HashMap::new(),
+        complete: true,
+    }
+}
+
 /// A balancer with one route to targets 1 to 5.
 pub(super) fn balancer() -> BalancerFlows {
     let mut table = ListenerTable::new(AGE);
     table.replace(&manifest(1, vec![route(service())]), START);
     let mut flows = BalancerFlows::new(BALANCER, table, AGE);
     let agents = [1, 2, 3, 4, 5];
-    flows.set_services(HashMap::from([(service(), targets(&agents, &agents))]));
+    flows.set_targets(known(HashMap::from([(
+        service(),
+        targets(&agents, &agents),
+    )])));
     flows.set_current(true);
     flows
 }
@@ -78,6 +92,7 @@
     FlowReport {
         flow: flow(port),
         agent: from,
+        target: Some(START_OF_TARGET),
         kind,
     }
 }
@@ -116,7 +131,10 @@
     let mut flows = balancer();
     let (first, _) = open(&mut flows, 1, START);
     let agents = [1, 2, 3, 4, 5, 6, 7, 8];
-    flows.set_services(HashMap::from([(service(), targets(&agents, &agents))]));
+    flows.set_targets(known(HashMap::from([(
+        service(),
+        targets(&agents, &agents),
+    )])));
     assert_eq!(
         open(&mut flows, 1, START.after(SpanMillis::new(30))).0,
         first
@@ -144,10 +162,10 @@
     let mut flows = balancer();
     let (owner, _) = open(&mut flows, 1, START);
     let others: Vec<u8> = (1..6).filter(|number| agent(*number) != owner).collect();
-    flows.set_services(HashMap::from([(
+    flows.set_targets(known(HashMap::from([(
         service(),
         targets(&others, &[1, 2, 3, 4, 5]),
-    )]));
+    )])));
     let (asked, more) = continued(&mut flows, 1);
     assert!(asked == owner || more.contains(&owner));
     let (next, _) = open(&mut flows, 2, START);
@@ -161,10 +179,10 @@
     flows
         .table_mut()
         .replace(&manifest(2, vec![route(other)]), START);
-    flows.set_services(HashMap::from([
+    flows.set_targets(known(HashMap::from([
         (service(), targets(&[1], &[1])),
         (other, targets(&[8], &[8])),
-    ]));
+    ])));
     assert_eq!(open(&mut flows, 2, START).0, agent(8));
     let (asked, others) = continued(&mut flows, 1);
     assert_eq!((asked, others), (agent(8), vec![agent(1)]));
@@ -193,3 +211,107 @@
     let verdict = flows.take_packet(&opening, &[1], START);
     assert_eq!(verdict, FlowVerdict::Drop(RefusalCause::NotReady));
 }
+
+/// Looks for flow 1 of which no target knows; returns who was asked and the end.
+fn walk(flows: &mut BalancerFlows) -> (Vec<Ipv4Addr>, ReportStep) {
+    let (to, more) = continued(flows, 1);
+    let mut asked = vec![to];
+    asked.extend(more);
+    loop {
+        let last = *asked.last().expect("somebody was asked");
+        match flows.take_report(&report(1, last, ReportKind::NotHeld), START) {
+            ReportStep::Forward { to, header, .. } => {
+                asked.push(to);
+                asked.extend(header.candidates());
+            }
+            end => return (asked, end),
+        }
+    }
+}
+
+#[test]
+fn a_flow_that_every_target_gave_back_is_reset_after_each_was_asked_once() {
+    let mut flows = balancer();
+    let many: Vec<u8> = (1..43).collect();
+    flows.set_targets(known(HashMap::from([(service(), targets(&many, &many))])));
+    let (mut asked, end) = walk(&mut flows);
+    assert!(matches!(end, ReportStep::Reset(reset) if reset.flow == flow(1)));
+    assert_eq!(asked.len(), 42);
+    asked.sort_unstable();
+    asked.dedup();
+    assert_eq!(asked.len(), 42);
+}
+
+#[test]
+fn a_flow_is_never_reset_while_a_target_may_be_missing() {
+    let mut flows = balancer();
+    let mut partial = known(HashMap::from([(service(), targets(&[1, 2], &[1, 2]))]));
+    partial.complete = false;
+    flows.set_targets(partial);
+    assert_eq!(walk(&mut flows).1, ReportStep::Nothing);
+    let mut flows = balancer();
+    flows.set_current(false);
+    assert_eq!(walk(&mut flows).1, ReportStep::Nothing);
+}
+
+#[test]
+fn a_target_that_came_meanwhile_is_asked_before_a_flow_is_reset() {
+    let mut flows = balancer();
+    let (to, more) = continued(&mut flows, 1);
+    let last = more.last().copied().unwrap_or(to);
+    let agents = [1, 2, 3, 4, 5, 6];
+    flows.set_targets(known(HashMap::from([(
+        service(),
+        targets(&agents, &agents),
+    )])));
+    let step = flows.take_report(&report(1, last, ReportKind::NotHeld), START);
+    assert!(matches!(step, ReportStep::Forward { to, .. } if to == agent(6)));
+}
+
+#[test]
+fn a_word_of_an_agent_in_the_middle_ends_no_walk() {
+    let mut flows = balancer();
+    let (to, _) = continued(&mut flows, 1);
+    let step = flows.take_report(&report(1, to, ReportKind::NotHeld), START);
+    assert_eq!(step, ReportStep::Nothing);
+}
+
+#[test]
+fn a_flow_whose_target_started_again_or_ended_is_reset_at_once() {
+    for start in [
+        TargetStart {
+            target: Some(IncarnationId::new(4)),
+            ended: false,
+        },
+        TargetStart {
+            target: Some(START_OF_TARGET),
+            ended: true,
+        },
+    ] {
+        let mut flows = balancer();
+        flows.take_report(&report(1, agent(2), ReportKind::Held), START);
+        let mut targets = known(HashMap::from([(service(), targets(&[1, 2], &[1, 2]))]));
+        targets.starts.insert(agent(2), start);
+        flows.set_targets(targets);
+        let data = from_caller(flow(1), PacketSigns::ACKNOWLEDGE);
+        let verdict = flows.take_packet(&data, &[1], START);
+        assert!(matches!(
+            verdict,
+            FlowVerdict::Reset(_, RefusalCause::TargetGone)
+        ));
+    }
+}
+
+#[test]
+fn a_flow_of_a_target_that_is_only_silent_is_not_reset() {
+    let mut flows = balancer();
+    flows.take_report(&report(1, agent(2), ReportKind::Held), START);
+    let mut targets = known(HashMap::from([(service(), targets(&[1], &[1, 2]))]));
+    let same = TargetStart {
+        target: Some(START_OF_TARGET),
+        ended: false,
+    };
+    targets.starts.insert(agent(2), same);
+    flows.set_targets(targets);
+    assert_eq!(continued(&mut flows, 1).0, agent(2));
+}
