An agent knows that its target has crashed when nothing comes from it

Cause: a target that crashed for good left its agent waiting, and every search for the owner of a flow ended there. Change: no announcement for three heartbeats and no packet for as long, on one machine, counts as ended: established flows are reset, others are looked for elsewhere, balancers are told. Silent agents count for 10 s. Settings are read again once a second at most while control is not heard.

--- a/src/directory/target_directory.rs
+++ b/src/directory/target_directory.rs
@@ -11,9 +11,12 @@
 /// The silence after which new flows avoid a target: four announcements and
 /// the time that one may be late.
 const SILENT_MILLIS: SpanMillis = SpanMillis::new(2_200);
-/// How long a record of a silent or ended target is kept, so that its flows are
-/// still found; an agent that is cut off for longer announces itself again.
-const KEPT_MILLIS: SpanMillis = SpanMillis::new(60_000);
+/// How long a silent target may hold flows that are looked for: longer than
+/// callers wait for an answer, so that afterwards nobody waits for it.
+const SILENT_KEPT_MILLIS: SpanMillis = SpanMillis::new(10_000);
+/// How long it is remembered that a target has ended, so that balancers know
+/// its flows to be gone.
+const ENDED_KEPT_MILLIS: SpanMillis = SpanMillis::new(60_000);
 /// The time after which every agent that still runs has been heard.
 const SETTLE_MILLIS: SpanMillis = SpanMillis::new(2_500);
 /// The targets from which on a common silence is blamed on this replica.
@@ -129,7 +132,7 @@
         }
         let held = self.entries.len();
         self.entries
-            .retain(|_, entry| is_live(entry) || now.since(entry.heard_at) < KEPT_MILLIS);
+            .retain(|_, entry| now.since(entry.heard_at) < kept_for(entry));
         if self.entries.len() < held {
             self.revision += 1;
             self.removed_at = self.revision;
@@ -166,6 +169,18 @@
     }
 }
 
+/// Returns the silence after which an agent's record is dropped.
+fn kept_for(entry: &DirectoryEntry) -> SpanMillis {
+    match entry.record.standing {
+        TargetStanding::Ended => ENDED_KEPT_MILLIS,
+        TargetStanding::Silent => SILENT_KEPT_MILLIS,
+        // Kept against a common silence, which `expire` judges.
+        TargetStanding::Warming | TargetStanding::Serving | TargetStanding::Leaving => {
+            SpanMillis::new(u64::MAX)
+        }
+    }
+}
+
 fn is_live(entry: &DirectoryEntry) -> bool {
     !matches!(
         entry.record.standing,
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -46,6 +46,8 @@
 /// How often it is done while the control group is not heard: all VMs may have
 /// just started together.
 const SEEK_MILLIS: SpanMillis = SpanMillis::new(50);
+/// How often the settings are read again while the control group is not heard.
+const SETTINGS_MILLIS: SpanMillis = SpanMillis::new(1_000);
 /// How long a stopping process forwards packets: two missed probes of the
 /// network at two a second, and what is on its way.
 const LEAVE_MILLIS: SpanMillis = SpanMillis::new(2_500);
@@ -74,6 +76,7 @@
     leaving: bool,
     current_at: Option<ClockMillis>,
     upkeep_at: ClockMillis,
+    settings_at: ClockMillis,
     budget: LogBudget,
     frame: Vec<u8>,
 }
@@ -131,6 +134,7 @@
             leaving: false,
             current_at: None,
             upkeep_at: clock.now(),
+            settings_at: clock.now().after(SETTINGS_MILLIS),
             budget: LogBudget::default(),
             frame: Vec::with_capacity(MAX_PACKET_BYTES),
             settings,
@@ -250,8 +254,11 @@
         }
         if !self.is_current(now) {
             self.flows.set_current(false);
-            self.reread_settings();
             self.locate_core();
+            if now >= self.settings_at {
+                self.settings_at = now.after(SETTINGS_MILLIS);
+                self.reread_settings();
+            }
         }
         self.flows.sweep(now);
         self.update_ready();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -33,3 +33,6 @@
 pub use side_node::SideNode;
 
 pub(crate) use fleet_event::FleetEvent;
+
+#[cfg(test)]
+mod tests;
--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -170,16 +170,25 @@
         }
     }
 
+    /// Decides anew whether the target takes flows; returns what balancers
+    /// should know.
+    fn judge_target(&mut self, now: ClockMillis) -> TargetStanding {
+        let target = self.tracker.target(self.flows.silence(now), now);
+        let incarnation = self.tracker.incarnation();
+        self.flows.set_target(target, incarnation);
+        self.tracker.standing(target, self.flows.is_suspect(), now)
+    }
+
     /// Announces the target if what balancers should know has changed.
     fn announce_change(&mut self, now: ClockMillis) {
-        let standing = self.tracker.standing(self.flows.is_suspect(), now);
+        let standing = self.judge_target(now);
         if self.announced != Some((standing, self.tracker.incarnation())) {
             self.announce(now);
         }
     }
 
     fn announce(&mut self, now: ClockMillis) {
-        let standing = self.tracker.standing(self.flows.is_suspect(), now);
+        let standing = self.judge_target(now);
         let news = Some((standing, self.tracker.incarnation()));
         if self.announced != news {
             self.announced = news;
@@ -252,8 +261,6 @@
         if verdict == NoticeVerdict::Late {
             log_event!(info, FleetEvent::NoticeIgnored, ?verdict);
         }
-        let incarnation = self.tracker.incarnation();
-        self.flows.set_target(self.tracker.target(), incarnation);
         self.announce_change(now);
         // A caller that went away repeats itself.
         let _ = answer.send(verdict);
--- a/src/fleet/target_tracker.rs
+++ b/src/fleet/target_tracker.rs
@@ -23,7 +23,6 @@
 /// What an agent believes of its target, from what the target announces.
 #[derive(Debug)]
 pub(crate) struct TargetTracker {
-    started_at: ClockMillis,
     silence: SpanMillis,
     newest: Option<TargetNotice>,
     ended: bool,
@@ -36,7 +35,6 @@
     /// announces itself every `heartbeat`.
     pub(crate) fn new(heartbeat: SpanMillis, now: ClockMillis) -> Self {
         Self {
-            started_at: now,
             silence: heartbeat.times(MISSED_ANNOUNCEMENTS),
             newest: None,
             ended: false,
@@ -86,11 +84,16 @@
         })
     }
 
-    /// Returns whether the target takes new flows.
-    pub(crate) fn target(&self) -> AgentTarget {
+    /// Returns whether the target takes new flows; `quiet` is how long it has
+    /// sent no packet, `None` if it never did.
+    pub(crate) fn target(&self, quiet: Option<SpanMillis>, now: ClockMillis) -> AgentTarget {
         if self.ended {
             return AgentTarget::Ended;
         }
+        let unannounced = now.since(self.heard_at);
+        if unannounced >= self.silence && quiet.is_none_or(|quiet| quiet >= self.silence) {
+            return AgentTarget::Lost;
+        }
         match &self.newest {
             None => AgentTarget::Unproved,
             Some(notice) => match notice.state {
@@ -100,17 +103,21 @@
         }
     }
 
-    /// Returns what balancers should know; `suspect` tells whether the target
-    /// leaves openings unanswered.
-    pub(crate) fn standing(&self, suspect: bool, now: ClockMillis) -> TargetStanding {
-        match self.target() {
-            AgentTarget::Ended => TargetStanding::Ended,
+    /// Returns what balancers should know of a target in this state; `suspect`
+    /// tells whether it leaves openings unanswered.
+    pub(crate) fn standing(
+        &self,
+        target: AgentTarget,
+        suspect: bool,
+        now: ClockMillis,
+    ) -> TargetStanding {
+        match target {
+            AgentTarget::Ended | AgentTarget::Lost => TargetStanding::Ended,
             AgentTarget::Leaving => TargetStanding::Leaving,
-            AgentTarget::Unproved if now.since(self.started_at) >= self.silence => {
-                TargetStanding::Silent
+            AgentTarget::Unproved | AgentTarget::Serving if suspect => TargetStanding::Silent,
+            AgentTarget::Unproved | AgentTarget::Serving if now < self.warm_at => {
+                TargetStanding::Warming
             }
-            _ if suspect || now.since(self.heard_at) >= self.silence => TargetStanding::Silent,
-            _ if now < self.warm_at => TargetStanding::Warming,
             AgentTarget::Unproved | AgentTarget::Serving => TargetStanding::Serving,
         }
     }
--- /dev/null
+++ b/src/fleet/tests.rs
@@ -0,0 +1,100 @@
+//! Tests of what an agent believes of its target.
+
+use super::{
+    TargetNotice, TargetState,
+    target_tracker::{NoticeVerdict, TargetTracker},
+};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    directory::TargetStanding,
+    flow::AgentTarget,
+};
+
+const HEARTBEAT: SpanMillis = SpanMillis::new(1_200);
+const START: ClockMillis = ClockMillis::new(1_000);
+
+fn notice(id: &str, started_at: u64, sequence: u64, state: TargetState) -> TargetNotice {
+    TargetNotice {
+        id: id.to_owned(),
+        started_at,
+        sequence,
+        state,
+        warm_in: SpanMillis::ZERO,
+    }
+}
+
+fn tracker() -> TargetTracker {
+    let mut tracker = TargetTracker::new(HEARTBEAT, START);
+    tracker.take(notice("i-1", 50, 7, TargetState::Ready), START);
+    tracker
+}
+
+fn after(heartbeats: u64) -> ClockMillis {
+    START.after(HEARTBEAT.times(heartbeats))
+}
+
+#[test]
+fn a_draining_target_takes_nothing_new_from_its_acknowledgement_on() {
+    let mut tracker = tracker();
+    tracker.take(notice("i-1", 50, 8, TargetState::Draining), START);
+    assert_eq!(tracker.target(None, START), AgentTarget::Leaving);
+    // A delayed announcement does not bring it back.
+    let late = tracker.take(notice("i-1", 50, 7, TargetState::Ready), START);
+    assert_eq!(late, NoticeVerdict::Late);
+    assert_eq!(tracker.target(None, START), AgentTarget::Leaving);
+}
+
+#[test]
+fn a_new_start_under_the_same_name_counts_from_the_beginning() {
+    let mut tracker = tracker();
+    let before = tracker.incarnation();
+    let verdict = tracker.take(notice("i-1", 60, 1, TargetState::Ready), START);
+    assert_eq!(verdict, NoticeVerdict::Taken);
+    assert_ne!(tracker.incarnation(), before);
+    // The word of the earlier start, held up on its way.
+    let late = tracker.take(notice("i-1", 50, 99, TargetState::Draining), START);
+    assert_eq!(late, NoticeVerdict::Late);
+    assert_eq!(tracker.target(None, START), AgentTarget::Serving);
+}
+
+#[test]
+fn an_ended_target_stays_ended_until_another_start() {
+    let mut tracker = tracker();
+    assert_eq!(tracker.end("i-0"), NoticeVerdict::Late);
+    assert_eq!(tracker.end("i-1"), NoticeVerdict::Taken);
+    let late = tracker.take(notice("i-1", 50, 8, TargetState::Ready), START);
+    assert_eq!(late, NoticeVerdict::Late);
+    assert_eq!(tracker.target(None, START), AgentTarget::Ended);
+    tracker.take(notice("i-2", 70, 1, TargetState::Ready), START);
+    assert_eq!(tracker.target(None, START), AgentTarget::Serving);
+}
+
+#[test]
+fn a_target_is_lost_only_when_it_neither_announces_itself_nor_sends() {
+    let tracker = tracker();
+    assert_eq!(tracker.target(None, after(2)), AgentTarget::Serving);
+    assert_eq!(tracker.target(None, after(3)), AgentTarget::Lost);
+    let busy = Some(SpanMillis::new(10));
+    assert_eq!(tracker.target(busy, after(30)), AgentTarget::Serving);
+}
+
+#[test]
+fn balancers_avoid_a_target_that_leaves_openings_unanswered() {
+    let tracker = tracker();
+    let standing = tracker.standing(AgentTarget::Serving, true, START);
+    assert_eq!(standing, TargetStanding::Silent);
+}
+
+#[test]
+fn a_target_that_has_just_started_is_told_to_be_slow_for_as_long_as_it_says() {
+    let mut tracker = tracker();
+    let mut cold = notice("i-2", 60, 1, TargetState::Ready);
+    cold.warm_in = SpanMillis::new(2_000);
+    tracker.take(cold, START);
+    let standing = |at| tracker.standing(AgentTarget::Serving, false, at);
+    assert_eq!(standing(START), TargetStanding::Warming);
+    assert_eq!(
+        standing(START.after(SpanMillis::new(2_000))),
+        TargetStanding::Serving
+    );
+}
--- a/src/flow/agent_flows.rs
+++ b/src/flow/agent_flows.rs
@@ -30,6 +30,9 @@
     Leaving,
     /// It has ended; its flows are gone.
     Ended,
+    /// It sends nothing though it shares the agent's VM, where nothing can come
+    /// between them: it has crashed, and its flows are gone.
+    Lost,
 }
 
 /// What the shell does with the packet at hand.
@@ -132,6 +135,11 @@
         self.health.is_suspect()
     }
 
+    /// Returns how long the target has sent no packet, `None` if it never did.
+    pub(crate) fn silence(&self, now: ClockMillis) -> Option<SpanMillis> {
+        self.health.silence(now)
+    }
+
     /// Returns the number of remembered flows.
     pub(crate) fn held(&self) -> usize {
         self.held.len()
@@ -161,7 +169,7 @@
         // A target gives back what it does not hold, so an open flow is looked
         // for at former services of its route, too.
         let flow = packet.caller_flow();
-        if self.target == AgentTarget::Ended {
+        if matches!(self.target, AgentTarget::Ended | AgentTarget::Lost) {
             return match self.held.remove(&flow) {
                 Some(held) if held.established => self.end_flow(header, packet, ReportKind::Gone),
                 _ => self.pass_on(header, packet),
@@ -186,7 +194,7 @@
                 copy || !self.health.is_suspect() || header.candidates().is_empty()
             }
             AgentTarget::Leaving => self.held.contains_key(&flow),
-            AgentTarget::Ended => false,
+            AgentTarget::Ended | AgentTarget::Lost => false,
         };
         if !takes {
             return self.pass_on(header, packet);
--- a/src/flow/target_health.rs
+++ b/src/flow/target_health.rs
@@ -1,4 +1,4 @@
-use crate::clock::ClockMillis;
+use crate::clock::{ClockMillis, SpanMillis};
 
 /// Whether a target answers, as its agent sees it without asking.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -27,6 +27,11 @@
         fresh
     }
 
+    /// Returns how long the target has sent nothing, `None` if it never did.
+    pub(crate) fn silence(&self, now: ClockMillis) -> Option<SpanMillis> {
+        self.heard_at.map(|heard_at| now.since(heard_at))
+    }
+
     /// Returns whether the target is suspected to be unable to answer.
     pub(crate) fn is_suspect(&self) -> bool {
         self.suspect
--- a/src/flow/tests/agent_steps.rs
+++ b/src/flow/tests/agent_steps.rs
@@ -74,6 +74,7 @@
 #[rstest]
 #[case::leaving(AgentTarget::Leaving)]
 #[case::ended(AgentTarget::Ended)]
+#[case::lost(AgentTarget::Lost)]
 fn a_target_that_leaves_gets_no_opening(#[case] target: AgentTarget) {
     let mut flows = flows();
     flows.set_target(target, None);
@@ -176,3 +177,16 @@
     assert_eq!(flows.expire_openings(due).len(), 1);
     assert!(!flows.is_suspect());
 }
+
+#[test]
+fn a_flow_of_a_crashed_target_is_reset_and_others_are_looked_for_elsewhere() {
+    let mut flows = flows();
+    establish(&mut flows, 1);
+    flows.set_target(AgentTarget::Lost, None);
+    let data = from_caller(flow(1), PacketSigns::ACKNOWLEDGE);
+    let step = flows.take_frame(header(&[2]), &data, &[1], START);
+    assert!(matches!(step.action, AgentAction::Reset(_)));
+    let other = from_caller(flow(2), PacketSigns::ACKNOWLEDGE);
+    let step = flows.take_frame(header(&[2]), &other, &[1], START);
+    assert_eq!(next_agent(step.action), agent(2));
+}
