Callers of a target that is gone are told at once

Cause: a caller that waits for an answer sends nothing that could be answered by a reset, so it waited for its time limit when its target had gone; agents whose target had ended for good came back after a power cut as if they had one. Change: a connection on the target's own VM decides whether it is there; when it ended, is absent or has started again, the agent resets the flows that it saw established.

--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -5,10 +5,10 @@
 };
 
 use tokio::{
-    net::UdpSocket,
+    net::{TcpStream, UdpSocket},
     signal::unix::{SignalKind, signal},
     sync::mpsc,
-    time::{Instant, sleep_until},
+    time::{Instant, sleep_until, timeout},
 };
 
 use super::{
@@ -37,6 +37,10 @@
 /// The shortest time between two announcements; a change is repeated at once,
 /// since datagrams may be lost.
 const REPEAT_MILLIS: SpanMillis = SpanMillis::new(100);
+/// How often a silent target is looked after.
+const PROBE_MILLIS: SpanMillis = SpanMillis::new(1_000);
+/// How long a connection to the target may take on its own VM.
+const PROBE_ANSWER_MILLIS: SpanMillis = SpanMillis::new(300);
 /// How often a change is repeated.
 const CHANGE_REPEATS: u32 = 2;
 /// The calls of the target that wait.
@@ -64,6 +68,8 @@
     announced: Option<(TargetStanding, Option<IncarnationId>)>,
     repeats: u32,
     announce_at: ClockMillis,
+    probe_at: ClockMillis,
+    probes: mpsc::Sender<bool>,
     commands: mpsc::Receiver<SideCommand>,
     budget: LogBudget,
     frame: Vec<u8>,
@@ -102,6 +108,8 @@
             announced: None,
             repeats: 0,
             announce_at: now,
+            probe_at: now,
+            probes: mpsc::channel(1).0,
             commands,
             budget: LogBudget::default(),
             frame: Vec::with_capacity(MAX_FRAME_BYTES),
@@ -118,6 +126,9 @@
     pub async fn run(mut self) -> Result<(), FleetError> {
         let mut terminate = signal(SignalKind::terminate()).map_err(FleetError::Signals)?;
         let mut hangup = signal(SignalKind::hangup()).map_err(FleetError::Signals)?;
+        let (probes, mut presence) = mpsc::channel(MAX_COMMANDS);
+        self.probes = probes;
+        self.probe_target(self.clock.now());
         log_event!(
             info,
             FleetEvent::SideStarted,
@@ -133,6 +144,7 @@
                 _ = self.outbound.readable() => self.take_answers(),
                 _ = self.fleet.readable() => self.take_datagrams(),
                 Some(command) = self.commands.recv() => self.take_command(command),
+                Some(present) = presence.recv() => self.take_presence(present),
                 () = sleep_until(wake_at) => self.wake(),
                 () = stop_asked(&mut hangup) => self.reread_settings(),
                 () = stop_asked(&mut terminate) => break,
@@ -173,10 +185,53 @@
     /// Decides anew whether the target takes flows; returns what balancers
     /// should know.
     fn judge_target(&mut self, now: ClockMillis) -> TargetStanding {
-        let target = self.tracker.target(self.flows.silence(now), now);
+        let target = self.tracker.target();
         let incarnation = self.tracker.incarnation();
-        self.flows.set_target(target, incarnation);
-        self.tracker.standing(target, self.flows.is_suspect(), now)
+        let resets = self.flows.set_target(target, incarnation);
+        if !resets.is_empty() {
+            log_event!(info, FleetEvent::FlowsGone, ?target, flows = resets.len());
+        }
+        for reset in resets {
+            let answer = self.codec.encode_reset(&reset);
+            self.send_to_caller(reset.flow, &answer);
+        }
+        let suspect = self.flows.is_suspect();
+        let silent = self.tracker.is_silent(self.flows.silence(now), now);
+        if (suspect || silent) && now >= self.probe_at {
+            self.probe_target(now);
+        }
+        self.tracker.standing(target, suspect || silent, now)
+    }
+
+    /// Looks whether anything listens at the target's address; on one VM that
+    /// is decided at once.
+    fn probe_target(&mut self, now: ClockMillis) {
+        self.probe_at = now.after(PROBE_MILLIS);
+        let target = self.settings.target;
+        let probes = self.probes.clone();
+        tokio::spawn(async move {
+            let connect = TcpStream::connect(target);
+            let present = matches!(
+                timeout(PROBE_ANSWER_MILLIS.duration(), connect).await,
+                Ok(Ok(_))
+            );
+            // A process that stops needs no answer.
+            let _ = probes.send(present).await;
+        });
+    }
+
+    fn take_presence(&mut self, present: bool) {
+        let now = self.clock.now();
+        // What came while the probe was under way is newer.
+        let heard = self
+            .flows
+            .silence(now)
+            .is_some_and(|silence| silence < PROBE_ANSWER_MILLIS);
+        log_event!(info, FleetEvent::TargetProbed, target = %self.settings.target, present, heard);
+        if present || !heard {
+            self.tracker.note_presence(present, now);
+        }
+        self.announce_change(now);
     }
 
     /// Announces the target if what balancers should know has changed.
--- a/src/fleet/target_tracker.rs
+++ b/src/fleet/target_tracker.rs
@@ -27,6 +27,8 @@
     newest: Option<TargetNotice>,
     ended: bool,
     heard_at: ClockMillis,
+    /// Whether nothing listens at the target's address.
+    absent: bool,
     warm_at: ClockMillis,
 }
 
@@ -39,6 +41,7 @@
             newest: None,
             ended: false,
             heard_at: now,
+            absent: false,
             warm_at: now,
         }
     }
@@ -57,6 +60,7 @@
         self.warm_at = now.after(notice.warm_in);
         self.heard_at = now;
         self.ended = false;
+        self.absent = false;
         self.newest = Some(notice);
         NoticeVerdict::Taken
     }
@@ -84,14 +88,27 @@
         })
     }
 
-    /// Returns whether the target takes new flows; `quiet` is how long it has
-    /// sent no packet, `None` if it never did.
-    pub(crate) fn target(&self, quiet: Option<SpanMillis>, now: ClockMillis) -> AgentTarget {
+    /// Notes whether anything listens at the target's address.
+    pub(crate) fn note_presence(&mut self, present: bool, now: ClockMillis) {
+        self.absent = !present;
+        if present {
+            self.heard_at = now;
+        }
+    }
+
+    /// Returns whether the target has been silent for so long that it should be
+    /// looked after; `quiet` is how long it has sent no packet, `None` if it
+    /// never did.
+    pub(crate) fn is_silent(&self, quiet: Option<SpanMillis>, now: ClockMillis) -> bool {
+        now.since(self.heard_at) >= self.silence && quiet.is_none_or(|quiet| quiet >= self.silence)
+    }
+
+    /// Returns whether the target takes new flows.
+    pub(crate) fn target(&self) -> AgentTarget {
         if self.ended {
             return AgentTarget::Ended;
         }
-        let unannounced = now.since(self.heard_at);
-        if unannounced >= self.silence && quiet.is_none_or(|quiet| quiet >= self.silence) {
+        if self.absent {
             return AgentTarget::Lost;
         }
         match &self.newest {
--- a/src/flow/agent_flows.rs
+++ b/src/flow/agent_flows.rs
@@ -85,6 +85,8 @@
     /// Whether the target has sent more than the answer to the opening: only
     /// the target that holds a flow does.
     established: bool,
+    /// The place that the caller acknowledged last.
+    acknowledged: u32,
     used_at: ClockMillis,
 }
 
@@ -125,9 +127,29 @@
     }
 
     /// Sets whether the target takes new flows, and which start of it that is.
-    pub(crate) fn set_target(&mut self, target: AgentTarget, incarnation: Option<IncarnationId>) {
+    ///
+    /// Returns the callers whose flows are gone by that: those that wait for an
+    /// answer send nothing that could be answered.
+    pub(crate) fn set_target(
+        &mut self,
+        target: AgentTarget,
+        incarnation: Option<IncarnationId>,
+    ) -> Vec<FlowReset> {
+        let restarted = self.incarnation.is_some() && self.incarnation != incarnation;
+        let ended = matches!(target, AgentTarget::Ended | AgentTarget::Lost);
         self.target = target;
         self.incarnation = incarnation;
+        if !restarted && !ended {
+            return Vec::new();
+        }
+        let gone = std::mem::take(&mut self.held);
+        gone.into_iter()
+            .filter(|(_, held)| held.established)
+            .map(|(flow, held)| FlowReset {
+                flow,
+                sequence: held.acknowledged,
+            })
+            .collect()
     }
 
     /// Returns whether the target is suspected to be unable to answer.
@@ -176,6 +198,9 @@
             };
         }
         self.remember(flow, header.balancer, now);
+        if let Some(held) = self.held.get_mut(&flow) {
+            held.acknowledged = packet.acknowledged;
+        }
         let tag = self.ring.remember(header);
         AgentStep::quiet(AgentAction::Deliver { tag })
     }
@@ -297,6 +322,7 @@
             balancer,
             reported: false,
             established: false,
+            acknowledged: 0,
             used_at: now,
         });
         held.used_at = now;
