--- a/src/cli/cli_error.rs
+++ b/src/cli/cli_error.rs
@@ -1,4 +1,4 @@
-use std::{io, path::PathBuf};
+use std::{io, net::SocketAddrV4, path::PathBuf};
 
 use miette::Diagnostic;
 use thiserror::Error;
@@ -48,6 +48,15 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Admin(#[from] AdminError),
+    /// A process answered no inspection.
+    #[error("{address} answered no inspection: {cause}")]
+    Inspect {
+        /// The inspection address.
+        address: SocketAddrV4,
+        /// What went wrong.
+        #[source]
+        cause: io::Error,
+    },
     /// The demo could not be staged.
     #[error(transparent)]
     #[diagnostic(transparent)]
--- a/src/cli/cli_options.rs
+++ b/src/cli/cli_options.rs
@@ -6,7 +6,7 @@
     OutputFormat,
     command::{
         ApplyOptions, CallOptions, CertificateOptions, CheckOptions, DemoOptions, DrainOptions,
-        DumpOptions, SecretOptions, StatusOptions,
+        DumpOptions, InspectOptions, SecretOptions, StatusOptions,
     },
 };
 
@@ -45,6 +45,9 @@
     /// Prints the state of a process.
     #[options(help = "print the whole state of one process")]
     Dump(DumpOptions),
+    /// Prints the state of a process of a deployment found from seeds.
+    #[options(help = "print the state of an entry VM or agent, or look up a flow")]
+    Inspect(InspectOptions),
     /// Leads a target through a planned stop.
     #[options(help = "drain an upstream, cancel that, or look at it")]
     Drain(DrainOptions),
@@ -70,6 +73,7 @@
             Self::Apply(options) => options.json,
             Self::Status(options) => options.json,
             Self::Dump(options) => options.json,
+            Self::Inspect(options) => options.json,
             Self::Drain(options) => options.json,
             Self::Call(options) => options.json,
             Self::Secret(options) => options.json,
--- a/src/cli/cli_run.rs
+++ b/src/cli/cli_run.rs
@@ -79,6 +79,7 @@
         CliCommand::Apply(options) => block_on(options.run(settings)),
         CliCommand::Status(options) => block_on(options.run(settings)),
         CliCommand::Dump(options) => block_on(options.run(settings)),
+        CliCommand::Inspect(options) => block_on(options.run()),
         CliCommand::Drain(options) => block_on(options.run(settings)),
         CliCommand::Call(options) => block_on(options.run()),
         CliCommand::Secret(options) => options.run(),
--- /dev/null
+++ b/src/cli/command/inspect_command.rs
@@ -0,0 +1,78 @@
+use std::fmt;
+
+use gumdrop::Options;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::{
+    cli::{CliError, OutputFormat, UsageFault, parse_address},
+    fleet::{InspectQuestion, inspect_process},
+    flow::FlowKey,
+    program::ExitStatus,
+};
+
+/// The options of `cyclamen inspect`.
+#[derive(Debug, Options)]
+pub(crate) struct InspectOptions {
+    /// Prints the help text.
+    #[options(help = "print this text")]
+    help: bool,
+    /// Writes the report as JSON.
+    #[options(no_short, help = "write the report on one line")]
+    pub(crate) json: bool,
+    /// The caller's address and port of the flow to look up.
+    #[options(
+        no_short,
+        meta = "ADDR",
+        help = "look up the flow of this caller's address and port"
+    )]
+    caller: Option<String>,
+    /// The address and port that the flow was opened to.
+    #[options(
+        no_short,
+        meta = "ADDR",
+        help = "the address and port that the flow was opened to"
+    )]
+    listener: Option<String>,
+    /// The address of the process.
+    #[options(free, help = "the inspection address of an entry VM or an agent")]
+    address: Option<String>,
+}
+
+/// What the process answered.
+#[derive(Debug, Serialize)]
+#[serde(transparent)]
+struct InspectReport(Value);
+
+impl InspectOptions {
+    /// Prints the state of a process, or what it knows of a flow.
+    pub(crate) async fn run(&self) -> Result<ExitStatus, CliError> {
+        let address = self.address.as_deref();
+        let address = address.ok_or(UsageFault::Missing { name: "ADDR" })?;
+        let address = parse_address("ADDR", address)?;
+        let question = self.question()?;
+        let reply = inspect_process(address, question)
+            .await
+            .map_err(|cause| CliError::Inspect { address, cause })?;
+        OutputFormat::from_flag(self.json).print(&InspectReport(reply));
+        Ok(ExitStatus::Done)
+    }
+
+    fn question(&self) -> Result<InspectQuestion, CliError> {
+        match (self.caller.as_deref(), self.listener.as_deref()) {
+            (None, None) => Ok(InspectQuestion::Dump),
+            (Some(caller), Some(listener)) => Ok(InspectQuestion::Flow(FlowKey {
+                caller: parse_address("--caller", caller)?,
+                listener: parse_address("--listener", listener)?,
+            })),
+            (Some(_), None) => Err(UsageFault::Missing { name: "--listener" }.into()),
+            (None, Some(_)) => Err(UsageFault::Missing { name: "--caller" }.into()),
+        }
+    }
+}
+
+impl fmt::Display for InspectReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:#}", self.0)
+    }
+}
--- a/src/cli/command/mod.rs
+++ b/src/cli/command/mod.rs
@@ -7,6 +7,7 @@
 mod demo_command;
 mod drain_command;
 mod dump_command;
+mod inspect_command;
 mod secret_command;
 mod status_command;
 
@@ -17,5 +18,6 @@
 pub(crate) use demo_command::DemoOptions;
 pub(crate) use drain_command::DrainOptions;
 pub(crate) use dump_command::DumpOptions;
+pub(crate) use inspect_command::InspectOptions;
 pub(crate) use secret_command::SecretOptions;
 pub(crate) use status_command::StatusOptions;
--- a/src/clock/span_millis.rs
+++ b/src/clock/span_millis.rs
@@ -25,6 +25,13 @@
         self.0
     }
 
+    /// Returns the span in milliseconds as a float, for metrics.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss, reason = "spans are far below 2^52 ms")]
+    pub const fn millis_float(self) -> f64 {
+        self.0 as f64
+    }
+
     /// Returns the span as the standard library's type, for timers.
     #[must_use]
     pub const fn duration(self) -> Duration {
--- a/src/control/replica/tests/mod.rs
+++ b/src/control/replica/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the replicated log.
 
 mod measures;
+mod open_group;
 mod promise_record;
 mod promises;
 mod scenarios;
--- a/src/control/replica/tests/shuffler.rs
+++ b/src/control/replica/tests/shuffler.rs
@@ -33,6 +33,8 @@
     generator: StdRng,
     pub(super) record: PromiseRecord,
     compaction: LogCompaction,
+    /// The replicas that found an open group; a listed group has none.
+    founders: Option<usize>,
     counted: Option<usize>,
     pub(super) messages: usize,
     pub(super) bytes: usize,
@@ -50,6 +52,7 @@
             generator,
             record: PromiseRecord::default(),
             compaction: LogCompaction { every: 8, kept: 3 },
+            founders: None,
             counted: None,
             messages: 0,
             bytes: 0,
@@ -60,6 +63,17 @@
         shuffler
     }
 
+    /// Makes the group open: the first `founders` replicas form it, and every
+    /// other one knows only them.
+    pub(super) fn with_founders(mut self, founders: usize) -> Self {
+        self.founders = Some(founders);
+        for node in 0..self.nodes.len() {
+            self.crash(node, 0);
+            self.restart(node);
+        }
+        self
+    }
+
     /// Sets when every replica compacts its log; they start again.
     pub(super) fn with_compaction(mut self, every: u64, kept: u64) -> Self {
         self.compaction = LogCompaction { every, kept };
@@ -82,13 +96,20 @@
         if self.nodes[node].core.is_some() {
             return;
         }
-        let others = (0..self.nodes.len()).filter(|other| *other != node);
+        let known = self.founders.unwrap_or(self.nodes.len());
+        let others = (0..known).filter(|other| *other != node);
+        let recovered = self.nodes[node].disk.clone();
         let peers = ReplicaPeers {
             own: replica(node),
             others: others.map(replica).collect(),
-            admission: GroupAdmission::Listed,
+            admission: match self.founders {
+                None => GroupAdmission::Listed,
+                Some(founders) => GroupAdmission::Open {
+                    founds: node < founders && !self.nodes[node].lost_disk,
+                    least_voters: 3,
+                },
+            },
         };
-        let recovered = self.nodes[node].disk.clone();
         let core = ReplicaCore::new(peers, recovered, self.generator.random(), self.now)
             .with_compaction(self.compaction);
         self.nodes[node].core = Some(core);
@@ -123,6 +144,7 @@
     pub(super) fn lose_disk(&mut self, node: usize) {
         self.crash(node, 0);
         self.nodes[node] = TestNode::new(&mut self.generator);
+        self.nodes[node].lost_disk = true;
     }
 
     /// Cuts the way from one replica to another.
--- a/src/control/replica/tests/test_node.rs
+++ b/src/control/replica/tests/test_node.rs
@@ -10,6 +10,8 @@
     pub(super) disk: RecoveredState,
     pub(super) syncing: Option<DiskBatch>,
     pub(super) state: BTreeMap<u64, Vec<u8>>,
+    /// Whether an earlier disk was lost.
+    pub(super) lost_disk: bool,
 }
 
 impl TestNode {
@@ -19,6 +21,7 @@
             disk: RecoveredState::new(DiskId::new(generator.random())),
             syncing: None,
             state: BTreeMap::new(),
+            lost_disk: false,
         }
     }
 
@@ -26,6 +29,9 @@
         if let Some(state) = batch.hard_state {
             self.disk.hard_state = state;
         }
+        if let Some(commit) = batch.commit {
+            self.disk.commit = commit;
+        }
         if let Some(snapshot) = batch.snapshot {
             let drop_to = batch.drop_to;
             let resets = batch.resets_log;
--- a/src/directory/target_view.rs
+++ b/src/directory/target_view.rs
@@ -26,6 +26,11 @@
         self.records.len()
     }
 
+    /// Returns the known targets.
+    pub(crate) fn records(&self) -> impl Iterator<Item = &TargetRecord> {
+        self.records.values()
+    }
+
     /// Takes news of a directory and returns the records that changed.
     ///
     /// What a directory that has just started does not list is kept.
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -7,6 +7,8 @@
     time::Duration,
 };
 
+use metrics::histogram;
+use serde_json::json;
 use tokio::{
     net::UdpSocket,
     signal::unix::{Signal, SignalKind, signal},
@@ -20,7 +22,9 @@
     core_view::CoreView,
     directory_file::DirectoryFile,
     entry_sockets::{FleetSocket, open_socket},
+    fleet_counters::{EntryCounters, publish_gauge},
     fleet_datagram::{FleetDatagram, MAX_DATAGRAM_BYTES},
+    inspect_server::{InspectQuestion, Inspection, start_inspections},
     log_budget::LogBudget,
     watch_client::{WatchClient, WatchTidings},
     watch_frame::WatchNews,
@@ -78,6 +82,7 @@
     upkeep_at: ClockMillis,
     settings_at: ClockMillis,
     budget: LogBudget,
+    counters: EntryCounters,
     frame: Vec<u8>,
 }
 
@@ -136,6 +141,7 @@
             upkeep_at: clock.now(),
             settings_at: clock.now().after(SETTINGS_MILLIS),
             budget: LogBudget::default(),
+            counters: EntryCounters::default(),
             frame: Vec::with_capacity(MAX_PACKET_BYTES),
             settings,
         };
@@ -158,6 +164,8 @@
             sender,
         );
         tokio::spawn(watch.run());
+        let inspect = SocketAddrV4::new(self.settings.address, self.settings.ports.inspections);
+        let mut inspections = start_inspections(inspect).await?;
         log_event!(
             info,
             FleetEvent::EntryStarted,
@@ -173,6 +181,7 @@
                 _ = self.packets.readable() => self.take_packets(),
                 _ = self.fleet.readable() => self.take_datagrams(),
                 Some(tiding) = tidings.recv() => self.take_tidings(tiding),
+                Some(inspection) = inspections.recv() => self.answer_inspection(inspection),
                 () = sleep_until(wake_at) => self.wake(),
                 () = stop_asked(&mut terminate), if leave_at.is_none() => {
                     leave_at = Some(self.begin_leaving());
@@ -216,6 +225,7 @@
             if self.budget.allows(FleetEvent::FlowRetried, now) {
                 log_event!(warn, FleetEvent::FlowRetried, %flow, %to, hops = header.hops);
             }
+            self.counters.resent += 1;
             self.forward(&packet, to, header);
         }
         if now >= self.upkeep_at {
@@ -262,6 +272,41 @@
         }
         self.flows.sweep(now);
         self.update_ready();
+        self.counters.publish();
+        publish_gauge("cyclamen_entry_flows", self.flows.remembered());
+        publish_gauge("cyclamen_entry_targets", self.view.len());
+        publish_gauge("cyclamen_entry_suspects", self.flows.suspects());
+        if let Some(at) = self.current_at {
+            histogram!("cyclamen_entry_control_age_ms").record(now.since(at).millis_float());
+        }
+    }
+
+    fn answer_inspection(&self, inspection: Inspection) {
+        let now = self.clock.now();
+        let reply = match inspection.question {
+            InspectQuestion::Dump => json!({
+                "role": "entry",
+                "name": self.settings.name,
+                "domain": self.settings.domain,
+                "routes_version": self.flows.table().version(),
+                "control_age_ms": self.current_at.map(|at| now.since(at)),
+                "members": self.core.members(),
+                "leader": self.core.leader(),
+                "leaving": self.leaving,
+                "targets": self.view.records().collect::<Vec<_>>(),
+                "flows": self.flows.remembered(),
+                "suspects": self.flows.suspects(),
+                "packets": self.counters,
+            }),
+            InspectQuestion::Flow(flow) => json!({
+                "role": "entry",
+                "name": self.settings.name,
+                "routes_version": self.flows.table().version(),
+                "flow": self.flows.find(flow, now),
+            }),
+        };
+        // An operator that went away needs no answer.
+        let _ = inspection.answer.send(reply);
     }
 
     /// Returns whether a replica that hears a leader was heard lately.
@@ -307,9 +352,11 @@
 
     fn take_packet(&mut self, bytes: &[u8]) {
         let now = self.clock.now();
+        self.counters.received += 1;
         let packet = match self.codec.decode(bytes) {
             Ok(packet) => packet,
             Err(fault) => {
+                self.counters.undecodable += 1;
                 if self.budget.allows(FleetEvent::DatagramRefused, now) {
                     log_event!(warn, FleetEvent::DatagramRefused, %fault);
                 }
@@ -322,11 +369,13 @@
                 self.forward(bytes, to, header);
             }
             FlowVerdict::Reset(reset, cause) => {
+                self.counters.refused += 1;
                 let answer = self.codec.encode_reset(&reset);
                 self.send_to_caller(*reset.flow.caller.ip(), &answer);
                 self.log_refusal(FleetEvent::FlowRefused, &packet, cause, now);
             }
             FlowVerdict::Drop(cause) => {
+                self.counters.dropped += 1;
                 self.log_refusal(FleetEvent::FlowDropped, &packet, cause, now);
             }
         }
@@ -340,10 +389,12 @@
         now: ClockMillis,
     ) {
         let event = if packet.opens() {
+            self.counters.opened += 1;
             FleetEvent::FlowOpened
         } else if header.candidates().is_empty() {
             return;
         } else {
+            self.counters.looked += 1;
             FleetEvent::FlowLooked
         };
         if self.budget.allows(event, now) {
@@ -371,16 +422,26 @@
     fn forward(&mut self, packet: &[u8], to: Ipv4Addr, header: HopHeader) {
         header.encode(packet, &mut self.frame);
         let address = SocketAddrV4::new(to, self.settings.packets.port());
-        // A frame that the network does not take is lost, as any may be.
-        let _ = self
+        // A frame that the kernel does not take is lost, as any may be.
+        match self
             .packets
-            .try_send_to(&self.frame, SocketAddr::V4(address));
+            .try_send_to(&self.frame, SocketAddr::V4(address))
+        {
+            Ok(_) => self.counters.forwarded += 1,
+            Err(_) => self.counters.unsent += 1,
+        }
     }
 
-    fn send_to_caller(&self, caller: Ipv4Addr, bytes: &[u8]) {
+    fn send_to_caller(&mut self, caller: Ipv4Addr, bytes: &[u8]) {
         let address = SocketAddrV4::new(caller, self.settings.packets.port());
         // The caller repeats what it gets no answer to.
-        let _ = self.packets.try_send_to(bytes, SocketAddr::V4(address));
+        if self
+            .packets
+            .try_send_to(bytes, SocketAddr::V4(address))
+            .is_err()
+        {
+            self.counters.unsent += 1;
+        }
     }
 
     fn take_datagrams(&mut self) {
@@ -421,10 +482,14 @@
     }
 
     fn answer_report(&mut self, report: &FlowReport, now: ClockMillis) {
+        if let Some(waited) = self.flows.opening_age(report.flow, now) {
+            histogram!("cyclamen_entry_opening_ms").record(waited.millis_float());
+        }
         match self.flows.take_report(report, now) {
             ReportStep::Nothing => {}
             ReportStep::Forward { packet, to, header } => self.forward(&packet, to, header),
             ReportStep::Reset(reset) => {
+                self.counters.ended += 1;
                 let answer = self.codec.encode_reset(&reset);
                 self.send_to_caller(*reset.flow.caller.ip(), &answer);
                 if self.budget.allows(FleetEvent::FlowEnded, now) {
--- /dev/null
+++ b/src/fleet/fleet_counters.rs
@@ -0,0 +1,97 @@
+use metrics::{counter, gauge};
+use serde::Serialize;
+
+/// What a balancer has counted since it started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
+pub(super) struct EntryCounters {
+    /// Packets of callers.
+    pub(super) received: u64,
+    /// Datagrams that were no packets.
+    pub(super) undecodable: u64,
+    /// Packets sent to agents.
+    pub(super) forwarded: u64,
+    /// Openings among them.
+    pub(super) opened: u64,
+    /// Openings sent to another agent since the first one did not report.
+    pub(super) resent: u64,
+    /// Packets of flows whose owner was looked for.
+    pub(super) looked: u64,
+    /// Packets answered by a reset.
+    pub(super) refused: u64,
+    /// Flows reset since no target holds them.
+    pub(super) ended: u64,
+    /// Packets dropped.
+    pub(super) dropped: u64,
+    /// Packets that the kernel did not take.
+    pub(super) unsent: u64,
+}
+
+impl EntryCounters {
+    /// Offers the counts as metrics, one series for each kind.
+    pub(super) fn publish(&self) {
+        let kinds = [
+            ("received", self.received),
+            ("undecodable", self.undecodable),
+            ("forwarded", self.forwarded),
+            ("opened", self.opened),
+            ("resent", self.resent),
+            ("looked", self.looked),
+            ("refused", self.refused),
+            ("ended", self.ended),
+            ("dropped", self.dropped),
+            ("unsent", self.unsent),
+        ];
+        for (kind, count) in kinds {
+            counter!("cyclamen_entry_packets_total", "kind" => kind).absolute(count);
+        }
+    }
+}
+
+/// What an agent has counted since it started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
+pub(super) struct SideCounters {
+    /// Frames of balancers and other agents.
+    pub(super) frames: u64,
+    /// Datagrams that were no frames or packets.
+    pub(super) undecodable: u64,
+    /// Packets handed to the target.
+    pub(super) delivered: u64,
+    /// Packets of the target sent to callers.
+    pub(super) returned: u64,
+    /// Packets passed on to other agents.
+    pub(super) passed: u64,
+    /// Openings that the target left unanswered.
+    pub(super) unanswered: u64,
+    /// Resets sent to callers.
+    pub(super) reset: u64,
+    /// Packets dropped.
+    pub(super) dropped: u64,
+    /// Packets that the kernel did not take.
+    pub(super) unsent: u64,
+}
+
+impl SideCounters {
+    /// Offers the counts as metrics, one series for each kind.
+    pub(super) fn publish(&self) {
+        let kinds = [
+            ("frames", self.frames),
+            ("undecodable", self.undecodable),
+            ("delivered", self.delivered),
+            ("returned", self.returned),
+            ("passed", self.passed),
+            ("unanswered", self.unanswered),
+            ("reset", self.reset),
+            ("dropped", self.dropped),
+            ("unsent", self.unsent),
+        ];
+        for (kind, count) in kinds {
+            counter!("cyclamen_side_packets_total", "kind" => kind).absolute(count);
+        }
+    }
+}
+
+/// Offers a number that goes up and down.
+#[allow(clippy::cast_precision_loss, reason = "counts far below 2^52")]
+pub(super) fn publish_gauge(name: &'static str, value: usize) {
+    gauge!(name).set(value as f64);
+}
--- a/src/fleet/fleet_settings.rs
+++ b/src/fleet/fleet_settings.rs
@@ -15,6 +15,8 @@
     pub watch: u16,
     /// TCP: links between control replicas.
     pub links: u16,
+    /// TCP: inspections by operators.
+    pub inspections: u16,
 }
 
 impl FleetPorts {
@@ -25,6 +27,7 @@
             datagrams: first,
             watch: first + 1,
             links: first + 2,
+            inspections: first + 3,
         }
     }
 }
--- /dev/null
+++ b/src/fleet/inspect_server.rs
@@ -0,0 +1,117 @@
+use std::{net::SocketAddrV4, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use tokio::{
+    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, mpsc, oneshot},
+    time::{sleep, timeout},
+};
+
+use super::FleetError;
+use crate::{clock::SpanMillis, flow::FlowKey};
+
+/// The largest question in bytes.
+const MAX_QUESTION_BYTES: u64 = 4_096;
+/// How long an inspection may take.
+const INSPECT_MILLIS: SpanMillis = SpanMillis::new(2_000);
+/// The most inspections at a time.
+const MAX_INSPECTIONS: usize = 4;
+/// The pause after the system refused to hand over a connection.
+const ACCEPT_PAUSE_MILLIS: SpanMillis = SpanMillis::new(100);
+
+/// What an operator wants to know of a process; one line of JSON.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum InspectQuestion {
+    /// Its whole state.
+    Dump,
+    /// What it knows of a flow.
+    Flow(FlowKey),
+}
+
+/// A question on its way to the process's loop.
+#[derive(Debug)]
+pub(super) struct Inspection {
+    /// The question.
+    pub(super) question: InspectQuestion,
+    /// Takes the answer.
+    pub(super) answer: oneshot::Sender<Value>,
+}
+
+/// Starts to answer questions at `address`; returns where they arrive. It must
+/// be called within the runtime.
+pub(super) async fn start_inspections(
+    address: SocketAddrV4,
+) -> Result<mpsc::Receiver<Inspection>, FleetError> {
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|cause| FleetError::Address {
+            address,
+            purpose: "inspections",
+            cause,
+        })?;
+    let (questions, inspections) = mpsc::channel(MAX_INSPECTIONS);
+    tokio::spawn(async move {
+        let permits = Arc::new(Semaphore::new(MAX_INSPECTIONS));
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                sleep(ACCEPT_PAUSE_MILLIS.duration()).await;
+                continue;
+            };
+            let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+                continue;
+            };
+            let questions = questions.clone();
+            tokio::spawn(async move {
+                // An operator that went away asks again.
+                let _ = timeout(INSPECT_MILLIS.duration(), inspect(stream, questions)).await;
+                drop(permit);
+            });
+        }
+    });
+    Ok(inspections)
+}
+
+async fn inspect(stream: TcpStream, questions: mpsc::Sender<Inspection>) -> std::io::Result<()> {
+    let (read_half, mut write_half) = stream.into_split();
+    let mut line = String::new();
+    BufReader::new(read_half.take(MAX_QUESTION_BYTES))
+        .read_line(&mut line)
+        .await?;
+    let reply = match serde_json::from_str(&line) {
+        Ok(question) => ask(question, &questions).await,
+        Err(error) => serde_json::json!({ "error": error.to_string() }),
+    };
+    write_half.write_all(format!("{reply}\n").as_bytes()).await
+}
+
+async fn ask(question: InspectQuestion, questions: &mpsc::Sender<Inspection>) -> Value {
+    let (answer, reply) = oneshot::channel();
+    let sent = questions.send(Inspection { question, answer }).await;
+    match (sent, reply.await) {
+        (Ok(()), Ok(value)) => value,
+        _ => serde_json::json!({ "error": "the process is stopping" }),
+    }
+}
+
+/// Asks the process whose inspections are answered at `address`.
+///
+/// # Errors
+///
+/// Fails when it is not reached within two seconds, or answers no JSON.
+pub async fn inspect_process(
+    address: SocketAddrV4,
+    question: InspectQuestion,
+) -> std::io::Result<Value> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await?;
+        let line = serde_json::to_string(&question)?;
+        stream.write_all(format!("{line}\n").as_bytes()).await?;
+        let mut reply = String::new();
+        stream.read_to_string(&mut reply).await?;
+        Ok(serde_json::from_str(&reply)?)
+    };
+    timeout(INSPECT_MILLIS.duration(), exchange).await?
+}
--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -4,6 +4,7 @@
     time::Duration,
 };
 
+use serde_json::json;
 use tokio::{
     net::{TcpStream, UdpSocket},
     signal::unix::{SignalKind, signal},
@@ -16,7 +17,9 @@
     core_view::CoreView,
     entry_node::stop_asked,
     entry_sockets::{FleetSocket, open_socket},
+    fleet_counters::{SideCounters, publish_gauge},
     fleet_datagram::{FleetDatagram, MAX_DATAGRAM_BYTES},
+    inspect_server::{InspectQuestion, Inspection, start_inspections},
     log_budget::LogBudget,
     side_handle::SideCommand,
     target_tracker::{NoticeVerdict, TargetTracker},
@@ -72,6 +75,7 @@
     probes: mpsc::Sender<bool>,
     commands: mpsc::Receiver<SideCommand>,
     budget: LogBudget,
+    counters: SideCounters,
     frame: Vec<u8>,
 }
 
@@ -112,6 +116,7 @@
             probes: mpsc::channel(1).0,
             commands,
             budget: LogBudget::default(),
+            counters: SideCounters::default(),
             frame: Vec::with_capacity(MAX_FRAME_BYTES),
             settings,
         };
@@ -129,6 +134,9 @@
         let (probes, mut presence) = mpsc::channel(MAX_COMMANDS);
         self.probes = probes;
         self.probe_target(self.clock.now());
+        let fleet = &self.settings.fleet;
+        let inspect = SocketAddrV4::new(fleet.address, fleet.ports.inspections);
+        let mut inspections = start_inspections(inspect).await?;
         log_event!(
             info,
             FleetEvent::SideStarted,
@@ -144,6 +152,7 @@
                 _ = self.outbound.readable() => self.take_answers(),
                 _ = self.fleet.readable() => self.take_datagrams(),
                 Some(command) = self.commands.recv() => self.take_command(command),
+                Some(inspection) = inspections.recv() => self.answer_inspection(inspection),
                 Some(present) = presence.recv() => self.take_presence(present),
                 () = sleep_until(wake_at) => self.wake(),
                 () = stop_asked(&mut hangup) => self.reread_settings(),
@@ -168,6 +177,7 @@
         let now = self.clock.now();
         let suspect = self.flows.is_suspect();
         for (mut packet, flow, step) in self.flows.expire_openings(now) {
+            self.counters.unanswered += 1;
             if self.budget.allows(FleetEvent::FlowUnanswered, now) {
                 log_event!(warn, FleetEvent::FlowUnanswered, %flow, action = ?step.action);
             }
@@ -192,6 +202,7 @@
             log_event!(info, FleetEvent::FlowsGone, ?target, flows = resets.len());
         }
         for reset in resets {
+            self.counters.reset += 1;
             let answer = self.codec.encode_reset(&reset);
             self.send_to_caller(reset.flow, &answer);
         }
@@ -272,6 +283,36 @@
             self.fleet.send(contact, &FleetDatagram::Announce(record));
         }
         self.flows.sweep(now);
+        self.counters.publish();
+        publish_gauge("cyclamen_side_flows", self.flows.held());
+        publish_gauge("cyclamen_side_suspect", self.flows.is_suspect().into());
+    }
+
+    fn answer_inspection(&self, inspection: Inspection) {
+        let now = self.clock.now();
+        let reply = match inspection.question {
+            InspectQuestion::Dump => json!({
+                "role": "side",
+                "name": self.settings.fleet.name,
+                "service": self.settings.service,
+                "service_tag": self.service,
+                "target": self.settings.target,
+                "start": self.tracker.incarnation(),
+                "standing": self.announced.map(|(standing, _)| standing),
+                "suspect": self.flows.is_suspect(),
+                "silence_ms": self.flows.silence(now),
+                "members": self.core.members(),
+                "flows": self.flows.held(),
+                "packets": self.counters,
+            }),
+            InspectQuestion::Flow(flow) => json!({
+                "role": "side",
+                "name": self.settings.fleet.name,
+                "flow": self.flows.find(flow, now),
+            }),
+        };
+        // An operator that went away needs no answer.
+        let _ = inspection.answer.send(reply);
     }
 
     /// Returns whom to announce to: the control group, and the seeds as well
@@ -340,6 +381,7 @@
 
     fn take_frame(&mut self, bytes: &mut [u8]) {
         let now = self.clock.now();
+        self.counters.frames += 1;
         let Some(frame) = HopFrame::decode(bytes) else {
             return self.refuse_datagram("no frame", now);
         };
@@ -353,6 +395,7 @@
     }
 
     fn refuse_datagram(&mut self, cause: &'static str, now: ClockMillis) {
+        self.counters.undecodable += 1;
         if self.budget.allows(FleetEvent::DatagramRefused, now) {
             log_event!(warn, FleetEvent::DatagramRefused, cause);
         }
@@ -391,29 +434,42 @@
         match step.action {
             AgentAction::Deliver { tag } => {
                 self.codec.prepare(packet, tag);
-                // What the target's machine does not take is lost, as any packet may be.
-                let _ = self
+                // What the kernel does not take is lost, as any packet may be.
+                let sent = self
                     .outbound
                     .try_send_to(packet, SocketAddr::V4(self.settings.target));
+                match sent {
+                    Ok(_) => self.counters.delivered += 1,
+                    Err(_) => self.counters.unsent += 1,
+                }
+            }
+            AgentAction::Return => {
+                self.counters.returned += 1;
+                self.send_to_caller(flow, packet);
             }
-            AgentAction::Return => self.send_to_caller(flow, packet),
             AgentAction::PassOn { to, header } => {
                 self.codec.prepare(packet, 0);
                 header.encode(packet, &mut self.frame);
                 let address = SocketAddrV4::new(to, self.settings.fleet.packets.port());
-                // A frame that the network does not take is lost, as any may be.
-                let _ = self
+                // A frame that the kernel does not take is lost, as any may be.
+                let sent = self
                     .frames
                     .try_send_to(&self.frame, SocketAddr::V4(address));
+                match sent {
+                    Ok(_) => self.counters.passed += 1,
+                    Err(_) => self.counters.unsent += 1,
+                }
                 if self.budget.allows(FleetEvent::FlowPassed, now) {
                     log_event!(info, FleetEvent::FlowPassed, %flow, %to, hops = header.hops);
                 }
             }
             AgentAction::Reset(reset) => {
+                self.counters.reset += 1;
                 let answer = self.codec.encode_reset(&reset);
                 self.send_to_caller(flow, &answer);
             }
             AgentAction::Drop => {
+                self.counters.dropped += 1;
                 if self.budget.allows(FleetEvent::FlowDropped, now) {
                     log_event!(info, FleetEvent::FlowDropped, %flow);
                 }
@@ -427,11 +483,17 @@
         }
     }
 
-    fn send_to_caller(&self, flow: FlowKey, bytes: &[u8]) {
+    fn send_to_caller(&mut self, flow: FlowKey, bytes: &[u8]) {
         let port = self.settings.fleet.packets.port();
         let address = SocketAddrV4::new(*flow.caller.ip(), port);
         // The ends of a flow repeat what is lost.
-        let _ = self.frames.try_send_to(bytes, SocketAddr::V4(address));
+        if self
+            .frames
+            .try_send_to(bytes, SocketAddr::V4(address))
+            .is_err()
+        {
+            self.counters.unsent += 1;
+        }
     }
 
     fn take_datagrams(&mut self) {
--- a/src/flow/agent_flows.rs
+++ b/src/flow/agent_flows.rs
@@ -1,7 +1,7 @@
 use std::{collections::HashMap, net::Ipv4Addr};
 
 use super::{
-    FlowKey, FlowPacket, FlowReport, FlowReset, HopHeader, PacketSigns, ReportKind,
+    FlowKey, FlowPacket, FlowReport, FlowReset, HeldFinding, HopHeader, PacketSigns, ReportKind,
     opening_watch::{OpeningWatch, WatchedOpening},
     pass_ring::PassRing,
     target_health::TargetHealth,
@@ -157,6 +157,16 @@
         self.health.is_suspect()
     }
 
+    /// Returns what is known of a flow.
+    pub(crate) fn find(&self, flow: FlowKey, now: ClockMillis) -> Option<HeldFinding> {
+        self.held.get(&flow).map(|held| HeldFinding {
+            balancer: held.balancer,
+            reported: held.reported,
+            established: held.established,
+            idle: now.since(held.used_at),
+        })
+    }
+
     /// Returns how long the target has sent no packet, `None` if it never did.
     pub(crate) fn silence(&self, now: ClockMillis) -> Option<SpanMillis> {
         self.health.silence(now)
--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -1,7 +1,8 @@
 use std::{collections::HashMap, net::Ipv4Addr};
 
 use super::{
-    FlowKey, FlowPacket, FlowReport, FlowReset, HopHeader, KnownTargets, ReportKind,
+    FlowFinding, FlowKey, FlowPacket, FlowReport, FlowReset, FoundOwner, HopHeader, KnownTargets,
+    ReportKind,
     flow_walk::{FlowWalk, WalkTable},
     hop_frame::MAX_CANDIDATES,
     opening_watch::{OpeningWatch, WatchedOpening},
@@ -139,6 +140,31 @@
         self.suspects.len()
     }
 
+    /// Returns what is known of a flow.
+    pub(crate) fn find(&self, flow: FlowKey, now: ClockMillis) -> FlowFinding {
+        let choice = self.table.choose(flow.listener, flow.spread(), now);
+        let ranked = choice.as_ref().map_or_else(Vec::new, |choice| {
+            let targets = self.targets.services.get(&choice.opens);
+            targets.map_or_else(Vec::new, |targets| targets.open.rank(flow, MAX_CANDIDATES))
+        });
+        FlowFinding {
+            service: choice.map(|choice| choice.opens),
+            owner: self.owners.peek(flow).map(|owner| FoundOwner {
+                agent: owner.agent,
+                confirmed: owner.confirmed,
+                target: owner.target,
+                idle: now.since(owner.used_at),
+                gone: self.targets.is_gone(owner.agent, owner.target),
+            }),
+            ranked,
+        }
+    }
+
+    /// Returns how long an opening has waited for its report, if it does.
+    pub(crate) fn opening_age(&self, flow: FlowKey, now: ClockMillis) -> Option<SpanMillis> {
+        self.openings.age(flow, now)
+    }
+
     /// Takes a packet of a caller.
     pub(crate) fn take_packet(
         &mut self,
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -7,6 +7,7 @@
 
 mod agent_flows;
 mod balancer_flows;
+mod flow_finding;
 mod flow_key;
 mod flow_packet;
 mod flow_report;
@@ -26,6 +27,7 @@
 
 pub(crate) use agent_flows::{AgentAction, AgentFlows, AgentStep, AgentTarget};
 pub(crate) use balancer_flows::{BalancerFlows, FlowVerdict, RefusalCause, ReportStep};
+pub(crate) use flow_finding::{FlowFinding, FoundOwner, HeldFinding};
 pub(crate) use flow_report::{FlowReport, ReportKind};
 pub(crate) use hop_frame::{HopFrame, HopHeader};
 pub(crate) use known_targets::{KnownTargets, ServiceTargets, TargetStart};
--- a/src/flow/opening_watch.rs
+++ b/src/flow/opening_watch.rs
@@ -52,6 +52,12 @@
         self.openings.contains_key(&flow)
     }
 
+    /// Returns how long an opening has been watched.
+    pub(crate) fn age(&self, flow: FlowKey, now: ClockMillis) -> Option<SpanMillis> {
+        let opening = self.openings.get(&flow)?;
+        Some(now.since(opening.sent_at))
+    }
+
     /// Takes an opening that was answered.
     pub(crate) fn take(&mut self, flow: FlowKey) -> Option<WatchedOpening> {
         self.openings.remove(&flow)
--- a/src/flow/owner_cache.rs
+++ b/src/flow/owner_cache.rs
@@ -48,6 +48,11 @@
         Some(*owner)
     }
 
+    /// Returns the owner of a flow without noting a use.
+    pub(crate) fn peek(&self, flow: FlowKey) -> Option<&FlowOwner> {
+        self.owners.get(&flow)
+    }
+
     /// Notes where a flow was sent; a confirmed owner stays.
     pub(crate) fn assume(&mut self, flow: FlowKey, agent: Ipv4Addr, now: ClockMillis) {
         self.make_room(now);
