Metrics are built after the start, off the packet loop

Cause: building the recorder measures the processor's clock; on VMs of 0.055 of a core that held up each start.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -14,7 +14,7 @@
 pub use admin_refusal::AdminRefusal;
 pub use admin_server::AdminServer;
 pub use admin_source::AdminSource;
-pub use metrics_listener::start_metrics;
+pub use metrics_listener::{start_metrics, start_metrics_after};
 
 pub(crate) use admin_call::AdminCall;
 pub(crate) use admin_client::AdminClient;
