--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -54,7 +54,7 @@
 const SETTINGS_MILLIS: SpanMillis = SpanMillis::new(1_000);
 /// How long a stopping process forwards packets: two missed probes of the
 /// network at two a second, and what is on its way.
-const LEAVE_MILLIS: SpanMillis = SpanMillis::new(2_500);
+const LEAVE_MILLIS: SpanMillis = SpanMillis::new(1_300);
 /// How long routes count as current after the last word of a replica.
 const CURRENT_MILLIS: SpanMillis = SpanMillis::new(1_500);
 /// The tidings of the watch that wait.
