A balancer that is cut off from control and agents says that it is not ready

Cause: on burst-and-loss the network went on hashing flows to VMs that reached nobody (failed 44 + 38 of 2378 in four seconds). Change: four openings in a row that no agent reported, and a control replica that does not answer, make it not ready until either is heard. Log lines for reports are named for what they are.

--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -79,6 +79,8 @@
     ready: Arc<AtomicBool>,
     leaving: bool,
     current_at: Option<ClockMillis>,
+    /// Whether the replica that was followed has not answered.
+    control_lost: bool,
     upkeep_at: ClockMillis,
     settings_at: ClockMillis,
     budget: LogBudget,
@@ -138,6 +140,7 @@
             ready,
             leaving: false,
             current_at: None,
+            control_lost: false,
             upkeep_at: clock.now(),
             settings_at: clock.now().after(SETTINGS_MILLIS),
             budget: LogBudget::default(),
@@ -332,11 +335,20 @@
     }
 
     fn update_ready(&mut self) {
-        let ready = !self.leaving && self.flows.is_ready();
+        // Cut off from control and agents alike, other balancers serve better.
+        let cut_off = self.control_lost && self.flows.is_isolated();
+        let ready = !self.leaving && !cut_off && self.flows.is_ready();
         if ready != self.ready.swap(ready, Ordering::Relaxed) {
             let version = self.flows.table().version();
             let targets = self.view.len();
-            log_event!(info, FleetEvent::EntryReady, ready, version, targets);
+            log_event!(
+                info,
+                FleetEvent::EntryReady,
+                ready,
+                version,
+                targets,
+                cut_off
+            );
         }
     }
 
@@ -474,8 +486,8 @@
             }
             FleetDatagram::Report(report) => {
                 self.answer_report(report, now);
-                if self.budget.allows(FleetEvent::FlowHeld, now) {
-                    log_event!(info, FleetEvent::FlowHeld, flow = %report.flow, agent = %report.agent, kind = ?report.kind);
+                if self.budget.allows(FleetEvent::ReportTaken, now) {
+                    log_event!(info, FleetEvent::ReportTaken, flow = %report.flow, agent = %report.agent, kind = ?report.kind);
                 }
             }
         }
@@ -508,6 +520,8 @@
         match tiding {
             WatchTidings::News(news) => self.take_news(*news),
             WatchTidings::Lost { replica } => {
+                self.control_lost = true;
+                self.update_ready();
                 log_event!(warn, FleetEvent::CoreLost, %replica);
             }
         }
@@ -515,6 +529,7 @@
 
     fn take_news(&mut self, news: WatchNews) {
         let now = self.clock.now();
+        self.control_lost = false;
         if news.current {
             self.current_at = Some(now);
             self.flows.set_current(true);
--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -482,8 +482,8 @@
             }
         }
         if let Some((balancer, report)) = step.report {
-            if self.budget.allows(FleetEvent::FlowAccepted, now) {
-                log_event!(info, FleetEvent::FlowAccepted, %flow, kind = ?report.kind, %balancer);
+            if self.budget.allows(FleetEvent::ReportSent, now) {
+                log_event!(info, FleetEvent::ReportSent, %flow, kind = ?report.kind, %balancer);
             }
             self.fleet.send(balancer, &FleetDatagram::Report(report));
         }
--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -18,6 +18,8 @@
 const REPORT_MILLIS: SpanMillis = SpanMillis::new(60);
 /// How long new flows avoid an agent that left an opening unreported.
 const SUSPECT_MILLIS: SpanMillis = SpanMillis::new(1_000);
+/// The unreported openings in a row after which a balancer may be cut off.
+const ISOLATED_OPENINGS: u32 = 4;
 /// The candidates that an opening is offered to besides the first one.
 const OPENING_CANDIDATES: usize = 5;
 
@@ -80,6 +82,8 @@
     /// Where each watched opening was sent first.
     sent_to: HashMap<FlowKey, Ipv4Addr>,
     suspects: HashMap<Ipv4Addr, ClockMillis>,
+    /// The openings that nobody reported since the last report.
+    unreported: u32,
     /// Whether routes and targets are current, so that refusals are true.
     current: bool,
 }
@@ -96,6 +100,7 @@
             openings: OpeningWatch::new(REPORT_MILLIS),
             sent_to: HashMap::new(),
             suspects: HashMap::new(),
+            unreported: 0,
             current: false,
         }
     }
@@ -130,6 +135,12 @@
                 .any(|targets| targets.open.len() > 0)
     }
 
+    /// Returns whether no agent answers: this balancer may be cut off from all
+    /// of them.
+    pub(crate) fn is_isolated(&self) -> bool {
+        self.unreported >= ISOLATED_OPENINGS
+    }
+
     /// Returns the number of remembered flows.
     pub(crate) fn remembered(&self) -> usize {
         self.owners.len()
@@ -297,6 +308,7 @@
     /// Takes an agent's news of a flow; returns what is to be sent for it.
     pub(crate) fn take_report(&mut self, report: &FlowReport, now: ClockMillis) -> ReportStep {
         self.suspects.remove(&report.agent);
+        self.unreported = 0;
         self.openings.take(report.flow);
         self.sent_to.remove(&report.flow);
         match report.kind {
@@ -344,6 +356,7 @@
     ) -> Vec<(FlowKey, Vec<u8>, Ipv4Addr, HopHeader)> {
         let mut resent = Vec::new();
         while let Some(mut opening) = self.openings.take_due(now) {
+            self.unreported = self.unreported.saturating_add(1);
             if let Some(silent) = self.sent_to.remove(&opening.flow) {
                 self.suspects.insert(silent, now.after(SUSPECT_MILLIS));
             }
--- a/src/flow/tests/balancer_verdicts.rs
+++ b/src/flow/tests/balancer_verdicts.rs
@@ -315,3 +315,18 @@
     flows.set_targets(targets);
     assert_eq!(continued(&mut flows, 1).0, agent(2));
 }
+
+#[test]
+fn a_balancer_that_no_agent_answers_takes_itself_for_cut_off_until_one_does() {
+    let mut flows = balancer();
+    let mut now = START;
+    for port in 1..=4 {
+        assert!(!flows.is_isolated());
+        open(&mut flows, port, now);
+        now = flows.next_due().expect("a watched opening");
+        flows.expire_openings(now);
+    }
+    assert!(flows.is_isolated());
+    flows.take_report(&report(1, agent(1), ReportKind::Held), now);
+    assert!(!flows.is_isolated());
+}
