--- a/src/control/control_event.rs
+++ b/src/control/control_event.rs
@@ -24,6 +24,7 @@
         DiskRefused = 1103 => "disk refused; it is tried again, nothing is acknowledged meanwhile",
         DiskRecovered = 1104 => "disk takes writes again",
         FolderDiscarded = 1105 => "damaged data folder discarded; joining as a new replica",
+        CommandUnread = 1106 => "committed command can not be read; it changes nothing",
         TornTailCut = 1101 => "torn end of the log cut off",
         LinkUp = 1110 => "connected to another replica",
         LinkDown = 1111 => "connection to another replica failed",
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -519,10 +519,10 @@
     fn take_tidings(&mut self, tiding: WatchTidings) {
         match tiding {
             WatchTidings::News(news) => self.take_news(*news),
-            WatchTidings::Lost { replica } => {
+            WatchTidings::Lost { replica, cause } => {
                 self.control_lost = true;
                 self.update_ready();
-                log_event!(warn, FleetEvent::CoreLost, %replica);
+                log_event!(warn, FleetEvent::CoreLost, %replica, %cause);
             }
         }
     }
--- a/src/fleet/entry_sockets.rs
+++ b/src/fleet/entry_sockets.rs
@@ -6,7 +6,8 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::UdpSocket;
 
-use super::{FleetError, fleet_datagram::FleetDatagram};
+use super::{FleetError, FleetEvent, fleet_datagram::FleetDatagram};
+use crate::event::log_event;
 
 /// The bytes that may wait in a socket; a burst of a tenth of a second fits.
 const RECEIVE_BUFFER_BYTES: usize = 1 << 20;
@@ -59,9 +60,11 @@
 
     /// Sends a datagram; what the network does not take is lost, as any may be.
     pub(super) fn send(&self, to: Ipv4Addr, datagram: &FleetDatagram) {
-        if let Some(bytes) = datagram.encode() {
-            let address = SocketAddr::V4(SocketAddrV4::new(to, self.port));
-            let _ = self.socket.try_send_to(&bytes, address);
-        }
+        let Some(bytes) = datagram.encode() else {
+            log_event!(error, FleetEvent::DatagramTooLong, %to);
+            return;
+        };
+        let address = SocketAddr::V4(SocketAddrV4::new(to, self.port));
+        let _ = self.socket.try_send_to(&bytes, address);
     }
 }
--- a/src/fleet/fleet_event.rs
+++ b/src/fleet/fleet_event.rs
@@ -38,6 +38,7 @@
         AgentsUnread = 6040 => "file of running agents not read; they are waited for",
         AgentsUnwritten = 6041 => "file of running agents not written",
         LinesOmitted = 6090 => "log lines left out",
+        DatagramTooLong = 6092 => "datagram too long to be sent",
         DatagramRefused = 6091 => "datagram refused",
     }
 }
--- a/src/fleet/watch_client.rs
+++ b/src/fleet/watch_client.rs
@@ -35,6 +35,8 @@
     Lost {
         /// The replica.
         replica: Ipv4Addr,
+        /// What went wrong.
+        cause: io::ErrorKind,
     },
 }
 
@@ -100,7 +102,8 @@
                 Ok(news) => news,
                 Err(error) => {
                     // A full queue will be told by the next loss.
-                    let _ = self.tidings.try_send(WatchTidings::Lost { replica });
+                    let cause = error.kind();
+                    let _ = self.tidings.try_send(WatchTidings::Lost { replica, cause });
                     return Err(error);
                 }
             };
--- a/src/listener/listener_store.rs
+++ b/src/listener/listener_store.rs
@@ -4,7 +4,11 @@
 use tokio::sync::watch;
 
 use super::ListenerManifest;
-use crate::{control::StateError, key::FeedRevision};
+use crate::{
+    control::{ControlEvent, StateError},
+    event::log_event,
+    key::FeedRevision,
+};
 
 /// A manifest together with the document that it was read from.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,20 +50,25 @@
     /// Executes one committed command; a version that is not higher than the
     /// one held changes nothing. Returns an empty outcome.
     pub(crate) fn apply(&self, command: &[u8]) -> Vec<u8> {
-        // Only this type's encoding is ever proposed; other bytes name nothing.
-        if let Ok(stored) = postcard::from_bytes::<StoredManifest>(command) {
-            let mut held = self.lock();
-            let newer = held
-                .as_ref()
-                .is_none_or(|old| old.manifest.version < stored.manifest.version);
-            if newer {
-                *held = Some(Arc::new(stored));
-                self.news.send_replace(held.clone());
-            }
+        match postcard::from_bytes::<StoredManifest>(command) {
+            Ok(stored) => self.take(stored),
+            // Every replica ignores it alike.
+            Err(error) => log_event!(error, ControlEvent::CommandUnread, %error),
         }
         Vec::new()
     }
 
+    fn take(&self, stored: StoredManifest) {
+        let mut held = self.lock();
+        let newer = held
+            .as_ref()
+            .is_none_or(|old| old.manifest.version < stored.manifest.version);
+        if newer {
+            *held = Some(Arc::new(stored));
+            self.news.send_replace(held.clone());
+        }
+    }
+
     /// Returns the state as bytes.
     ///
     /// # Errors
