--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -1,14 +1,9 @@
 use std::{
     net::{Ipv4Addr, SocketAddr, SocketAddrV4},
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, atomic::AtomicBool},
     time::Duration,
 };
 
-use metrics::histogram;
-use serde_json::json;
 use tokio::{
     net::UdpSocket,
     signal::unix::{Signal, SignalKind, signal},
@@ -22,11 +17,11 @@
     core_view::CoreView,
     directory_file::DirectoryFile,
     entry_sockets::{FleetSocket, open_socket},
-    fleet_counters::{EntryCounters, publish_gauge},
+    fleet_counters::EntryCounters,
     fleet_datagram::{FleetDatagram, MAX_DATAGRAM_BYTES},
-    inspect_server::{InspectQuestion, Inspection, start_inspections},
+    inspect_server::start_inspections,
     log_budget::LogBudget,
-    watch_client::{WatchClient, WatchTidings},
+    watch_client::{WatchClient, WatchUpdate},
     watch_frame::WatchNews,
     watch_server::{SharedDirectory, WatchServer},
 };
@@ -34,58 +29,55 @@
     clock::{ClockMillis, ProcessClock, SpanMillis},
     directory::{TargetDirectory, TargetView},
     event::log_event,
-    flow::{
-        BalancerFlows, FlowPacket, FlowReport, FlowVerdict, HopHeader, PacketCodec, RefusalCause,
-        ReportStep,
-    },
+    flow::{BalancerFlows, PacketCodec},
     listener::ListenerTable,
 };
 
 /// The largest packet with its header.
-const MAX_PACKET_BYTES: usize = 2_048;
+pub(super) const MAX_PACKET_BYTES: usize = 2_048;
 /// The packets that are taken before other work gets its turn.
-const PACKETS_A_TURN: usize = 64;
+pub(super) const PACKETS_A_TURN: usize = 64;
 /// How often slow work is done: expiry, discovery, sweeps.
-const UPKEEP_MILLIS: SpanMillis = SpanMillis::new(250);
+pub(super) const UPKEEP_MILLIS: SpanMillis = SpanMillis::new(250);
 /// How often it is done while the control group is not heard: all VMs may have
 /// just started together.
-const SEEK_MILLIS: SpanMillis = SpanMillis::new(50);
+pub(super) const SEEK_MILLIS: SpanMillis = SpanMillis::new(50);
 /// How often the settings are read again while the control group is not heard.
-const SETTINGS_MILLIS: SpanMillis = SpanMillis::new(1_000);
+pub(super) const SETTINGS_MILLIS: SpanMillis = SpanMillis::new(1_000);
 /// How long a stopping process forwards packets: two missed probes of the
 /// network at two a second, and what is on its way.
-const LEAVE_MILLIS: SpanMillis = SpanMillis::new(1_300);
+pub(super) const LEAVE_MILLIS: SpanMillis = SpanMillis::new(1_300);
 /// How long routes count as current after the last word of a replica.
-const CURRENT_MILLIS: SpanMillis = SpanMillis::new(1_500);
-/// The tidings of the watch that wait.
-const MAX_TIDINGS: usize = 16;
+pub(super) const CURRENT_MILLIS: SpanMillis = SpanMillis::new(1_500);
+/// The updates of the watch that wait.
+pub(super) const MAX_UPDATES: usize = 16;
 
 /// The process on an entry VM: a balancer, and on VMs with a disk a replica of
 /// the control group.
 #[derive(Debug)]
 pub struct EntryNode {
-    settings: FleetSettings,
-    codec: Arc<dyn PacketCodec>,
-    source: Arc<dyn SettingsSource>,
-    clock: ProcessClock,
-    packets: UdpSocket,
-    fleet: FleetSocket,
-    core: CoreView,
-    seat: Option<ControlSeat>,
-    directory: Option<SharedDirectory>,
-    agents_file: Option<DirectoryFile>,
-    flows: BalancerFlows,
-    view: TargetView,
-    ready: Arc<AtomicBool>,
-    leaving: bool,
-    current_at: Option<ClockMillis>,
+    pub(super) settings: FleetSettings,
+    pub(super) codec: Arc<dyn PacketCodec>,
+    pub(super) source: Arc<dyn SettingsSource>,
+    pub(super) clock: ProcessClock,
+    pub(super) packets: UdpSocket,
+    pub(super) fleet: FleetSocket,
+    pub(super) core: CoreView,
+    pub(super) seat: Option<ControlSeat>,
+    pub(super) directory: Option<SharedDirectory>,
+    pub(super) agents_file: Option<DirectoryFile>,
+    pub(super) flows: BalancerFlows,
+    pub(super) view: TargetView,
+    pub(super) ready: Arc<AtomicBool>,
+    pub(super) leaving: bool,
+    pub(super) current_at: Option<ClockMillis>,
     /// Whether the replica that was followed has not answered.
-    control_lost: bool,
-    upkeep_at: ClockMillis,
-    settings_at: ClockMillis,
-    budget: LogBudget,
-    counters: EntryCounters,
-    frame: Vec<u8>,
+    pub(super) control_lost: bool,
+    pub(super) upkeep_at: ClockMillis,
+    pub(super) settings_at: ClockMillis,
+    pub(super) budget: LogBudget,
+    pub(super) counters: EntryCounters,
+    pub(super) frame: Vec<u8>,
 }
 
 impl EntryNode {
@@ -159,7 +151,7 @@
     pub async fn run(mut self) -> Result<(), FleetError> {
         let mut terminate = signal(SignalKind::terminate()).map_err(FleetError::Signals)?;
         let mut hangup = signal(SignalKind::hangup()).map_err(FleetError::Signals)?;
-        let (sender, mut tidings) = mpsc::channel(MAX_TIDINGS);
+        let (sender, mut updates) = mpsc::channel(MAX_UPDATES);
         let watch = WatchClient::new(
             self.settings.address,
             self.settings.ports.watch,
@@ -183,7 +175,7 @@
             tokio::select! {
                 _ = self.packets.readable() => self.take_packets(),
                 _ = self.fleet.readable() => self.take_datagrams(),
-                Some(tiding) = tidings.recv() => self.take_tidings(tiding),
+                Some(update) = updates.recv() => self.take_update(update),
                 Some(inspection) = inspections.recv() => self.answer_inspection(inspection),
                 () = sleep_until(wake_at) => self.wake(),
                 () = stop_asked(&mut terminate), if leave_at.is_none() => {
@@ -222,240 +214,6 @@
         Instant::now() + next.since(now).duration().max(Duration::from_millis(1))
     }
 
-    fn wake(&mut self) {
-        let now = self.clock.now();
-        for (flow, packet, to, header) in self.flows.expire_openings(now) {
-            if self.budget.allows(FleetEvent::FlowRetried, now) {
-                log_event!(warn, FleetEvent::FlowRetried, %flow, %to, hops = header.hops);
-            }
-            self.counters.resent += 1;
-            self.forward(&packet, to, header);
-        }
-        if now >= self.upkeep_at {
-            self.keep_up(now);
-            let pause = if self.is_current(now) {
-                UPKEEP_MILLIS
-            } else {
-                SEEK_MILLIS
-            };
-            self.upkeep_at = now.after(pause);
-        }
-    }
-
-    fn keep_up(&mut self, now: ClockMillis) {
-        if let Some(directory) = &self.directory {
-            directory.change(|directory| directory.expire(now));
-            if let Some(file) = &mut self.agents_file {
-                if let Some(agents) = file.take_read() {
-                    directory.change(|directory| {
-                        directory.await_agents(agents);
-                        false
-                    });
-                }
-                if let Some(agents) = directory.settled_agents(now) {
-                    file.write(agents);
-                }
-            }
-        }
-        if let Some(seat) = &self.seat {
-            let members = seat.members();
-            let leader = seat.leader();
-            if self.core.meet(members, leader) {
-                log_event!(info, FleetEvent::CoreFound, members = ?self.core.members());
-            }
-            seat.meet_peers(&self.core.contacts());
-        }
-        if !self.is_current(now) {
-            self.flows.set_current(false);
-            self.locate_core();
-            if now >= self.settings_at {
-                self.settings_at = now.after(SETTINGS_MILLIS);
-                self.reread_settings();
-            }
-        }
-        self.flows.sweep(now);
-        self.update_ready();
-        self.counters.publish();
-        publish_gauge("cyclamen_entry_flows", self.flows.remembered());
-        publish_gauge("cyclamen_entry_targets", self.view.len());
-        publish_gauge("cyclamen_entry_suspects", self.flows.suspects());
-        if let Some(at) = self.current_at {
-            histogram!("cyclamen_entry_control_age_ms").record(now.since(at).millis_float());
-        }
-    }
-
-    fn answer_inspection(&self, inspection: Inspection) {
-        let now = self.clock.now();
-        let reply = match inspection.question {
-            InspectQuestion::Dump => json!({
-                "role": "entry",
-                "name": self.settings.name,
-                "domain": self.settings.domain,
-                "routes_version": self.flows.table().version(),
-                "control_age_ms": self.current_at.map(|at| now.since(at)),
-                "members": self.core.members(),
-                "leader": self.core.leader(),
-                "leaving": self.leaving,
-                "targets": self.view.records().collect::<Vec<_>>(),
-                "flows": self.flows.remembered(),
-                "suspects": self.flows.suspects(),
-                "packets": self.counters,
-            }),
-            InspectQuestion::Flow(flow) => json!({
-                "role": "entry",
-                "name": self.settings.name,
-                "routes_version": self.flows.table().version(),
-                "flow": self.flows.find(flow, now),
-            }),
-        };
-        // An operator that went away needs no answer.
-        let _ = inspection.answer.send(reply);
-    }
-
-    /// Returns whether a replica that hears a leader was heard lately.
-    fn is_current(&self, now: ClockMillis) -> bool {
-        self.current_at
-            .is_some_and(|at| now.since(at) < CURRENT_MILLIS)
-    }
-
-    fn locate_core(&self) {
-        for contact in self.core.contacts() {
-            if contact != self.settings.address {
-                self.fleet.send(contact, &FleetDatagram::Locate);
-            }
-        }
-    }
-
-    fn reread_settings(&mut self) {
-        if let Some(seeds) = self.source.seeds()
-            && self.core.set_seeds(seeds.clone())
-        {
-            log_event!(info, FleetEvent::SettingsReread, ?seeds);
-        }
-    }
-
-    fn update_ready(&mut self) {
-        // Cut off from control and agents alike, other balancers serve better.
-        let cut_off = self.control_lost && self.flows.is_isolated();
-        let ready = !self.leaving && !cut_off && self.flows.is_ready();
-        if ready != self.ready.swap(ready, Ordering::Relaxed) {
-            let version = self.flows.table().version();
-            let targets = self.view.len();
-            log_event!(
-                info,
-                FleetEvent::EntryReady,
-                ready,
-                version,
-                targets,
-                cut_off
-            );
-        }
-    }
-
-    fn take_packets(&mut self) {
-        let mut buffer = [0; MAX_PACKET_BYTES];
-        for _ in 0..PACKETS_A_TURN {
-            match self.packets.try_recv_from(&mut buffer) {
-                Ok((length, _)) => self.take_packet(&buffer[..length]),
-                Err(_) => return,
-            }
-        }
-    }
-
-    fn take_packet(&mut self, bytes: &[u8]) {
-        let now = self.clock.now();
-        self.counters.received += 1;
-        let packet = match self.codec.decode(bytes) {
-            Ok(packet) => packet,
-            Err(fault) => {
-                self.counters.undecodable += 1;
-                if self.budget.allows(FleetEvent::DatagramRefused, now) {
-                    log_event!(warn, FleetEvent::DatagramRefused, %fault);
-                }
-                return;
-            }
-        };
-        match self.flows.take_packet(&packet, bytes, now) {
-            FlowVerdict::Forward { to, header } => {
-                self.log_forward(&packet, to, &header, now);
-                self.forward(bytes, to, header);
-            }
-            FlowVerdict::Reset(reset, cause) => {
-                self.counters.refused += 1;
-                let answer = self.codec.encode_reset(&reset);
-                self.send_to_caller(*reset.flow.caller.ip(), &answer);
-                self.log_refusal(FleetEvent::FlowRefused, &packet, cause, now);
-            }
-            FlowVerdict::Drop(cause) => {
-                self.counters.dropped += 1;
-                self.log_refusal(FleetEvent::FlowDropped, &packet, cause, now);
-            }
-        }
-    }
-
-    fn log_forward(
-        &mut self,
-        packet: &FlowPacket,
-        to: Ipv4Addr,
-        header: &HopHeader,
-        now: ClockMillis,
-    ) {
-        let event = if packet.opens() {
-            self.counters.opened += 1;
-            FleetEvent::FlowOpened
-        } else if header.candidates().is_empty() {
-            return;
-        } else {
-            self.counters.looked += 1;
-            FleetEvent::FlowLooked
-        };
-        if self.budget.allows(event, now) {
-            let flow = packet.caller_flow();
-            let version = self.flows.table().version();
-            let suspects = self.flows.suspects();
-            tracing::info!(event = event.number(), %flow, %to, version, suspects, "{}", event.message());
-        }
-    }
-
-    fn log_refusal(
-        &mut self,
-        event: FleetEvent,
-        packet: &FlowPacket,
-        cause: RefusalCause,
-        now: ClockMillis,
-    ) {
-        if self.budget.allows(event, now) {
-            let flow = packet.caller_flow();
-            let version = self.flows.table().version();
-            tracing::info!(event = event.number(), %flow, ?cause, version, "{}", event.message());
-        }
-    }
-
-    fn forward(&mut self, packet: &[u8], to: Ipv4Addr, header: HopHeader) {
-        header.encode(packet, &mut self.frame);
-        let address = SocketAddrV4::new(to, self.settings.packets.port());
-        // A frame that the kernel does not take is lost, as any may be.
-        match self
-            .packets
-            .try_send_to(&self.frame, SocketAddr::V4(address))
-        {
-            Ok(_) => self.counters.forwarded += 1,
-            Err(_) => self.counters.unsent += 1,
-        }
-    }
-
-    fn send_to_caller(&mut self, caller: Ipv4Addr, bytes: &[u8]) {
-        let address = SocketAddrV4::new(caller, self.settings.packets.port());
-        // The caller repeats what it gets no answer to.
-        if self
-            .packets
-            .try_send_to(bytes, SocketAddr::V4(address))
-            .is_err()
-        {
-            self.counters.unsent += 1;
-        }
-    }
-
     fn take_datagrams(&mut self) {
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         for _ in 0..PACKETS_A_TURN {
@@ -493,33 +251,15 @@
         }
     }
 
-    fn answer_report(&mut self, report: &FlowReport, now: ClockMillis) {
-        if let Some(waited) = self.flows.opening_age(report.flow, now) {
-            histogram!("cyclamen_entry_opening_ms").record(waited.millis_float());
-        }
-        match self.flows.take_report(report, now) {
-            ReportStep::Nothing => {}
-            ReportStep::Forward { packet, to, header } => self.forward(&packet, to, header),
-            ReportStep::Reset(reset) => {
-                self.counters.ended += 1;
-                let answer = self.codec.encode_reset(&reset);
-                self.send_to_caller(*reset.flow.caller.ip(), &answer);
-                if self.budget.allows(FleetEvent::FlowEnded, now) {
-                    log_event!(info, FleetEvent::FlowEnded, flow = %reset.flow, targets = self.view.len());
-                }
-            }
-        }
-    }
-
     fn answer_members(&self, to: Ipv4Addr) {
         let members = self.core.members();
         self.fleet.send(to, &FleetDatagram::Located { members });
     }
 
-    fn take_tidings(&mut self, tiding: WatchTidings) {
-        match tiding {
-            WatchTidings::News(news) => self.take_news(*news),
-            WatchTidings::Lost { replica, cause } => {
+    fn take_update(&mut self, update: WatchUpdate) {
+        match update {
+            WatchUpdate::News(news) => self.take_news(*news),
+            WatchUpdate::Lost { replica, cause } => {
                 self.control_lost = true;
                 self.update_ready();
                 log_event!(warn, FleetEvent::CoreLost, %replica, %cause);
--- /dev/null
+++ b/src/fleet/entry_packets.rs
@@ -0,0 +1,139 @@
+//! The packet path of an entry VM.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+use metrics::histogram;
+
+use super::{
+    EntryNode, FleetEvent,
+    entry_node::{MAX_PACKET_BYTES, PACKETS_A_TURN},
+};
+use crate::{
+    clock::ClockMillis,
+    event::log_event,
+    flow::{FlowPacket, FlowReport, FlowVerdict, HopHeader, RefusalCause, ReportStep},
+};
+
+impl EntryNode {
+    pub(super) fn take_packets(&mut self) {
+        let mut buffer = [0; MAX_PACKET_BYTES];
+        for _ in 0..PACKETS_A_TURN {
+            match self.packets.try_recv_from(&mut buffer) {
+                Ok((length, _)) => self.take_packet(&buffer[..length]),
+                Err(_) => return,
+            }
+        }
+    }
+
+    pub(super) fn take_packet(&mut self, bytes: &[u8]) {
+        let now = self.clock.now();
+        self.counters.received += 1;
+        let packet = match self.codec.decode(bytes) {
+            Ok(packet) => packet,
+            Err(fault) => {
+                self.counters.undecodable += 1;
+                if self.budget.allows(FleetEvent::DatagramRefused, now) {
+                    log_event!(warn, FleetEvent::DatagramRefused, %fault);
+                }
+                return;
+            }
+        };
+        match self.flows.take_packet(&packet, bytes, now) {
+            FlowVerdict::Forward { to, header } => {
+                self.log_forward(&packet, to, &header, now);
+                self.forward(bytes, to, header);
+            }
+            FlowVerdict::Reset(reset, cause) => {
+                self.counters.refused += 1;
+                let answer = self.codec.encode_reset(&reset);
+                self.send_to_caller(*reset.flow.caller.ip(), &answer);
+                self.log_refusal(FleetEvent::FlowRefused, &packet, cause, now);
+            }
+            FlowVerdict::Drop(cause) => {
+                self.counters.dropped += 1;
+                self.log_refusal(FleetEvent::FlowDropped, &packet, cause, now);
+            }
+        }
+    }
+
+    pub(super) fn log_forward(
+        &mut self,
+        packet: &FlowPacket,
+        to: Ipv4Addr,
+        header: &HopHeader,
+        now: ClockMillis,
+    ) {
+        let event = if packet.opens() {
+            self.counters.opened += 1;
+            FleetEvent::FlowOpened
+        } else if header.candidates().is_empty() {
+            return;
+        } else {
+            self.counters.looked += 1;
+            FleetEvent::FlowLooked
+        };
+        if self.budget.allows(event, now) {
+            let flow = packet.caller_flow();
+            let version = self.flows.table().version();
+            let suspects = self.flows.suspects();
+            tracing::info!(event = event.number(), %flow, %to, version, suspects, "{}", event.message());
+        }
+    }
+
+    pub(super) fn log_refusal(
+        &mut self,
+        event: FleetEvent,
+        packet: &FlowPacket,
+        cause: RefusalCause,
+        now: ClockMillis,
+    ) {
+        if self.budget.allows(event, now) {
+            let flow = packet.caller_flow();
+            let version = self.flows.table().version();
+            tracing::info!(event = event.number(), %flow, ?cause, version, "{}", event.message());
+        }
+    }
+
+    pub(super) fn forward(&mut self, packet: &[u8], to: Ipv4Addr, header: HopHeader) {
+        header.encode(packet, &mut self.frame);
+        let address = SocketAddrV4::new(to, self.settings.packets.port());
+        // A frame that the kernel does not take is lost, as any may be.
+        match self
+            .packets
+            .try_send_to(&self.frame, SocketAddr::V4(address))
+        {
+            Ok(_) => self.counters.forwarded += 1,
+            Err(_) => self.counters.unsent += 1,
+        }
+    }
+
+    pub(super) fn send_to_caller(&mut self, caller: Ipv4Addr, bytes: &[u8]) {
+        let address = SocketAddrV4::new(caller, self.settings.packets.port());
+        // The caller repeats what it gets no answer to.
+        if self
+            .packets
+            .try_send_to(bytes, SocketAddr::V4(address))
+            .is_err()
+        {
+            self.counters.unsent += 1;
+        }
+    }
+
+    pub(super) fn answer_report(&mut self, report: &FlowReport, now: ClockMillis) {
+        if let Some(waited) = self.flows.opening_age(report.flow, now) {
+            histogram!("cyclamen_entry_opening_ms").record(waited.millis_float());
+        }
+        match self.flows.take_report(report, now) {
+            ReportStep::Nothing => {}
+            ReportStep::Forward { packet, to, header } => self.forward(&packet, to, header),
+            ReportStep::Reset(reset) => {
+                self.counters.ended += 1;
+                let answer = self.codec.encode_reset(&reset);
+                self.send_to_caller(*reset.flow.caller.ip(), &answer);
+                if self.budget.allows(FleetEvent::FlowEnded, now) {
+                    log_event!(info, FleetEvent::FlowEnded, flow = %reset.flow, targets = self.view.len());
+                }
+            }
+        }
+    }
+}
--- a/src/fleet/fleet_settings.rs
+++ b/src/fleet/fleet_settings.rs
@@ -57,8 +57,6 @@
     pub grace: SpanMillis,
     /// The age from which a flow may be forgotten.
     pub flow_age: SpanMillis,
-    /// How long what was accepted may take to be in force everywhere.
-    pub apply_bound: SpanMillis,
 }
 
 /// What an agent is told besides.
--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -1,15 +1,11 @@
-use std::{
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
-    sync::Arc,
-    time::Duration,
-};
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use serde_json::json;
 use tokio::{
-    net::{TcpStream, UdpSocket},
+    net::UdpSocket,
     signal::unix::{SignalKind, signal},
     sync::mpsc,
-    time::{Instant, sleep_until, timeout},
+    time::{Instant, sleep_until},
 };
 
 use super::{
@@ -17,66 +13,66 @@
     core_view::CoreView,
     entry_node::stop_asked,
     entry_sockets::{FleetSocket, open_socket},
-    fleet_counters::{SideCounters, publish_gauge},
+    fleet_counters::SideCounters,
     fleet_datagram::{FleetDatagram, MAX_DATAGRAM_BYTES},
     inspect_server::{InspectQuestion, Inspection, start_inspections},
     log_budget::LogBudget,
     side_handle::SideCommand,
-    target_tracker::{NoticeVerdict, TargetTracker},
+    target_tracker::TargetTracker,
 };
 use crate::{
     clock::{ClockMillis, ProcessClock, SpanMillis},
-    directory::{ANNOUNCE_MILLIS, TargetRecord, TargetStanding},
+    directory::TargetStanding,
     event::log_event,
-    flow::{AgentAction, AgentFlows, AgentStep, FlowKey, HopFrame, PacketCodec, request_id},
+    flow::{AgentFlows, PacketCodec},
     key::IncarnationId,
     listener::ServiceTag,
 };
 
 /// The largest frame: packet, header and candidates.
-const MAX_FRAME_BYTES: usize = 2_048;
+pub(super) const MAX_FRAME_BYTES: usize = 2_048;
 /// The packets that are taken before other work gets its turn.
-const PACKETS_A_TURN: usize = 64;
+pub(super) const PACKETS_A_TURN: usize = 64;
 /// The shortest time between two announcements; a change is repeated at once,
 /// since datagrams may be lost.
-const REPEAT_MILLIS: SpanMillis = SpanMillis::new(100);
+pub(super) const REPEAT_MILLIS: SpanMillis = SpanMillis::new(100);
 /// How often a silent target is looked after.
-const PROBE_MILLIS: SpanMillis = SpanMillis::new(1_000);
+pub(super) const PROBE_MILLIS: SpanMillis = SpanMillis::new(1_000);
 /// How long a connection to the target may take on its own VM.
-const PROBE_ANSWER_MILLIS: SpanMillis = SpanMillis::new(300);
+pub(super) const PROBE_ANSWER_MILLIS: SpanMillis = SpanMillis::new(300);
 /// How often a change is repeated.
-const CHANGE_REPEATS: u32 = 2;
+pub(super) const CHANGE_REPEATS: u32 = 2;
 /// The calls of the target that wait.
-const MAX_COMMANDS: usize = 64;
+pub(super) const MAX_COMMANDS: usize = 64;
 /// The silence of the control group after which it is looked for.
-const LOST_MILLIS: SpanMillis = SpanMillis::new(1_500);
+pub(super) const LOST_MILLIS: SpanMillis = SpanMillis::new(1_500);
 
 /// The process beside a target.
 #[derive(Debug)]
 pub struct SideNode {
-    settings: SideSettings,
-    service: ServiceTag,
-    codec: Arc<dyn PacketCodec>,
-    source: Arc<dyn SettingsSource>,
-    clock: ProcessClock,
-    frames: UdpSocket,
-    outbound: UdpSocket,
-    fleet: FleetSocket,
-    core: CoreView,
-    core_heard_at: ClockMillis,
-    flows: AgentFlows,
-    tracker: TargetTracker,
-    run: u64,
-    sequence: u64,
-    announced: Option<(TargetStanding, Option<IncarnationId>)>,
-    repeats: u32,
-    announce_at: ClockMillis,
-    probe_at: ClockMillis,
-    probes: mpsc::Sender<bool>,
-    commands: mpsc::Receiver<SideCommand>,
-    budget: LogBudget,
-    counters: SideCounters,
-    frame: Vec<u8>,
+    pub(super) settings: SideSettings,
+    pub(super) service: ServiceTag,
+    pub(super) codec: Arc<dyn PacketCodec>,
+    pub(super) source: Arc<dyn SettingsSource>,
+    pub(super) clock: ProcessClock,
+    pub(super) frames: UdpSocket,
+    pub(super) outbound: UdpSocket,
+    pub(super) fleet: FleetSocket,
+    pub(super) core: CoreView,
+    pub(super) core_heard_at: ClockMillis,
+    pub(super) flows: AgentFlows,
+    pub(super) tracker: TargetTracker,
+    pub(super) run: u64,
+    pub(super) sequence: u64,
+    pub(super) announced: Option<(TargetStanding, Option<IncarnationId>)>,
+    pub(super) repeats: u32,
+    pub(super) announce_at: ClockMillis,
+    pub(super) probe_at: ClockMillis,
+    pub(super) probes: mpsc::Sender<bool>,
+    pub(super) commands: mpsc::Receiver<SideCommand>,
+    pub(super) budget: LogBudget,
+    pub(super) counters: SideCounters,
+    pub(super) frame: Vec<u8>,
 }
 
 impl SideNode {
@@ -192,102 +188,6 @@
         }
     }
 
-    /// Decides anew whether the target takes flows; returns what balancers
-    /// should know.
-    fn judge_target(&mut self, now: ClockMillis) -> TargetStanding {
-        let target = self.tracker.target();
-        let incarnation = self.tracker.incarnation();
-        let resets = self.flows.set_target(target, incarnation);
-        if !resets.is_empty() {
-            log_event!(info, FleetEvent::FlowsGone, ?target, flows = resets.len());
-        }
-        for reset in resets {
-            self.counters.reset += 1;
-            let answer = self.codec.encode_reset(&reset);
-            self.send_to_caller(reset.flow, &answer);
-        }
-        let suspect = self.flows.is_suspect();
-        let silent = self.tracker.is_silent(self.flows.silence(now), now);
-        if (suspect || silent) && now >= self.probe_at {
-            self.probe_target(now);
-        }
-        self.tracker.standing(target, suspect || silent, now)
-    }
-
-    /// Looks whether anything listens at the target's address; on one VM that
-    /// is decided at once.
-    fn probe_target(&mut self, now: ClockMillis) {
-        self.probe_at = now.after(PROBE_MILLIS);
-        let target = self.settings.target;
-        let probes = self.probes.clone();
-        tokio::spawn(async move {
-            let connect = TcpStream::connect(target);
-            let present = matches!(
-                timeout(PROBE_ANSWER_MILLIS.duration(), connect).await,
-                Ok(Ok(_))
-            );
-            // A process that stops needs no answer.
-            let _ = probes.send(present).await;
-        });
-    }
-
-    fn take_presence(&mut self, present: bool) {
-        let now = self.clock.now();
-        // What came while the probe was under way is newer.
-        let heard = self
-            .flows
-            .silence(now)
-            .is_some_and(|silence| silence < PROBE_ANSWER_MILLIS);
-        log_event!(info, FleetEvent::TargetProbed, target = %self.settings.target, present, heard);
-        if present || !heard {
-            self.tracker.note_presence(present, now);
-        }
-        self.announce_change(now);
-    }
-
-    /// Announces the target if what balancers should know has changed.
-    fn announce_change(&mut self, now: ClockMillis) {
-        let standing = self.judge_target(now);
-        if self.announced != Some((standing, self.tracker.incarnation())) {
-            self.announce(now);
-        }
-    }
-
-    fn announce(&mut self, now: ClockMillis) {
-        let standing = self.judge_target(now);
-        let news = Some((standing, self.tracker.incarnation()));
-        if self.announced != news {
-            self.announced = news;
-            self.repeats = CHANGE_REPEATS;
-            log_event!(info, FleetEvent::TargetChanged, agent = %self.settings.fleet.address, service = %self.service, ?standing);
-        }
-        let pause = if self.repeats > 0 {
-            self.repeats -= 1;
-            REPEAT_MILLIS
-        } else if self.core.members().is_empty() {
-            REPEAT_MILLIS
-        } else {
-            ANNOUNCE_MILLIS
-        };
-        self.announce_at = now.after(pause);
-        self.sequence += 1;
-        let record = TargetRecord {
-            agent: self.settings.fleet.address,
-            service: self.service,
-            agent_run: self.run,
-            sequence: self.sequence,
-            target: self.tracker.incarnation(),
-            standing,
-        };
-        for contact in self.contacts(now) {
-            self.fleet.send(contact, &FleetDatagram::Announce(record));
-        }
-        self.flows.sweep(now);
-        self.counters.publish();
-        publish_gauge("cyclamen_side_flows", self.flows.held());
-        publish_gauge("cyclamen_side_suspect", self.flows.is_suspect().into());
-    }
-
     fn answer_inspection(&self, inspection: Inspection) {
         let now = self.clock.now();
         let reply = match inspection.question {
@@ -315,193 +215,6 @@
         let _ = inspection.answer.send(reply);
     }
 
-    /// Returns whom to announce to: the control group, and the seeds as well
-    /// while it is not heard.
-    fn contacts(&mut self, now: ClockMillis) -> Vec<Ipv4Addr> {
-        let members = self.core.members();
-        let lost = now.since(self.core_heard_at) >= LOST_MILLIS;
-        if lost {
-            self.reread_settings();
-        }
-        if members.is_empty() || lost {
-            return self.core.contacts();
-        }
-        members
-    }
-
-    fn reread_settings(&mut self) {
-        if let Some(seeds) = self.source.seeds()
-            && self.core.set_seeds(seeds.clone())
-        {
-            log_event!(info, FleetEvent::SettingsReread, ?seeds);
-        }
-    }
-
-    fn take_command(&mut self, command: SideCommand) {
-        let now = self.clock.now();
-        let (verdict, answer) = match command {
-            SideCommand::Announce { notice, answer } => {
-                let verdict = self.tracker.take(notice.clone(), now);
-                if verdict == NoticeVerdict::Taken {
-                    self.hear_target(now);
-                    log_event!(info, FleetEvent::NoticeTaken, id = notice.id, sequence = notice.sequence, state = ?notice.state, warm_in = %notice.warm_in);
-                }
-                (verdict, answer)
-            }
-            SideCommand::End { id, answer } => {
-                let verdict = self.tracker.end(&id);
-                log_event!(info, FleetEvent::NoticeTaken, id, state = "ended", ?verdict);
-                (verdict, answer)
-            }
-        };
-        if verdict == NoticeVerdict::Late {
-            log_event!(info, FleetEvent::NoticeIgnored, ?verdict);
-        }
-        self.announce_change(now);
-        // A caller that went away repeats itself.
-        let _ = answer.send(verdict);
-    }
-
-    fn hear_target(&mut self, now: ClockMillis) {
-        if self.flows.hear_target(now) {
-            log_event!(info, FleetEvent::TargetHeard, target = %self.settings.target);
-            self.announce_change(now);
-        }
-    }
-
-    fn take_frames(&mut self) {
-        let mut buffer = [0; MAX_FRAME_BYTES];
-        for _ in 0..PACKETS_A_TURN {
-            match self.frames.try_recv_from(&mut buffer) {
-                Ok((length, _)) => self.take_frame(&mut buffer[..length]),
-                Err(_) => return,
-            }
-        }
-    }
-
-    fn take_frame(&mut self, bytes: &mut [u8]) {
-        let now = self.clock.now();
-        self.counters.frames += 1;
-        let Some(frame) = HopFrame::decode(bytes) else {
-            return self.refuse_datagram("no frame", now);
-        };
-        let Ok(packet) = self.codec.decode(frame.packet) else {
-            return self.refuse_datagram("no packet in the frame", now);
-        };
-        let step = self
-            .flows
-            .take_frame(frame.header, &packet, frame.packet, now);
-        if packet.data_bytes > 0
-            && let Some(request) = request_id(self.codec.data(frame.packet))
-            && self.budget.allows(FleetEvent::RequestDelivered, now)
-        {
-            log_event!(info, FleetEvent::RequestDelivered, request, flow = %packet.caller_flow(), hops = frame.header.hops, target = ?self.tracker.target(), action = %step.action);
-        }
-        self.act(step, frame.packet, packet.caller_flow(), now);
-    }
-
-    fn refuse_datagram(&mut self, cause: &'static str, now: ClockMillis) {
-        self.counters.undecodable += 1;
-        if self.budget.allows(FleetEvent::DatagramRefused, now) {
-            log_event!(warn, FleetEvent::DatagramRefused, cause);
-        }
-    }
-
-    fn take_answers(&mut self) {
-        let mut buffer = [0; MAX_FRAME_BYTES];
-        for _ in 0..PACKETS_A_TURN {
-            match self.outbound.try_recv_from(&mut buffer) {
-                Ok((length, _)) => self.take_answer(&mut buffer[..length]),
-                Err(_) => return,
-            }
-        }
-    }
-
-    fn take_answer(&mut self, bytes: &mut [u8]) {
-        let now = self.clock.now();
-        let Ok(packet) = self.codec.decode(bytes) else {
-            return self.refuse_datagram("no packet of the target", now);
-        };
-        let suspect = self.flows.is_suspect();
-        let step = self.flows.take_answer(&packet, now);
-        if suspect {
-            log_event!(info, FleetEvent::TargetHeard, target = %self.settings.target);
-            self.announce_change(now);
-        }
-        let flow = match step.action {
-            AgentAction::Return => packet.target_flow(),
-            _ => packet.caller_flow(),
-        };
-        self.act(step, bytes, flow, now);
-    }
-
-    /// Does what was decided on a packet.
-    fn act(&mut self, step: AgentStep, packet: &mut [u8], flow: FlowKey, now: ClockMillis) {
-        match step.action {
-            AgentAction::Deliver { tag } => {
-                self.codec.prepare(packet, tag);
-                // What the kernel does not take is lost, as any packet may be.
-                let sent = self
-                    .outbound
-                    .try_send_to(packet, SocketAddr::V4(self.settings.target));
-                match sent {
-                    Ok(_) => self.counters.delivered += 1,
-                    Err(_) => self.counters.unsent += 1,
-                }
-            }
-            AgentAction::Return => {
-                self.counters.returned += 1;
-                self.send_to_caller(flow, packet);
-            }
-            AgentAction::PassOn { to, header } => {
-                self.codec.prepare(packet, 0);
-                header.encode(packet, &mut self.frame);
-                let address = SocketAddrV4::new(to, self.settings.fleet.packets.port());
-                // A frame that the kernel does not take is lost, as any may be.
-                let sent = self
-                    .frames
-                    .try_send_to(&self.frame, SocketAddr::V4(address));
-                match sent {
-                    Ok(_) => self.counters.passed += 1,
-                    Err(_) => self.counters.unsent += 1,
-                }
-                if self.budget.allows(FleetEvent::FlowPassed, now) {
-                    log_event!(info, FleetEvent::FlowPassed, %flow, %to, hops = header.hops);
-                }
-            }
-            AgentAction::Reset(reset) => {
-                self.counters.reset += 1;
-                let answer = self.codec.encode_reset(&reset);
-                self.send_to_caller(flow, &answer);
-            }
-            AgentAction::Drop => {
-                self.counters.dropped += 1;
-                if self.budget.allows(FleetEvent::FlowDropped, now) {
-                    log_event!(info, FleetEvent::FlowDropped, %flow);
-                }
-            }
-        }
-        if let Some((balancer, report)) = step.report {
-            if self.budget.allows(FleetEvent::ReportSent, now) {
-                log_event!(info, FleetEvent::ReportSent, %flow, kind = ?report.kind, %balancer);
-            }
-            self.fleet.send(balancer, &FleetDatagram::Report(report));
-        }
-    }
-
-    fn send_to_caller(&mut self, flow: FlowKey, bytes: &[u8]) {
-        let port = self.settings.fleet.packets.port();
-        let address = SocketAddrV4::new(*flow.caller.ip(), port);
-        // The ends of a flow repeat what is lost.
-        if self
-            .frames
-            .try_send_to(bytes, SocketAddr::V4(address))
-            .is_err()
-        {
-            self.counters.unsent += 1;
-        }
-    }
-
     fn take_datagrams(&mut self) {
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         while let Some((length, _)) = self.fleet.receive(&mut buffer) {
--- /dev/null
+++ b/src/fleet/side_packets.rs
@@ -0,0 +1,155 @@
+//! The packet path of an agent.
+
+use std::net::{SocketAddr, SocketAddrV4};
+
+use super::{
+    FleetEvent, SideNode,
+    fleet_datagram::FleetDatagram,
+    side_node::{MAX_FRAME_BYTES, PACKETS_A_TURN},
+};
+use crate::{
+    clock::ClockMillis,
+    event::log_event,
+    flow::{AgentAction, AgentStep, FlowKey, HopFrame, request_id},
+};
+
+impl SideNode {
+    pub(super) fn take_frames(&mut self) {
+        let mut buffer = [0; MAX_FRAME_BYTES];
+        for _ in 0..PACKETS_A_TURN {
+            match self.frames.try_recv_from(&mut buffer) {
+                Ok((length, _)) => self.take_frame(&mut buffer[..length]),
+                Err(_) => return,
+            }
+        }
+    }
+
+    pub(super) fn take_frame(&mut self, bytes: &mut [u8]) {
+        let now = self.clock.now();
+        self.counters.frames += 1;
+        let Some(frame) = HopFrame::decode(bytes) else {
+            return self.refuse_datagram("no frame", now);
+        };
+        let Ok(packet) = self.codec.decode(frame.packet) else {
+            return self.refuse_datagram("no packet in the frame", now);
+        };
+        let step = self
+            .flows
+            .take_frame(frame.header, &packet, frame.packet, now);
+        if packet.data_bytes > 0
+            && let Some(request) = request_id(self.codec.data(frame.packet))
+            && self.budget.allows(FleetEvent::RequestDelivered, now)
+        {
+            log_event!(info, FleetEvent::RequestDelivered, request, flow = %packet.caller_flow(), hops = frame.header.hops, target = ?self.tracker.target(), action = %step.action);
+        }
+        self.act(step, frame.packet, packet.caller_flow(), now);
+    }
+
+    pub(super) fn refuse_datagram(&mut self, cause: &'static str, now: ClockMillis) {
+        self.counters.undecodable += 1;
+        if self.budget.allows(FleetEvent::DatagramRefused, now) {
+            log_event!(warn, FleetEvent::DatagramRefused, cause);
+        }
+    }
+
+    pub(super) fn take_answers(&mut self) {
+        let mut buffer = [0; MAX_FRAME_BYTES];
+        for _ in 0..PACKETS_A_TURN {
+            match self.outbound.try_recv_from(&mut buffer) {
+                Ok((length, _)) => self.take_answer(&mut buffer[..length]),
+                Err(_) => return,
+            }
+        }
+    }
+
+    pub(super) fn take_answer(&mut self, bytes: &mut [u8]) {
+        let now = self.clock.now();
+        let Ok(packet) = self.codec.decode(bytes) else {
+            return self.refuse_datagram("no packet of the target", now);
+        };
+        let suspect = self.flows.is_suspect();
+        let step = self.flows.take_answer(&packet, now);
+        if suspect {
+            log_event!(info, FleetEvent::TargetHeard, target = %self.settings.target);
+            self.announce_change(now);
+        }
+        let flow = match step.action {
+            AgentAction::Return => packet.target_flow(),
+            _ => packet.caller_flow(),
+        };
+        self.act(step, bytes, flow, now);
+    }
+
+    /// Does what was decided on a packet.
+    pub(super) fn act(
+        &mut self,
+        step: AgentStep,
+        packet: &mut [u8],
+        flow: FlowKey,
+        now: ClockMillis,
+    ) {
+        match step.action {
+            AgentAction::Deliver { tag } => {
+                self.codec.prepare(packet, tag);
+                // What the kernel does not take is lost, as any packet may be.
+                let sent = self
+                    .outbound
+                    .try_send_to(packet, SocketAddr::V4(self.settings.target));
+                match sent {
+                    Ok(_) => self.counters.delivered += 1,
+                    Err(_) => self.counters.unsent += 1,
+                }
+            }
+            AgentAction::Return => {
+                self.counters.returned += 1;
+                self.send_to_caller(flow, packet);
+            }
+            AgentAction::PassOn { to, header } => {
+                self.codec.prepare(packet, 0);
+                header.encode(packet, &mut self.frame);
+                let address = SocketAddrV4::new(to, self.settings.fleet.packets.port());
+                // A frame that the kernel does not take is lost, as any may be.
+                let sent = self
+                    .frames
+                    .try_send_to(&self.frame, SocketAddr::V4(address));
+                match sent {
+                    Ok(_) => self.counters.passed += 1,
+                    Err(_) => self.counters.unsent += 1,
+                }
+                if self.budget.allows(FleetEvent::FlowPassed, now) {
+                    log_event!(info, FleetEvent::FlowPassed, %flow, %to, hops = header.hops);
+                }
+            }
+            AgentAction::Reset(reset) => {
+                self.counters.reset += 1;
+                let answer = self.codec.encode_reset(&reset);
+                self.send_to_caller(flow, &answer);
+            }
+            AgentAction::Drop => {
+                self.counters.dropped += 1;
+                if self.budget.allows(FleetEvent::FlowDropped, now) {
+                    log_event!(info, FleetEvent::FlowDropped, %flow);
+                }
+            }
+        }
+        if let Some((balancer, report)) = step.report {
+            if self.budget.allows(FleetEvent::ReportSent, now) {
+                log_event!(info, FleetEvent::ReportSent, %flow, kind = ?report.kind, %balancer);
+            }
+            self.fleet.send(balancer, &FleetDatagram::Report(report));
+        }
+    }
+
+    pub(super) fn send_to_caller(&mut self, flow: FlowKey, bytes: &[u8]) {
+        let port = self.settings.fleet.packets.port();
+        let address = SocketAddrV4::new(*flow.caller.ip(), port);
+        // The ends of a flow repeat what is lost.
+        if self
+            .frames
+            .try_send_to(bytes, SocketAddr::V4(address))
+            .is_err()
+        {
+            self.counters.unsent += 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/side_target.rs
@@ -0,0 +1,171 @@
+//! What an agent does about its target: judging, probing, announcing it.
+
+use std::net::Ipv4Addr;
+
+use tokio::{net::TcpStream, time::timeout};
+
+use super::{
+    FleetEvent, SideNode,
+    fleet_counters::publish_gauge,
+    fleet_datagram::FleetDatagram,
+    side_handle::SideCommand,
+    side_node::{CHANGE_REPEATS, LOST_MILLIS, PROBE_ANSWER_MILLIS, PROBE_MILLIS, REPEAT_MILLIS},
+    target_tracker::NoticeVerdict,
+};
+use crate::{
+    clock::ClockMillis,
+    directory::{ANNOUNCE_MILLIS, TargetRecord, TargetStanding},
+    event::log_event,
+};
+
+impl SideNode {
+    /// Decides anew whether the target takes flows; returns what balancers
+    /// should know.
+    pub(super) fn judge_target(&mut self, now: ClockMillis) -> TargetStanding {
+        let target = self.tracker.target();
+        let incarnation = self.tracker.incarnation();
+        let resets = self.flows.set_target(target, incarnation);
+        if !resets.is_empty() {
+            log_event!(info, FleetEvent::FlowsGone, ?target, flows = resets.len());
+        }
+        for reset in resets {
+            self.counters.reset += 1;
+            let answer = self.codec.encode_reset(&reset);
+            self.send_to_caller(reset.flow, &answer);
+        }
+        let suspect = self.flows.is_suspect();
+        let silent = self.tracker.is_silent(self.flows.silence(now), now);
+        if (suspect || silent) && now >= self.probe_at {
+            self.probe_target(now);
+        }
+        self.tracker.standing(target, suspect || silent, now)
+    }
+
+    /// Looks whether anything listens at the target's address; on one VM that
+    /// is decided at once.
+    pub(super) fn probe_target(&mut self, now: ClockMillis) {
+        self.probe_at = now.after(PROBE_MILLIS);
+        let target = self.settings.target;
+        let probes = self.probes.clone();
+        tokio::spawn(async move {
+            let connect = TcpStream::connect(target);
+            let present = matches!(
+                timeout(PROBE_ANSWER_MILLIS.duration(), connect).await,
+                Ok(Ok(_))
+            );
+            // A process that stops needs no answer.
+            let _ = probes.send(present).await;
+        });
+    }
+
+    pub(super) fn take_presence(&mut self, present: bool) {
+        let now = self.clock.now();
+        // What came while the probe was under way is newer.
+        let heard = self
+            .flows
+            .silence(now)
+            .is_some_and(|silence| silence < PROBE_ANSWER_MILLIS);
+        log_event!(info, FleetEvent::TargetProbed, target = %self.settings.target, present, heard);
+        if present || !heard {
+            self.tracker.note_presence(present, now);
+        }
+        self.announce_change(now);
+    }
+
+    /// Announces the target if what balancers should know has changed.
+    pub(super) fn announce_change(&mut self, now: ClockMillis) {
+        let standing = self.judge_target(now);
+        if self.announced != Some((standing, self.tracker.incarnation())) {
+            self.announce(now);
+        }
+    }
+
+    pub(super) fn announce(&mut self, now: ClockMillis) {
+        let standing = self.judge_target(now);
+        let news = Some((standing, self.tracker.incarnation()));
+        if self.announced != news {
+            self.announced = news;
+            self.repeats = CHANGE_REPEATS;
+            log_event!(info, FleetEvent::TargetChanged, agent = %self.settings.fleet.address, service = %self.service, ?standing);
+        }
+        let pause = if self.repeats > 0 {
+            self.repeats -= 1;
+            REPEAT_MILLIS
+        } else if self.core.members().is_empty() {
+            REPEAT_MILLIS
+        } else {
+            ANNOUNCE_MILLIS
+        };
+        self.announce_at = now.after(pause);
+        self.sequence += 1;
+        let record = TargetRecord {
+            agent: self.settings.fleet.address,
+            service: self.service,
+            agent_run: self.run,
+            sequence: self.sequence,
+            target: self.tracker.incarnation(),
+            standing,
+        };
+        for contact in self.contacts(now) {
+            self.fleet.send(contact, &FleetDatagram::Announce(record));
+        }
+        self.flows.sweep(now);
+        self.counters.publish();
+        publish_gauge("cyclamen_side_flows", self.flows.held());
+        publish_gauge("cyclamen_side_suspect", self.flows.is_suspect().into());
+    }
+
+    /// Returns whom to announce to: the control group, and the seeds as well
+    /// while it is not heard.
+    pub(super) fn contacts(&mut self, now: ClockMillis) -> Vec<Ipv4Addr> {
+        let members = self.core.members();
+        let lost = now.since(self.core_heard_at) >= LOST_MILLIS;
+        if lost {
+            self.reread_settings();
+        }
+        if members.is_empty() || lost {
+            return self.core.contacts();
+        }
+        members
+    }
+
+    pub(super) fn reread_settings(&mut self) {
+        if let Some(seeds) = self.source.seeds()
+            && self.core.set_seeds(seeds.clone())
+        {
+            log_event!(info, FleetEvent::SettingsReread, ?seeds);
+        }
+    }
+
+    pub(super) fn take_command(&mut self, command: SideCommand) {
+        let now = self.clock.now();
+        let (verdict, answer) = match command {
+            SideCommand::Announce { notice, answer } => {
+                let verdict = self.tracker.take(notice.clone(), now);
+                if verdict == NoticeVerdict::Taken {
+                    self.hear_target(now);
+                    log_event!(info, FleetEvent::NoticeTaken, id = notice.id, sequence = notice.sequence, state = ?notice.state, warm_in = %notice.warm_in);
+                }
+                (verdict, answer)
+            }
+            SideCommand::End { id, answer } => {
+                let verdict = self.tracker.end(&id);
+                log_event!(info, FleetEvent::NoticeTaken, id, state = "ended", ?verdict);
+                (verdict, answer)
+            }
+        };
+        if verdict == NoticeVerdict::Late {
+            log_event!(info, FleetEvent::NoticeIgnored, ?verdict);
+        }
+        self.announce_change(now);
+        // A caller that went away repeats itself.
+        let _ = answer.send(verdict);
+    }
+
+    pub(super) fn hear_target(&mut self, now: ClockMillis) {
+        if self.flows.hear_target(now) {
+            log_event!(info, FleetEvent::TargetHeard, target = %self.settings.target);
+            self.announce_change(now);
+        }
+    }
+}
--- a/src/fleet/watch_client.rs
+++ b/src/fleet/watch_client.rs
@@ -26,9 +26,9 @@
 /// The shortest time between two polls, while news come in quick succession.
 const SPACING_MILLIS: SpanMillis = SpanMillis::new(20);
 
-/// What the watch tells the balancer.
+/// An update of the watch for the balancer.
 #[derive(Debug)]
-pub(super) enum WatchTidings {
+pub(super) enum WatchUpdate {
     /// A replica answered; the place says how far its directory is followed.
     News(Box<WatchNews>),
     /// The replica that was followed is lost.
@@ -46,24 +46,24 @@
     own: Ipv4Addr,
     port: u16,
     core: CoreView,
-    tidings: mpsc::Sender<WatchTidings>,
+    updates: mpsc::Sender<WatchUpdate>,
     version: u64,
     place: DirectoryPlace,
 }
 
 impl WatchClient {
-    /// Creates a client that reports to `tidings`.
+    /// Creates a client that reports to `updates`.
     pub(super) fn new(
         own: Ipv4Addr,
         port: u16,
         core: CoreView,
-        tidings: mpsc::Sender<WatchTidings>,
+        updates: mpsc::Sender<WatchUpdate>,
     ) -> Self {
         Self {
             own,
             port,
             core,
-            tidings,
+            updates,
             version: 0,
             place: DirectoryPlace::default(),
         }
@@ -71,7 +71,7 @@
 
     /// Follows one replica after the other until nobody listens.
     pub(super) async fn run(mut self) {
-        while !self.tidings.is_closed() {
+        while !self.updates.is_closed() {
             for replica in self.candidates() {
                 // The cause matters only to the next attempt, which is made at once.
                 if self.follow(replica).await.is_ok() {
@@ -103,7 +103,7 @@
                 Err(error) => {
                     // A full queue will be told by the next loss.
                     let cause = error.kind();
-                    let _ = self.tidings.try_send(WatchTidings::Lost { replica, cause });
+                    let _ = self.updates.try_send(WatchUpdate::Lost { replica, cause });
                     return Err(error);
                 }
             };
@@ -120,8 +120,8 @@
             let current = news.current;
             let unsettled = self.place == DirectoryPlace::default();
             if self
-                .tidings
-                .send(WatchTidings::News(Box::new(news)))
+                .updates
+                .send(WatchUpdate::News(Box::new(news)))
                 .await
                 .is_err()
             {
