--- a/src/control/replica/identity.rs
+++ b/src/control/replica/identity.rs
@@ -35,7 +35,11 @@
 
 impl fmt::Display for ReplicaId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}", self.0)
+        // Numbers from settings are below 256, addresses above.
+        match u8::try_from(self.0) {
+            Ok(number) => write!(formatter, "{number}"),
+            Err(_) => write!(formatter, "{}", self.address()),
+        }
     }
 }
 
--- a/src/control/replica/tests/single_core.rs
+++ b/src/control/replica/tests/single_core.rs
@@ -211,3 +211,10 @@
     replica.receive(2, 2, PeerBody::AppendHeld { matched });
     assert!(replica.core.view(replica.now).caught_up);
 }
+
+#[test]
+fn a_replica_is_shown_by_its_number_or_its_address() {
+    assert_eq!(ReplicaId::new(3).to_string(), "3");
+    let address = std::net::Ipv4Addr::new(10, 1, 0, 13);
+    assert_eq!(ReplicaId::at(address).to_string(), "10.1.0.13");
+}
--- a/src/fleet/entry_packets.rs
+++ b/src/fleet/entry_packets.rs
@@ -15,6 +15,7 @@
 };
 
 impl EntryNode {
+    /// Takes the packets that have arrived, some at a time.
     pub(super) fn take_packets(&mut self) {
         let mut buffer = [0; MAX_PACKET_BYTES];
         for _ in 0..PACKETS_A_TURN {
@@ -25,6 +26,7 @@
         }
     }
 
+    /// Forwards, refuses or drops one packet.
     pub(super) fn take_packet(&mut self, bytes: &[u8]) {
         let now = self.clock.now();
         self.counters.received += 1;
@@ -56,6 +58,8 @@
         }
     }
 
+    /// Logs where an opening or a packet without a known owner goes; packets
+    /// of known flows have no line.
     pub(super) fn log_forward(
         &mut self,
         packet: &FlowPacket,
@@ -80,6 +84,7 @@
         }
     }
 
+    /// Logs a packet that is not forwarded.
     pub(super) fn log_refusal(
         &mut self,
         event: FleetEvent,
@@ -94,6 +99,7 @@
         }
     }
 
+    /// Sends a packet to an agent.
     pub(super) fn forward(&mut self, packet: &[u8], to: Ipv4Addr, header: HopHeader) {
         header.encode(packet, &mut self.frame);
         let address = SocketAddrV4::new(to, self.settings.packets.port());
@@ -107,6 +113,7 @@
         }
     }
 
+    /// Sends a reset to a caller.
     pub(super) fn send_to_caller(&mut self, caller: Ipv4Addr, bytes: &[u8]) {
         let address = SocketAddrV4::new(caller, self.settings.packets.port());
         // The caller repeats what it gets no answer to.
@@ -119,6 +126,7 @@
         }
     }
 
+    /// Takes an agent's report and sends what follows from it.
     pub(super) fn answer_report(&mut self, report: &FlowReport, now: ClockMillis) {
         if let Some(waited) = self.flows.opening_age(report.flow, now) {
             histogram!("cyclamen_entry_opening_ms").record(waited.millis_float());
--- a/src/fleet/entry_upkeep.rs
+++ b/src/fleet/entry_upkeep.rs
@@ -16,6 +16,7 @@
 use crate::{clock::ClockMillis, event::log_event};
 
 impl EntryNode {
+    /// Does the timed work that is due.
     pub(super) fn wake(&mut self) {
         let now = self.clock.now();
         for (flow, packet, to, header) in self.flows.expire_openings(now) {
@@ -36,6 +37,7 @@
         }
     }
 
+    /// Does the slow work: expiry, discovery, readiness, metrics.
     pub(super) fn keep_up(&mut self, now: ClockMillis) {
         if let Some(directory) = &self.directory {
             directory.change(|directory| directory.expire(now));
@@ -78,6 +80,7 @@
         }
     }
 
+    /// Answers an operator's question.
     pub(super) fn answer_inspection(&self, inspection: Inspection) {
         let now = self.clock.now();
         let reply = match inspection.question {
@@ -112,6 +115,7 @@
             .is_some_and(|at| now.since(at) < CURRENT_MILLIS)
     }
 
+    /// Asks every contact for the members of the control group.
     pub(super) fn locate_core(&self) {
         for contact in self.core.contacts() {
             if contact != self.settings.address {
@@ -120,6 +124,7 @@
         }
     }
 
+    /// Reads the seeds again.
     pub(super) fn reread_settings(&mut self) {
         if let Some(seeds) = self.source.seeds()
             && self.core.set_seeds(seeds.clone())
@@ -128,6 +133,7 @@
         }
     }
 
+    /// Decides anew whether the network should send packets here.
     pub(super) fn update_ready(&mut self) {
         // Cut off from control and agents alike, other balancers serve better.
         let cut_off = self.control_lost && self.flows.is_isolated();
--- a/src/fleet/side_packets.rs
+++ b/src/fleet/side_packets.rs
@@ -14,6 +14,7 @@
 };
 
 impl SideNode {
+    /// Takes the frames that have arrived, some at a time.
     pub(super) fn take_frames(&mut self) {
         let mut buffer = [0; MAX_FRAME_BYTES];
         for _ in 0..PACKETS_A_TURN {
@@ -24,6 +25,7 @@
         }
     }
 
+    /// Decides on a caller's packet.
     pub(super) fn take_frame(&mut self, bytes: &mut [u8]) {
         let now = self.clock.now();
         self.counters.frames += 1;
@@ -45,6 +47,7 @@
         self.act(step, frame.packet, packet.caller_flow(), now);
     }
 
+    /// Counts and logs a datagram that can not be read.
     pub(super) fn refuse_datagram(&mut self, cause: &'static str, now: ClockMillis) {
         self.counters.undecodable += 1;
         if self.budget.allows(FleetEvent::DatagramRefused, now) {
@@ -52,6 +55,7 @@
         }
     }
 
+    /// Takes the packets that the target has sent, some at a time.
     pub(super) fn take_answers(&mut self) {
         let mut buffer = [0; MAX_FRAME_BYTES];
         for _ in 0..PACKETS_A_TURN {
@@ -62,6 +66,7 @@
         }
     }
 
+    /// Decides on a packet that the target has sent or given back.
     pub(super) fn take_answer(&mut self, bytes: &mut [u8]) {
         let now = self.clock.now();
         let Ok(packet) = self.codec.decode(bytes) else {
@@ -140,6 +145,7 @@
         }
     }
 
+    /// Sends bytes to the caller of a flow.
     pub(super) fn send_to_caller(&mut self, flow: FlowKey, bytes: &[u8]) {
         let port = self.settings.fleet.packets.port();
         let address = SocketAddrV4::new(*flow.caller.ip(), port);
--- a/src/fleet/side_target.rs
+++ b/src/fleet/side_target.rs
@@ -58,6 +58,7 @@
         });
     }
 
+    /// Takes the result of a probe.
     pub(super) fn take_presence(&mut self, present: bool) {
         let now = self.clock.now();
         // What came while the probe was under way is newer.
@@ -80,6 +81,7 @@
         }
     }
 
+    /// Announces the target to the control group.
     pub(super) fn announce(&mut self, now: ClockMillis) {
         let standing = self.judge_target(now);
         let news = Some((standing, self.tracker.incarnation()));
@@ -129,6 +131,7 @@
         members
     }
 
+    /// Reads the seeds again.
     pub(super) fn reread_settings(&mut self) {
         if let Some(seeds) = self.source.seeds()
             && self.core.set_seeds(seeds.clone())
@@ -137,6 +140,7 @@
         }
     }
 
+    /// Takes a call of the target; it is answered once the agent acts on it.
     pub(super) fn take_command(&mut self, command: SideCommand) {
         let now = self.clock.now();
         let (verdict, answer) = match command {
@@ -162,6 +166,7 @@
         let _ = answer.send(verdict);
     }
 
+    /// Notes that the target answers.
     pub(super) fn hear_target(&mut self, now: ClockMillis) {
         if self.flows.hear_target(now) {
             log_event!(info, FleetEvent::TargetHeard, target = %self.settings.target);
