A target that starts again keeps the flows it takes before it is heard of

A balancer that was told of such a flow under the earlier start would have reset it as well. Change: an agent leaves flows alone that a newer start may have taken unheard; the target's bounce settles them. A balancer looks for the flow of a target that has started again, beginning there; only an ended start is reset at once.

--- a/src/fleet/side_target.rs
+++ b/src/fleet/side_target.rs
@@ -24,7 +24,8 @@
     pub(super) fn judge_target(&mut self, now: ClockMillis) -> TargetStanding {
         let target = self.tracker.target();
         let incarnation = self.tracker.incarnation();
-        let resets = self.flows.set_target(target, incarnation);
+        let gone_before = self.tracker.over_before(now);
+        let resets = self.flows.set_target(target, incarnation, gone_before);
         if !resets.is_empty() {
             log_event!(info, FleetEvent::FlowsGone, ?target, flows = resets.len());
         }
--- a/src/fleet/target_tracker.rs
+++ b/src/fleet/target_tracker.rs
@@ -11,6 +11,10 @@
 /// The announcements that a target may miss before it counts as silent.
 const MISSED_ANNOUNCEMENTS: u64 = 3;
 
+/// How long a target may run before its first announcement arrives: the second
+/// that it waits for an acknowledgement.
+const UNHEARD_MILLIS: SpanMillis = SpanMillis::new(1_000);
+
 /// What became of an announcement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum NoticeVerdict {
@@ -23,6 +27,7 @@
 /// What an agent believes of its target, from what the target announces.
 #[derive(Debug)]
 pub(crate) struct TargetTracker {
+    heartbeat: SpanMillis,
     silence: SpanMillis,
     newest: Option<TargetNotice>,
     ended: bool,
@@ -37,6 +42,7 @@
     /// announces itself every `heartbeat`.
     pub(crate) fn new(heartbeat: SpanMillis, now: ClockMillis) -> Self {
         Self {
+            heartbeat,
             silence: heartbeat.times(MISSED_ANNOUNCEMENTS),
             newest: None,
             ended: false,
@@ -103,6 +109,20 @@
         now.since(self.heard_at) >= self.silence && quiet.is_none_or(|quiet| quiet >= self.silence)
     }
 
+    /// Returns the time before which every flow is of a start that is over.
+    ///
+    /// A newer start may have run unheard: one that has announced itself for as
+    /// long as that takes, one that has not for the time until it does.
+    pub(crate) fn over_before(&self, now: ClockMillis) -> ClockMillis {
+        let over = self.ended || self.absent;
+        let announced = match &self.newest {
+            Some(notice) if !over => self.heartbeat.times(notice.sequence),
+            _ => SpanMillis::ZERO,
+        };
+        let unheard = SpanMillis::new(announced.millis().saturating_add(UNHEARD_MILLIS.millis()));
+        ClockMillis::new(now.millis().saturating_sub(unheard.millis()))
+    }
+
     /// Returns whether the target takes new flows.
     pub(crate) fn target(&self) -> AgentTarget {
         if self.ended {
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -108,3 +108,18 @@
         TargetStanding::Serving
     );
 }
+
+#[test]
+fn a_start_that_announced_itself_often_may_hold_older_flows() {
+    let now = ClockMillis::new(100_000);
+    let mut tracker = TargetTracker::new(HEARTBEAT, START);
+    tracker.take(notice("i-1", 50, 1, TargetState::Ready), now);
+    let once = now.since(tracker.over_before(now));
+    assert_eq!(once, SpanMillis::new(1_000 + HEARTBEAT.millis()));
+    tracker.take(notice("i-1", 50, 9, TargetState::Ready), now);
+    assert!(now.since(tracker.over_before(now)) >= HEARTBEAT.times(9));
+    // A target that is gone holds nothing, however long it had run.
+    tracker.note_presence(false, now);
+    let gone = now.since(tracker.over_before(now));
+    assert_eq!(gone, SpanMillis::new(1_000));
+}
--- a/src/flow/agent_flows.rs
+++ b/src/flow/agent_flows.rs
@@ -99,6 +99,8 @@
     established: bool,
     /// The place that the caller acknowledged last.
     acknowledged: u32,
+    /// When its first packet was seen.
+    seen_at: ClockMillis,
     used_at: ClockMillis,
 }
 
@@ -141,11 +143,14 @@
     /// Sets whether the target takes new flows, and which start of it that is.
     ///
     /// Returns the callers whose flows are gone by that: those that wait for an
-    /// answer send nothing that could be answered.
+    /// answer send nothing that could be answered. Flows first seen after
+    /// `gone_before` may be on a target that has started again already and was
+    /// not heard of; the target bounces their next packet if they are not.
     pub(crate) fn set_target(
         &mut self,
         target: AgentTarget,
         incarnation: Option<IncarnationId>,
+        gone_before: ClockMillis,
     ) -> Vec<FlowReset> {
         let restarted = self.incarnation.is_some() && self.incarnation != incarnation;
         let ended = matches!(target, AgentTarget::Ended | AgentTarget::Lost);
@@ -154,9 +159,8 @@
         if !restarted && !ended {
             return Vec::new();
         }
-        let gone = std::mem::take(&mut self.held);
-        gone.into_iter()
-            .filter(|(_, held)| held.established)
+        let gone = self.held.extract_if(|_, held| held.seen_at < gone_before);
+        gone.filter(|(_, held)| held.established)
             .map(|(flow, held)| FlowReset {
                 flow,
                 sequence: held.acknowledged,
@@ -345,6 +349,7 @@
             reported: false,
             established: false,
             acknowledged: 0,
+            seen_at: now,
             used_at: now,
         });
         held.used_at = now;
--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -165,7 +165,7 @@
                 confirmed: owner.confirmed,
                 target: owner.target,
                 idle: now.since(owner.used_at),
-                gone: self.targets.is_gone(owner.agent, owner.target),
+                gone: self.targets.has_ended(owner.agent, owner.target),
             }),
             ranked,
         }
@@ -247,11 +247,15 @@
     ) -> FlowVerdict {
         let flow = packet.caller_flow();
         let owner = self.owners.find(flow, now);
-        if let Some(owner) = owner.filter(|owner| owner.confirmed) {
-            if self.targets.is_gone(owner.agent, owner.target) {
-                self.owners.forget(flow);
-                return FlowVerdict::Reset(FlowReset::answering(packet), RefusalCause::TargetGone);
-            }
+        if let Some(owner) = owner.filter(|owner| owner.confirmed)
+            && self.targets.has_ended(owner.agent, owner.target)
+        {
+            self.owners.forget(flow);
+            return FlowVerdict::Reset(FlowReset::answering(packet), RefusalCause::TargetGone);
+        }
+        if let Some(owner) = owner.filter(|owner| owner.confirmed)
+            && !self.targets.has_restarted(owner.agent, owner.target)
+        {
             return FlowVerdict::Forward {
                 to: owner.agent,
                 header: HopHeader::new(services[0], self.own),
--- a/src/flow/known_targets.rs
+++ b/src/flow/known_targets.rs
@@ -33,15 +33,17 @@
 }
 
 impl KnownTargets {
-    /// Returns whether the target that held a flow is known to be gone.
-    pub(crate) fn is_gone(&self, agent: Ipv4Addr, target: Option<IncarnationId>) -> bool {
-        let (Some(start), Some(target)) = (self.starts.get(&agent), target) else {
-            return false;
-        };
-        match start.target {
-            Some(current) if current == target => start.ended,
-            Some(_) => true,
-            None => false,
-        }
+    /// Returns whether the start of a target that held a flow has ended.
+    pub(crate) fn has_ended(&self, agent: Ipv4Addr, target: Option<IncarnationId>) -> bool {
+        let start = self.starts.get(&agent);
+        target.is_some() && start.is_some_and(|start| start.ended && start.target == target)
+    }
+
+    /// Returns whether an agent's target has started again since it was reported
+    /// as `target`. A flow of that time may be on either start: the agent may
+    /// have reported it before it heard of the newer one.
+    pub(crate) fn has_restarted(&self, agent: Ipv4Addr, target: Option<IncarnationId>) -> bool {
+        let current = self.starts.get(&agent).and_then(|start| start.target);
+        current.is_some() && target.is_some() && current != target
     }
 }
