Agents keep openings until their target has a free slot

Cause: after a power cut every caller opens a flow at once on targets that work at 0.6 of their speed.

Ruled out: openings were accepted within 1 ms, so neither paths nor balancers held them up.

Change: an agent counts the requests at its target. With half a slot's worth waiting it passes openings on; the last candidate keeps them, and hands over by rank, newest first, those that can still be answered in time, then the others. A wait ends with a refusal (nothing has run) after a third of the route's timeout, one second at most. Routes carry their rank, goal and timeout.

--- a/src/fleet/fleet_counters.rs
+++ b/src/fleet/fleet_counters.rs
@@ -62,6 +62,8 @@
     pub(super) passed: u64,
     /// Openings that the target left unanswered.
     pub(super) unanswered: u64,
+    /// Openings that waited for a free slot of the target.
+    pub(super) waited: u64,
     /// Resets sent to callers.
     pub(super) reset: u64,
     /// Packets dropped.
@@ -80,6 +82,7 @@
             ("returned", self.returned),
             ("passed", self.passed),
             ("unanswered", self.unanswered),
+            ("waited", self.waited),
             ("reset", self.reset),
             ("dropped", self.dropped),
             ("unsent", self.unsent),
--- a/src/fleet/fleet_event.rs
+++ b/src/fleet/fleet_event.rs
@@ -35,6 +35,8 @@
         TargetProbed = 6038 => "target probed",
         NoticeTaken = 6036 => "announcement of the target taken",
         NoticeIgnored = 6039 => "announcement ignored",
+        FlowWaits = 6043 => "opening waits for a free slot of the target",
+        WaitEnded = 6044 => "wait of an opening is over",
         AgentsUnread = 6040 => "file of running agents not read; they are waited for",
         AgentsUnwritten = 6041 => "file of running agents not written",
         LinesOmitted = 6090 => "log lines left out",
--- a/src/fleet/side_handle.rs
+++ b/src/fleet/side_handle.rs
@@ -25,6 +25,8 @@
     pub state: TargetState,
     /// How much longer it works slowly after its start.
     pub warm_in: SpanMillis,
+    /// How many requests it works on at a time, if it says so.
+    pub slots: Option<u32>,
 }
 
 /// What the target's calls want of the agent.
--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -179,6 +179,7 @@
             }
             self.act(step, &mut packet, flow, now);
         }
+        self.admit_waiting(now);
         if self.flows.is_suspect() && !suspect {
             log_event!(warn, FleetEvent::TargetSuspected, target = %self.settings.target);
             self.announce_change(now);
@@ -203,6 +204,8 @@
                 "silence_ms": self.flows.silence(now),
                 "members": self.core.members(),
                 "flows": self.flows.held(),
+                "busy": self.flows.busy(),
+                "waiting": self.flows.waiting(),
                 "packets": self.counters,
             }),
             InspectQuestion::Flow(flow) => json!({
--- a/src/fleet/side_packets.rs
+++ b/src/fleet/side_packets.rs
@@ -61,9 +61,10 @@
         for _ in 0..PACKETS_A_TURN {
             match self.outbound.try_recv_from(&mut buffer) {
                 Ok((length, _)) => self.take_answer(&mut buffer[..length]),
-                Err(_) => return,
+                Err(_) => break,
             }
         }
+        self.admit_waiting(self.clock.now());
     }
 
     /// Decides on a packet that the target has sent or given back.
@@ -130,6 +131,13 @@
                 let answer = self.codec.encode_reset(&reset);
                 self.send_to_caller(flow, &answer);
             }
+            AgentAction::Wait => {
+                self.counters.waited += 1;
+                if self.budget.allows(FleetEvent::FlowWaits, now) {
+                    let (busy, waiting) = (self.flows.busy(), self.flows.waiting());
+                    log_event!(info, FleetEvent::FlowWaits, %flow, busy, waiting);
+                }
+            }
             AgentAction::Drop => {
                 self.counters.dropped += 1;
                 if self.budget.allows(FleetEvent::FlowDropped, now) {
@@ -145,6 +153,18 @@
         }
     }
 
+    /// Hands over the openings that waited for a free slot, and refuses those
+    /// that can't be served any more.
+    pub(super) fn admit_waiting(&mut self, now: ClockMillis) {
+        while let Some((mut packet, flow, step)) = self.flows.next_waiting(now) {
+            if self.budget.allows(FleetEvent::WaitEnded, now) {
+                let (busy, waiting) = (self.flows.busy(), self.flows.waiting());
+                log_event!(info, FleetEvent::WaitEnded, %flow, action = %step.action, busy, waiting);
+            }
+            self.act(step, &mut packet, flow, now);
+        }
+    }
+
     /// Sends bytes to the caller of a flow.
     pub(super) fn send_to_caller(&mut self, flow: FlowKey, bytes: &[u8]) {
         let port = self.settings.fleet.packets.port();
--- a/src/fleet/side_target.rs
+++ b/src/fleet/side_target.rs
@@ -25,6 +25,7 @@
         let target = self.tracker.target();
         let incarnation = self.tracker.incarnation();
         let gone_before = self.tracker.over_before(now);
+        self.flows.set_slots(self.tracker.slots());
         let resets = self.flows.set_target(target, incarnation, gone_before);
         if !resets.is_empty() {
             log_event!(info, FleetEvent::FlowsGone, ?target, flows = resets.len());
@@ -115,6 +116,8 @@
         self.flows.sweep(now);
         self.counters.publish();
         publish_gauge("cyclamen_side_flows", self.flows.held());
+        publish_gauge("cyclamen_side_busy", self.flows.busy());
+        publish_gauge("cyclamen_side_waiting", self.flows.waiting());
         publish_gauge("cyclamen_side_suspect", self.flows.is_suspect().into());
     }
 
--- a/src/fleet/target_tracker.rs
+++ b/src/fleet/target_tracker.rs
@@ -94,6 +94,11 @@
         })
     }
 
+    /// Returns how many requests the target works on at a time, if it says so.
+    pub(crate) fn slots(&self) -> Option<u32> {
+        self.newest.as_ref().and_then(|notice| notice.slots)
+    }
+
     /// Notes whether anything listens at the target's address.
     pub(crate) fn note_presence(&mut self, present: bool, now: ClockMillis) {
         self.absent = !present;
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -20,6 +20,7 @@
         sequence,
         state,
         warm_in: SpanMillis::ZERO,
+        slots: Some(4),
     }
 }
 
--- a/src/flow/agent_flows.rs
+++ b/src/flow/agent_flows.rs
@@ -2,9 +2,11 @@
 
 use super::{
     FlowKey, FlowPacket, FlowReport, FlowReset, HeldFinding, HopHeader, PacketSigns, ReportKind,
+    opening_queue::OpeningQueue,
     opening_watch::{OpeningWatch, WatchedOpening},
     pass_ring::PassRing,
     target_health::TargetHealth,
+    target_load::TargetLoad,
 };
 use crate::{
     clock::{ClockMillis, SpanMillis},
@@ -54,6 +56,8 @@
     },
     /// Send a reset to the caller instead.
     Reset(FlowReset),
+    /// Keep it until the target has a free slot.
+    Wait,
     /// Drop it: nobody is known who may take it.
     Drop,
 }
@@ -65,6 +69,7 @@
             Self::Return => formatter.write_str("returned"),
             Self::PassOn { to, .. } => write!(formatter, "passed on to {to}"),
             Self::Reset(_) => formatter.write_str("reset"),
+            Self::Wait => formatter.write_str("waits"),
             Self::Drop => formatter.write_str("dropped"),
         }
     }
@@ -99,11 +104,32 @@
     established: bool,
     /// The place that the caller acknowledged last.
     acknowledged: u32,
+    /// The place behind the last byte that the caller has sent, once it has
+    /// sent any; bytes before it are repetitions.
+    sent_to: Option<u32>,
     /// When its first packet was seen.
     seen_at: ClockMillis,
     used_at: ClockMillis,
 }
 
+impl HeldFlow {
+    /// Notes the data of a caller's packet; returns whether any of it is new,
+    /// so that a request begins or goes on.
+    fn takes_new_bytes(&mut self, packet: &FlowPacket) -> bool {
+        if packet.data_bytes == 0 {
+            return false;
+        }
+        let end = packet.sequence.wrapping_add(packet.data_bytes.into());
+        // Places wrap around; half of them lie ahead.
+        let ahead = |sent_to: u32| end.wrapping_sub(sent_to).cast_signed() > 0;
+        let fresh = self.sent_to.is_none_or(ahead);
+        if fresh {
+            self.sent_to = Some(end);
+        }
+        fresh
+    }
+}
+
 /// The flows of one target as its agent sees them.
 #[derive(Debug)]
 pub(crate) struct AgentFlows {
@@ -114,6 +140,10 @@
     health: TargetHealth,
     held: HashMap<FlowKey, HeldFlow>,
     openings: OpeningWatch,
+    load: TargetLoad,
+    queue: OpeningQueue,
+    /// Openings that had to make room in the queue.
+    displaced: Vec<WatchedOpening>,
     ring: PassRing,
     idle: SpanMillis,
 }
@@ -135,6 +165,9 @@
             health: TargetHealth::default(),
             held: HashMap::new(),
             openings: OpeningWatch::new(ANSWER_MILLIS),
+            load: TargetLoad::default(),
+            queue: OpeningQueue::default(),
+            displaced: Vec::new(),
             ring: PassRing::new(first_tag),
             idle,
         }
@@ -159,6 +192,7 @@
         if !restarted && !ended {
             return Vec::new();
         }
+        self.load.clear();
         let gone = self.held.extract_if(|_, held| held.seen_at < gone_before);
         gone.filter(|(_, held)| held.established)
             .map(|(flow, held)| FlowReset {
@@ -188,6 +222,21 @@
         self.health.silence(now)
     }
 
+    /// Sets how many requests the target works on at a time, if it says so.
+    pub(crate) fn set_slots(&mut self, slots: Option<u32>) {
+        self.load.set_slots(slots);
+    }
+
+    /// Returns the number of requests that the target works on.
+    pub(crate) fn busy(&self) -> usize {
+        self.load.busy()
+    }
+
+    /// Returns the number of openings that wait for a free slot.
+    pub(crate) fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
     /// Returns the number of remembered flows.
     pub(crate) fn held(&self) -> usize {
         self.held.len()
@@ -226,6 +275,9 @@
         self.remember(flow, header.balancer, now);
         if let Some(held) = self.held.get_mut(&flow) {
             held.acknowledged = packet.acknowledged;
+            if held.takes_new_bytes(packet) {
+                self.load.begin(flow, now);
+            }
         }
         let tag = self.ring.remember(header);
         AgentStep::quiet(AgentAction::Deliver { tag })
@@ -250,14 +302,77 @@
         if !takes {
             return self.pass_on(header, packet);
         }
-        self.openings.watch(WatchedOpening {
+        let opening = WatchedOpening {
             flow,
             header,
             packet: bytes.to_vec(),
             sent_at: now,
-        });
-        let tag = self.ring.remember(header);
-        AgentStep::quiet(AgentAction::Deliver { tag })
+        };
+        if copy || self.load.has_room(now) {
+            return AgentStep::quiet(self.deliver_opening(opening, now));
+        }
+        if self.queue.holds(flow) {
+            return self.wait(&opening);
+        }
+        if !header.candidates().is_empty() {
+            return self.pass_on(header, packet);
+        }
+        let step = self.wait(&opening);
+        self.displaced.extend(self.queue.push(opening));
+        step
+    }
+
+    fn wait(&self, opening: &WatchedOpening) -> AgentStep {
+        AgentStep {
+            action: AgentAction::Wait,
+            report: Some((
+                opening.header.balancer,
+                self.report(opening.flow, ReportKind::Waiting),
+            )),
+        }
+    }
+
+    fn deliver_opening(&mut self, opening: WatchedOpening, now: ClockMillis) -> AgentAction {
+        let tag = self.ring.remember(opening.header);
+        if !self.held.contains_key(&opening.flow) {
+            self.load.reserve(opening.flow, now);
+        }
+        self.openings.watch(opening);
+        AgentAction::Deliver { tag }
+    }
+
+    /// Returns the next opening that has waited long enough, and what becomes of
+    /// it: the target has a free slot, or it can't be served any more.
+    pub(crate) fn next_waiting(
+        &mut self,
+        now: ClockMillis,
+    ) -> Option<(Vec<u8>, FlowKey, AgentStep)> {
+        let takes = matches!(self.target, AgentTarget::Unproved | AgentTarget::Serving);
+        let hopeless = self
+            .displaced
+            .pop()
+            .or_else(|| self.queue.take_lapsed(now))
+            .or_else(|| if takes { None } else { self.queue.take_any() });
+        if let Some(opening) = hopeless {
+            let step = AgentStep {
+                action: AgentAction::Reset(FlowReset {
+                    flow: opening.flow,
+                    sequence: 0,
+                }),
+                report: Some((
+                    opening.header.balancer,
+                    self.report(opening.flow, ReportKind::Refused),
+                )),
+            };
+            return Some((opening.packet, opening.flow, step));
+        }
+        if self.queue.len() == 0 || !self.load.has_room(now) {
+            return None;
+        }
+        let opening = self.queue.take_next(now)?;
+        let (packet, flow) = (opening.packet.clone(), opening.flow);
+        let action = self.deliver_opening(opening, now);
+        Some((packet, flow, AgentStep::quiet(action)))
     }
 
     /// Takes a packet that the target has sent or given back.
@@ -269,8 +384,12 @@
         let flow = packet.target_flow();
         if packet.signs.has(PacketSigns::RESET) {
             self.held.remove(&flow);
+            self.load.finish(flow);
             return AgentStep::quiet(AgentAction::Return);
         }
+        if packet.data_bytes > 0 || packet.signs.has(PacketSigns::FINISH) {
+            self.load.finish(flow);
+        }
         let opening = self.openings.take(flow);
         let balancer = opening.map(|opening| opening.header.balancer);
         if let Some(balancer) = balancer {
@@ -297,6 +416,7 @@
             return AgentStep::quiet(AgentAction::Drop);
         };
         let flow = packet.caller_flow();
+        self.load.finish(flow);
         if packet.opens() {
             self.openings.take(flow);
             return self.pass_on(header, packet);
@@ -317,6 +437,7 @@
         let mut steps = Vec::new();
         while let Some(opening) = self.openings.take_due(now) {
             self.health.miss(opening.sent_at);
+            self.load.finish(opening.flow);
             let step = match opening.header.next_hop() {
                 Some((to, header)) => AgentStep::quiet(AgentAction::PassOn { to, header }),
                 None => AgentStep::quiet(AgentAction::Drop),
@@ -326,9 +447,14 @@
         steps
     }
 
-    /// Returns when an opening may next be overdue.
+    /// Returns when an opening may next be overdue, or wait no longer.
     pub(crate) fn next_due(&self) -> Option<ClockMillis> {
-        self.openings.next_due()
+        let waiting = self.queue.next_lapse().map(|lapse| {
+            let freed = self.load.next_lapse();
+            freed.map_or(lapse, |freed| freed.min(lapse))
+        });
+        let due = self.openings.next_due().into_iter().chain(waiting);
+        due.min()
     }
 
     /// Forgets flows without a packet for long.
@@ -349,6 +475,7 @@
             reported: false,
             established: false,
             acknowledged: 0,
+            sent_to: None,
             seen_at: now,
             used_at: now,
         });
--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     clock::{ClockMillis, SpanMillis},
-    listener::{ListenerTable, ServiceTag},
+    listener::{ListenerTable, RouteChoice, ServiceTag},
 };
 
 /// How long an agent may take to report an opening; it waits for its target
@@ -189,7 +189,7 @@
             return self.refuse(packet, RefusalCause::NoRoute);
         };
         if packet.opens() {
-            return self.open_flow(packet, bytes, choice.opens, now);
+            return self.open_flow(packet, bytes, &choice, now);
         }
         self.continue_flow(packet, bytes, &choice.holds, now)
     }
@@ -198,14 +198,14 @@
         &mut self,
         packet: &FlowPacket,
         bytes: &[u8],
-        service: ServiceTag,
+        choice: &RouteChoice,
         now: ClockMillis,
     ) -> FlowVerdict {
         let flow = packet.caller_flow();
         let ranked = self
             .targets
             .services
-            .get(&service)
+            .get(&choice.opens)
             .map_or_else(Vec::new, |targets| {
                 targets.open.rank(flow, OPENING_CANDIDATES + 1)
             });
@@ -224,7 +224,9 @@
         let Some(to) = order.next() else {
             return self.refuse(packet, RefusalCause::NoTarget);
         };
-        let header = HopHeader::new(service, self.own).with_candidates(order);
+        let header = HopHeader::new(choice.opens, self.own)
+            .with_urgency(choice.urgency)
+            .with_candidates(order);
         self.owners.assume(flow, to, now);
         if !self.openings.holds(flow) {
             self.sent_to.insert(flow, to);
@@ -322,6 +324,11 @@
                     .confirm(report.flow, report.agent, report.target, now);
                 ReportStep::Nothing
             }
+            ReportKind::Waiting => {
+                // Copies of the opening go where it waits.
+                self.owners.assume(report.flow, report.agent, now);
+                ReportStep::Nothing
+            }
             ReportKind::NotHeld => {
                 self.owners.forget(report.flow);
                 self.continue_walk(report, now)
--- a/src/flow/flow_report.rs
+++ b/src/flow/flow_report.rs
@@ -10,6 +10,8 @@
 pub(crate) enum ReportKind {
     /// The target answered for the flow.
     Held,
+    /// The opening waits at this agent for a free slot of the target.
+    Waiting,
     /// The target does not hold the flow, and nobody else was to be tried.
     NotHeld,
     /// No candidate could take the flow; the caller was told.
--- a/src/flow/hop_frame.rs
+++ b/src/flow/hop_frame.rs
@@ -1,11 +1,14 @@
 use std::net::Ipv4Addr;
 
-use crate::listener::ServiceTag;
+use crate::{
+    clock::SpanMillis,
+    listener::{RouteUrgency, ServiceTag},
+};
 
 /// The first byte of a frame.
-const MAGIC: u8 = 0xC7;
-/// Magic, hops, candidates, an unused byte, service and balancer.
-const FIXED_BYTES: usize = 16;
+const MAGIC: u8 = 0xC8;
+/// Magic, hops, candidates, rank, service, balancer, goal and timeout.
+const FIXED_BYTES: usize = 20;
 /// The most candidates that a frame carries.
 pub(crate) const MAX_CANDIDATES: usize = 8;
 
@@ -18,6 +21,8 @@
     pub(crate) balancer: Ipv4Addr,
     /// The agents that have passed the packet on.
     pub(crate) hops: u8,
+    /// How pressing the route's requests are; in frames, times end at 65 s.
+    pub(crate) urgency: RouteUrgency,
     candidates: [Ipv4Addr; MAX_CANDIDATES],
     count: u8,
 }
@@ -29,11 +34,18 @@
             service,
             balancer,
             hops: 0,
+            urgency: RouteUrgency::default(),
             candidates: [Ipv4Addr::UNSPECIFIED; MAX_CANDIDATES],
             count: 0,
         }
     }
 
+    /// Sets how pressing the route's requests are.
+    pub(crate) fn with_urgency(mut self, urgency: RouteUrgency) -> Self {
+        self.urgency = urgency;
+        self
+    }
+
     /// Sets who may take the packet next, in this order; those beyond the most
     /// that a frame carries are left out.
     pub(crate) fn with_candidates(mut self, agents: impl IntoIterator<Item = Ipv4Addr>) -> Self {
@@ -61,9 +73,11 @@
     /// Writes the frame of `packet` into `out`, which is cleared before.
     pub(crate) fn encode(&self, packet: &[u8], out: &mut Vec<u8>) {
         out.clear();
-        out.extend_from_slice(&[MAGIC, self.hops, self.count, 0]);
+        out.extend_from_slice(&[MAGIC, self.hops, self.count, self.urgency.rank]);
         out.extend_from_slice(&self.service.number().to_be_bytes());
         out.extend_from_slice(&self.balancer.octets());
+        out.extend_from_slice(&frame_span(self.urgency.goal));
+        out.extend_from_slice(&frame_span(self.urgency.timeout));
         for agent in self.candidates() {
             out.extend_from_slice(&agent.octets());
         }
@@ -84,7 +98,7 @@
     /// Reads a frame; returns `None` if the bytes are none.
     pub(crate) fn decode(bytes: &'a mut [u8]) -> Option<Self> {
         let (fixed, rest) = bytes.split_at_mut_checked(FIXED_BYTES)?;
-        let [MAGIC, hops, count, _, ..] = *fixed else {
+        let [MAGIC, hops, count, rank, ..] = *fixed else {
             return None;
         };
         let listed = usize::from(count);
@@ -94,12 +108,27 @@
         let (list, packet) = rest.split_at_mut_checked(listed * 4)?;
         let service = u64::from_be_bytes(fixed[4..12].try_into().ok()?);
         let balancer: [u8; 4] = fixed[12..16].try_into().ok()?;
+        let span_at = |place: usize| {
+            SpanMillis::new(u16::from_be_bytes([fixed[place], fixed[place + 1]]).into())
+        };
+        let urgency = RouteUrgency {
+            rank,
+            goal: span_at(16),
+            timeout: span_at(18),
+        };
         let agents = list
             .chunks_exact(4)
             .map(|octets| Ipv4Addr::new(octets[0], octets[1], octets[2], octets[3]));
         let mut header = HopHeader::new(ServiceTag::from_number(service), balancer.into())
+            .with_urgency(urgency)
             .with_candidates(agents);
         header.hops = hops;
         Some(Self { header, packet })
     }
 }
+
+fn frame_span(span: SpanMillis) -> [u8; 2] {
+    u16::try_from(span.millis())
+        .unwrap_or(u16::MAX)
+        .to_be_bytes()
+}
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -14,12 +14,14 @@
 mod flow_walk;
 mod hop_frame;
 mod known_targets;
+mod opening_queue;
 mod opening_watch;
 mod owner_cache;
 mod packet_codec;
 mod pass_ring;
 mod request_mark;
 mod target_health;
+mod target_load;
 mod target_ranking;
 
 pub use flow_key::FlowKey;
--- a/src/flow/tests/balancer_verdicts.rs
+++ b/src/flow/tests/balancer_verdicts.rs
@@ -8,7 +8,9 @@
         RefusalCause, ReportKind, ReportStep, ServiceTargets, TargetRanking, TargetStart,
     },
     key::IncarnationId,
-    listener::{ListenerManifest, ListenerRoute, ListenerTable, ServiceShare, ServiceTag},
+    listener::{
+        ListenerManifest, ListenerRoute, ListenerTable, RouteUrgency, ServiceShare, ServiceTag,
+    },
 };
 
 const START: ClockMillis = ClockMillis::new(1_000);
@@ -31,6 +33,7 @@
     ListenerRoute {
         address: listener(),
         shares: vec![ServiceShare { service, weight: 1 }],
+        urgency: RouteUrgency::default(),
     }
 }
 
--- /dev/null
+++ b/src/flow/tests/full_target.rs
@@ -0,0 +1,215 @@
+//! A target whose slots are taken: who is passed on, who waits, who is refused.
+
+use std::net::Ipv4Addr;
+
+use rstest::rstest;
+
+use super::{BALANCER, agent, bounced, flow, from_caller, from_target};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    flow::{
+        AgentAction, AgentFlows, AgentTarget, FlowKey, FlowPacket, HopHeader, PacketSigns,
+        ReportKind,
+    },
+    listener::{RouteUrgency, ServiceTag},
+};
+
+const OWN: Ipv4Addr = Ipv4Addr::new(10, 0, 1, 1);
+const START: ClockMillis = ClockMillis::new(1_000);
+/// Two requests are worked on and one more may wait at the target.
+const SLOTS: u32 = 2;
+const ROOM: u16 = 3;
+
+fn service() -> ServiceTag {
+    ServiceTag::of("barge-control")
+}
+
+fn urgency(rank: u8) -> RouteUrgency {
+    RouteUrgency {
+        rank,
+        goal: SpanMillis::new(200),
+        timeout: SpanMillis::new(3_000),
+    }
+}
+
+fn header(rank: u8, candidates: &[u8]) -> HopHeader {
+    HopHeader::new(service(), BALANCER)
+        .with_urgency(urgency(rank))
+        .with_candidates(candidates.iter().copied().map(agent))
+}
+
+fn at(millis: u64) -> ClockMillis {
+    START.after(SpanMillis::new(millis))
+}
+
+fn offer(flows: &mut AgentFlows, port: u16, rank: u8, now: ClockMillis) -> AgentAction {
+    let opening = from_caller(flow(port), PacketSigns::OPEN);
+    flows
+        .take_frame(header(rank, &[]), &opening, &[1], now)
+        .action
+}
+
+fn request(flow: FlowKey) -> FlowPacket {
+    FlowPacket {
+        data_bytes: 100,
+        ..from_caller(flow, PacketSigns::ACKNOWLEDGE)
+    }
+}
+
+fn answer(flow: FlowKey) -> FlowPacket {
+    FlowPacket {
+        data_bytes: 100,
+        ..from_target(flow, PacketSigns::ACKNOWLEDGE)
+    }
+}
+
+/// Opens a flow and sends a request on it.
+fn ask(flows: &mut AgentFlows, port: u16, now: ClockMillis) {
+    offer(flows, port, 2, now);
+    let accepted = PacketSigns::OPEN.with(PacketSigns::ACKNOWLEDGE);
+    flows.take_answer(&from_target(flow(port), accepted), now);
+    flows.take_frame(header(2, &[]), &request(flow(port)), &[1], now);
+}
+
+/// Returns an agent whose target has no room: it works on flows 1 to `ROOM`.
+fn full_agent() -> AgentFlows {
+    let mut flows = AgentFlows::new(OWN, service(), 100, SpanMillis::new(60_000));
+    flows.set_slots(Some(SLOTS));
+    flows.set_target(AgentTarget::Serving, None, START);
+    for port in 1..=ROOM {
+        ask(&mut flows, port, START);
+    }
+    flows
+}
+
+/// Returns the flows of the openings that the target gets now.
+fn admitted(flows: &mut AgentFlows, now: ClockMillis) -> Vec<u16> {
+    let mut ports = Vec::new();
+    while let Some((_, flow, step)) = flows.next_waiting(now) {
+        assert!(
+            matches!(step.action, AgentAction::Deliver { .. }),
+            "{step:?}"
+        );
+        ports.push(flow.caller.port());
+    }
+    ports
+}
+
+#[test]
+fn a_full_target_passes_an_opening_on() {
+    let mut flows = full_agent();
+    let opening = from_caller(flow(9), PacketSigns::OPEN);
+    let step = flows.take_frame(header(2, &[4]), &opening, &[1], START);
+    assert!(matches!(step.action, AgentAction::PassOn { to, .. } if to == agent(4)));
+}
+
+#[test]
+fn the_last_candidate_keeps_an_opening_until_a_slot_is_free() {
+    let mut flows = full_agent();
+    let opening = from_caller(flow(9), PacketSigns::OPEN);
+    let step = flows.take_frame(header(2, &[]), &opening, &[1], START);
+    assert_eq!(step.action, AgentAction::Wait);
+    let report = step.report.map(|(to, report)| (to, report.kind));
+    assert_eq!(report, Some((BALANCER, ReportKind::Waiting)));
+    assert_eq!(admitted(&mut flows, at(10)), [0; 0]);
+    flows.take_answer(&answer(flow(1)), at(10));
+    assert_eq!(admitted(&mut flows, at(10)), [9]);
+    assert_eq!(flows.waiting(), 0);
+}
+
+#[test]
+fn a_copy_of_a_waiting_opening_waits_with_it() {
+    let mut flows = full_agent();
+    assert_eq!(offer(&mut flows, 9, 2, START), AgentAction::Wait);
+    assert_eq!(offer(&mut flows, 9, 2, at(200)), AgentAction::Wait);
+    assert_eq!(flows.waiting(), 1);
+}
+
+#[test]
+fn urgent_openings_go_first_then_the_newest_then_those_that_are_late() {
+    let mut flows = full_agent();
+    offer(&mut flows, 9, 1, at(0));
+    offer(&mut flows, 10, 2, at(150));
+    offer(&mut flows, 11, 2, at(160));
+    offer(&mut flows, 12, 1, at(155));
+    for port in 1..=ROOM {
+        flows.take_answer(&answer(flow(port)), at(170));
+    }
+    // Flow 9 has waited too long to be answered within its goal.
+    assert_eq!(admitted(&mut flows, at(170)), [12, 11, 10]);
+    flows.take_answer(&answer(flow(12)), at(200));
+    assert_eq!(admitted(&mut flows, at(200)), [9]);
+}
+
+#[test]
+fn an_opening_that_waited_too_long_is_refused_as_not_run() {
+    let mut flows = full_agent();
+    offer(&mut flows, 9, 2, START);
+    assert_eq!(flows.next_waiting(at(900)), None);
+    assert!(flows.next_due().is_some_and(|due| due <= at(1_000)));
+    let (_, refused, step) = flows.next_waiting(at(1_000)).expect("an end of the wait");
+    assert_eq!(refused, flow(9));
+    assert!(matches!(step.action, AgentAction::Reset(_)));
+    let kind = step.report.map(|(_, report)| report.kind);
+    assert_eq!(kind, Some(ReportKind::Refused));
+}
+
+#[rstest]
+#[case::leaving(AgentTarget::Leaving)]
+#[case::ended(AgentTarget::Ended)]
+#[case::lost(AgentTarget::Lost)]
+fn a_target_that_leaves_gets_no_opening_that_waited(#[case] target: AgentTarget) {
+    let mut flows = full_agent();
+    offer(&mut flows, 9, 2, START);
+    flows.set_target(target, None, START);
+    flows.take_answer(&answer(flow(1)), at(10));
+    let (_, _, step) = flows.next_waiting(at(10)).expect("an end of the wait");
+    assert!(matches!(step.action, AgentAction::Reset(_)));
+    assert_eq!(flows.next_waiting(at(10)), None);
+}
+
+#[test]
+fn a_repeated_request_takes_no_second_place() {
+    let mut flows = full_agent();
+    flows.take_answer(&answer(flow(1)), at(10));
+    flows.take_frame(header(2, &[]), &request(flow(1)), &[1], at(20));
+    assert_eq!(flows.busy(), usize::from(ROOM) - 1);
+}
+
+#[test]
+fn a_flow_without_a_request_gives_its_place_back() {
+    let mut flows = full_agent();
+    flows.take_answer(&answer(flow(1)), START);
+    assert!(matches!(
+        offer(&mut flows, 8, 2, START),
+        AgentAction::Deliver { .. }
+    ));
+    let accepted = PacketSigns::OPEN.with(PacketSigns::ACKNOWLEDGE);
+    flows.take_answer(&from_target(flow(8), accepted), START);
+    offer(&mut flows, 9, 2, START);
+    assert_eq!(admitted(&mut flows, at(29)), [0; 0]);
+    assert_eq!(admitted(&mut flows, at(30)), [9]);
+}
+
+#[test]
+fn a_request_that_its_target_gives_back_takes_no_place() {
+    let mut flows = full_agent();
+    let packet = request(flow(7));
+    let step = flows.take_frame(header(2, &[]), &packet, &[1], START);
+    let AgentAction::Deliver { tag } = step.action else {
+        panic!("not delivered: {step:?}");
+    };
+    assert_eq!(flows.busy(), usize::from(ROOM) + 1);
+    flows.take_answer(&bounced(flow(7), PacketSigns::ACKNOWLEDGE, tag), START);
+    assert_eq!(flows.busy(), usize::from(ROOM));
+}
+
+#[test]
+fn a_target_that_names_no_slots_is_never_full() {
+    let mut flows = full_agent();
+    flows.set_slots(None);
+    assert!(matches!(
+        offer(&mut flows, 9, 2, START),
+        AgentAction::Deliver { .. }
+    ));
+}
--- a/src/flow/tests/mod.rs
+++ b/src/flow/tests/mod.rs
@@ -3,6 +3,8 @@
 mod agent_steps;
 mod balancer_verdicts;
 mod frames;
+mod full_target;
+mod opening_wave;
 mod overload;
 mod ranking;
 mod request_ids;
--- a/src/listener/listener_manifest.rs
+++ b/src/listener/listener_manifest.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ListenerFault, ServiceTag};
+use super::{ListenerFault, RouteUrgency, ServiceTag};
 use crate::clock::SpanMillis;
 
 /// A share of a route's new flows.
@@ -21,6 +21,8 @@
     pub address: SocketAddrV4,
     /// The services, at least one with a weight above zero.
     pub shares: Vec<ServiceShare>,
+    /// How pressing its requests are.
+    pub urgency: RouteUrgency,
 }
 
 /// All routes of a deployment in one version.
--- a/src/listener/listener_table.rs
+++ b/src/listener/listener_table.rs
@@ -1,6 +1,6 @@
 use std::{collections::HashMap, net::SocketAddrV4};
 
-use super::{ListenerManifest, ListenerRoute, ServiceShare, ServiceTag};
+use super::{ListenerManifest, ListenerRoute, RouteUrgency, ServiceShare, ServiceTag};
 use crate::clock::{ClockMillis, SpanMillis};
 
 /// Where the packets of one address and port may go.
@@ -10,6 +10,8 @@
     pub(crate) opens: ServiceTag,
     /// Every service that may hold an open flow, the likeliest first.
     pub(crate) holds: Vec<ServiceTag>,
+    /// How pressing the requests are.
+    pub(crate) urgency: RouteUrgency,
 }
 
 /// A service that a route used earlier.
@@ -22,6 +24,7 @@
 #[derive(Debug, Clone)]
 struct TableEntry {
     shares: Vec<ServiceShare>,
+    urgency: RouteUrgency,
     former: Vec<FormerShare>,
 }
 
@@ -64,9 +67,12 @@
                 .map_or_else(Vec::new, |entry| {
                     former_shares(&entry, route, now, self.flow_age)
                 });
-            let shares = route.shares.clone();
-            self.entries
-                .insert(route.address, TableEntry { shares, former });
+            let entry = TableEntry {
+                shares: route.shares.clone(),
+                urgency: route.urgency,
+                former,
+            };
+            self.entries.insert(route.address, entry);
         }
         true
     }
@@ -92,7 +98,11 @@
                 holds.push(service);
             }
         }
-        Some(RouteChoice { opens, holds })
+        Some(RouteChoice {
+            opens,
+            holds,
+            urgency: entry.urgency,
+        })
     }
 }
 
--- a/src/listener/tests/mod.rs
+++ b/src/listener/tests/mod.rs
@@ -6,8 +6,8 @@
 use rstest::rstest;
 
 use super::{
-    ListenerFault, ListenerManifest, ListenerRoute, ListenerStore, ListenerTable, ServiceShare,
-    ServiceTag, StoredManifest,
+    ListenerFault, ListenerManifest, ListenerRoute, ListenerStore, ListenerTable, RouteUrgency,
+    ServiceShare, ServiceTag, StoredManifest,
 };
 use crate::clock::{ClockMillis, SpanMillis};
 
@@ -25,6 +25,7 @@
             service: ServiceTag::of(service),
             weight: 1,
         }],
+        urgency: RouteUrgency::default(),
     }
 }
 
@@ -127,7 +128,7 @@
     ListenerFault::AddressTaken { route: "r1".to_owned(), address: address(1) }
 )]
 #[case::no_share(
-    vec![ListenerRoute { address: address(1), shares: Vec::new() }],
+    vec![ListenerRoute { address: address(1), shares: Vec::new(), urgency: RouteUrgency::default() }],
     ListenerFault::NoWeight { route: "r0".to_owned() }
 )]
 fn a_faulty_manifest_is_refused(#[case] routes: Vec<ListenerRoute>, #[case] fault: ListenerFault) {
