A balancer that has just started keeps what it can't decide on yet

Replicas that were up early waited a whole second for the seeds: their first packet to a VM without power is repeated by the kernel only then, and the watch tried the seeds one after the other for 400 ms each.

Change: such packets are kept for a second, one a flow, and decided on again when routes, targets or completeness change. Until a balancer has first been current, a flow is looked for at the targets of all services, so its end is certain without a leader. Connections between replicas and of watches are given up after 250 ms, and a watch tries all replicas 20 ms apart.

--- a/src/control/replica_link/link_sender.rs
+++ b/src/control/replica_link/link_sender.rs
@@ -5,7 +5,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     sync::mpsc,
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 use super::{
@@ -30,6 +30,9 @@
 const ALIVE_MILLIS: SpanMillis = SpanMillis::new(500);
 /// The pause after the first failure; it doubles with each one.
 const MIN_PAUSE_MILLIS: SpanMillis = SpanMillis::new(50);
+/// How long connecting may take. A VM without power does not answer, and the
+/// kernel repeats its first packet only after a second.
+const CONNECT_MILLIS: SpanMillis = SpanMillis::new(250);
 /// The longest pause between two attempts.
 const MAX_PAUSE_MILLIS: SpanMillis = SpanMillis::new(200);
 
@@ -99,7 +102,9 @@
     }
 
     async fn connect(&self) -> Result<(FrameWriter, FrameReader), LinkError> {
-        let mut stream = within_silence(TcpStream::connect(self.address)).await?;
+        let connect = TcpStream::connect(self.address);
+        let connected = timeout(CONNECT_MILLIS.duration(), connect).await;
+        let mut stream = connected.map_err(|_| LinkError::Silent)??;
         stream.set_nodelay(true)?;
         let own: [u8; NONCE_BYTES] = rand::random();
         within_silence(stream.write_all(&own)).await?;
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -269,6 +269,8 @@
 
     fn take_news(&mut self, news: WatchNews) {
         let now = self.clock.now();
+        let could_end = self.flows.can_end_flows();
+        let mut learned = false;
         self.control_lost = false;
         if news.current {
             self.current_at = Some(now);
@@ -286,14 +288,19 @@
                 version = routes.version,
                 routes = routes.routes.len()
             );
+            learned = true;
         }
         if let Some(targets) = news.targets {
             for record in self.view.take_news(targets) {
+                learned = true;
                 log_event!(info, FleetEvent::TargetChanged, agent = %record.agent, service = %record.service, standing = ?record.standing);
             }
             self.flows.set_targets(self.view.known_targets());
         }
         self.update_ready();
+        if learned || self.flows.can_end_flows() != could_end {
+            self.take_parked();
+        }
     }
 }
 
--- a/src/fleet/entry_packets.rs
+++ b/src/fleet/entry_packets.rs
@@ -26,10 +26,15 @@
         }
     }
 
-    /// Forwards, refuses or drops one packet.
+    /// Counts a packet of a caller and decides on it.
     pub(super) fn take_packet(&mut self, bytes: &[u8]) {
-        let now = self.clock.now();
         self.counters.received += 1;
+        self.decide_packet(bytes);
+    }
+
+    /// Forwards, refuses or keeps one packet.
+    fn decide_packet(&mut self, bytes: &[u8]) {
+        let now = self.clock.now();
         let packet = match self.codec.decode(bytes) {
             Ok(packet) => packet,
             Err(fault) => {
@@ -51,13 +56,20 @@
                 self.send_to_caller(*reset.flow.caller.ip(), &answer);
                 self.log_refusal(FleetEvent::FlowRefused, &packet, cause, now);
             }
-            FlowVerdict::Drop(cause) => {
-                self.counters.dropped += 1;
-                self.log_refusal(FleetEvent::FlowDropped, &packet, cause, now);
+            FlowVerdict::Park(cause) => {
+                self.counters.parked += 1;
+                self.log_refusal(FleetEvent::FlowParked, &packet, cause, now);
             }
         }
     }
 
+    /// Decides again on the packets that waited for routes or targets.
+    pub(super) fn take_parked(&mut self) {
+        for packet in self.flows.take_parked(self.clock.now()) {
+            self.decide_packet(&packet);
+        }
+    }
+
     /// Logs where an opening or a packet without a known owner goes; packets
     /// of known flows have no line.
     pub(super) fn log_forward(
--- a/src/fleet/fleet_counters.rs
+++ b/src/fleet/fleet_counters.rs
@@ -20,8 +20,8 @@
     pub(super) refused: u64,
     /// Flows reset since no target holds them.
     pub(super) ended: u64,
-    /// Packets dropped.
-    pub(super) dropped: u64,
+    /// Packets kept until routes and targets are known.
+    pub(super) parked: u64,
     /// Packets that the kernel did not take.
     pub(super) unsent: u64,
 }
@@ -38,7 +38,7 @@
             ("looked", self.looked),
             ("refused", self.refused),
             ("ended", self.ended),
-            ("dropped", self.dropped),
+            ("parked", self.parked),
             ("unsent", self.unsent),
         ];
         for (kind, count) in kinds {
--- a/src/fleet/fleet_event.rs
+++ b/src/fleet/fleet_event.rs
@@ -23,6 +23,7 @@
         FlowRetried = 6022 => "opening not reported; sent to the next agent",
         FlowRefused = 6023 => "flow refused",
         FlowDropped = 6024 => "packet dropped",
+        FlowParked = 6027 => "packet kept until routes and targets are known",
         FlowLooked = 6025 => "owner of the flow not known; looked for by ranking",
         FlowEnded = 6026 => "flow reset: no target holds it",
         ReportSent = 6030 => "flow reported to its balancer",
--- a/src/fleet/watch_client.rs
+++ b/src/fleet/watch_client.rs
@@ -7,6 +7,7 @@
 use tokio::{
     net::TcpStream,
     sync::mpsc,
+    task::JoinSet,
     time::{sleep, timeout},
 };
 
@@ -17,8 +18,10 @@
 };
 use crate::{clock::SpanMillis, directory::DirectoryPlace};
 
-/// How long connecting may take.
-const CONNECT_MILLIS: SpanMillis = SpanMillis::new(400);
+/// How long connecting may take; a VM without power does not answer at all.
+const CONNECT_MILLIS: SpanMillis = SpanMillis::new(250);
+/// How much later than to the one before it each replica is connected to.
+const STAGGER_MILLIS: SpanMillis = SpanMillis::new(20);
 /// How long an answer may take beyond the time that the server holds it.
 const ANSWER_MILLIS: SpanMillis = HOLD_MILLIS.times(2);
 /// The pause before another replica is tried.
@@ -72,11 +75,13 @@
     /// Follows one replica after the other until nobody listens.
     pub(super) async fn run(mut self) {
         while !self.updates.is_closed() {
-            for replica in self.candidates() {
+            let mut untried = self.candidates();
+            while let Some((replica, stream)) = self.connect_any(&untried).await {
                 // The cause matters only to the next attempt, which is made at once.
-                if self.follow(replica).await.is_ok() {
+                if self.follow(replica, stream).await.is_ok() {
                     return;
                 }
+                untried.retain(|candidate| *candidate != replica);
             }
             sleep(RETRY_MILLIS.duration()).await;
         }
@@ -90,12 +95,32 @@
         members
     }
 
+    /// Connects to the first of the replicas that answers; returns `None` if none
+    /// does.
+    async fn connect_any(&self, replicas: &[Ipv4Addr]) -> Option<(Ipv4Addr, TcpStream)> {
+        let mut attempts = JoinSet::new();
+        let mut delay = SpanMillis::ZERO;
+        for replica in replicas.iter().copied() {
+            let address = SocketAddrV4::new(replica, self.port);
+            attempts.spawn(async move {
+                sleep(delay.duration()).await;
+                let connect = TcpStream::connect(address);
+                let stream = timeout(CONNECT_MILLIS.duration(), connect).await;
+                Some((replica, stream.ok()?.ok()?))
+            });
+            delay = SpanMillis::new(delay.millis() + STAGGER_MILLIS.millis());
+        }
+        while let Some(attempt) = attempts.join_next().await {
+            if let Ok(Some(connected)) = attempt {
+                return Some(connected);
+            }
+        }
+        None
+    }
+
     /// Follows a replica until it fails or no longer hears a leader; succeeds
     /// when nobody listens any more.
-    async fn follow(&mut self, replica: Ipv4Addr) -> io::Result<()> {
-        let address = SocketAddrV4::new(replica, self.port);
-        let connect = TcpStream::connect(address);
-        let mut stream = timeout(CONNECT_MILLIS.duration(), connect).await??;
+    async fn follow(&mut self, replica: Ipv4Addr, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         loop {
             let news = match self.poll(&mut stream).await {
--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -7,6 +7,7 @@
     hop_frame::MAX_CANDIDATES,
     opening_watch::{OpeningWatch, WatchedOpening},
     owner_cache::OwnerCache,
+    parked_packets::ParkedPackets,
 };
 use crate::{
     clock::{ClockMillis, SpanMillis},
@@ -35,8 +36,8 @@
     },
     /// Answer with a reset: the flow can't be served.
     Reset(FlowReset, RefusalCause),
-    /// Drop it.
-    Drop(RefusalCause),
+    /// Keep it until more is known; it is decided on again then.
+    Park(RefusalCause),
 }
 
 /// Why a packet is not forwarded.
@@ -86,6 +87,10 @@
     unreported: u32,
     /// Whether routes and targets are current, so that refusals are true.
     current: bool,
+    /// Whether they have been so since this balancer started.
+    was_current: bool,
+    /// Packets that wait until routes and targets are known.
+    parked: ParkedPackets,
 }
 
 impl BalancerFlows {
@@ -102,6 +107,8 @@
             suspects: HashMap::new(),
             unreported: 0,
             current: false,
+            was_current: false,
+            parked: ParkedPackets::default(),
         }
     }
 
@@ -123,6 +130,7 @@
     /// Sets whether routes and targets are known to be current.
     pub(crate) fn set_current(&mut self, current: bool) {
         self.current = current;
+        self.was_current |= current;
     }
 
     /// Returns whether there are routes and targets to forward to.
@@ -135,6 +143,16 @@
                 .any(|targets| targets.open.len() > 0)
     }
 
+    /// Returns whether a flow that every known target gave back is gone.
+    pub(crate) fn can_end_flows(&self) -> bool {
+        self.targets.complete && (self.current || !self.was_current)
+    }
+
+    /// Takes the packets that waited for what is known now.
+    pub(crate) fn take_parked(&mut self, now: ClockMillis) -> Vec<Vec<u8>> {
+        self.parked.take_all(now)
+    }
+
     /// Returns whether no agent answers: this balancer may be cut off from all
     /// of them.
     pub(crate) fn is_isolated(&self) -> bool {
@@ -186,7 +204,7 @@
         let flow = packet.caller_flow();
         let Some(choice) = self.table.choose(flow.listener, flow.spread(), now) else {
             self.owners.forget(flow);
-            return self.refuse(packet, RefusalCause::NoRoute);
+            return self.refuse(packet, bytes, RefusalCause::NoRoute, now);
         };
         if packet.opens() {
             return self.open_flow(packet, bytes, &choice, now);
@@ -222,7 +240,7 @@
             .partition(|agent| !self.suspects.contains_key(agent));
         let mut order = trusted.into_iter().chain(doubted);
         let Some(to) = order.next() else {
-            return self.refuse(packet, RefusalCause::NoTarget);
+            return self.refuse(packet, bytes, RefusalCause::NoTarget, now);
         };
         let header = HopHeader::new(choice.opens, self.own)
             .with_urgency(choice.urgency)
@@ -269,13 +287,13 @@
             asked: Vec::new(),
             asked_at: now,
         };
-        match self.walk_on(walk, services, owner.map(|owner| owner.agent), now) {
-            Some((to, header)) => {
-                self.owners.assume(flow, to, now);
-                FlowVerdict::Forward { to, header }
-            }
-            None => FlowVerdict::Drop(RefusalCause::NoTarget),
-        }
+        let likely = owner.map(|owner| owner.agent);
+        let Some((to, header)) = self.walk_on(walk, services, likely, now) else {
+            self.parked.park(flow, bytes, now);
+            return FlowVerdict::Park(RefusalCause::NoTarget);
+        };
+        self.owners.assume(flow, to, now);
+        FlowVerdict::Forward { to, header }
     }
 
     /// Asks the next agents that may hold a flow; returns the first of them, or
@@ -289,8 +307,13 @@
     ) -> Option<(Ipv4Addr, HopHeader)> {
         let flow = walk.reset.flow;
         let mut order: Vec<Ipv4Addr> = likely.into_iter().collect();
-        for service in services {
-            if let Some(targets) = self.targets.services.get(service) {
+        let mut asked_services = services.to_vec();
+        if !self.was_current {
+            // The flow may have been opened by newer routes than those known.
+            asked_services.extend(self.targets.services.keys());
+        }
+        for service in asked_services {
+            if let Some(targets) = self.targets.services.get(&service) {
                 order.extend(targets.hold.rank(flow, targets.hold.len()));
             }
         }
@@ -320,6 +343,7 @@
         match report.kind {
             ReportKind::Held => {
                 self.walks.end(report.flow);
+                self.parked.forget(report.flow);
                 self.owners
                     .confirm(report.flow, report.agent, report.target, now);
                 ReportStep::Nothing
@@ -354,8 +378,11 @@
         let (packet, reset) = (walk.packet.clone(), walk.reset);
         match self.walk_on(walk, &choice.holds, None, now) {
             Some((to, header)) => ReportStep::Forward { packet, to, header },
-            None if self.current && self.targets.complete => ReportStep::Reset(reset),
-            None => ReportStep::Nothing,
+            None if self.can_end_flows() => ReportStep::Reset(reset),
+            None => {
+                self.parked.park(flow, &packet, now);
+                ReportStep::Nothing
+            }
         }
     }
 
@@ -393,14 +420,21 @@
     pub(crate) fn sweep(&mut self, now: ClockMillis) {
         self.owners.sweep(now);
         self.walks.sweep(now);
+        self.parked.sweep(now);
     }
 
-    /// Refuses a packet truthfully, or drops it while that can't be known.
-    fn refuse(&self, packet: &FlowPacket, cause: RefusalCause) -> FlowVerdict {
+    /// Refuses a packet truthfully, or keeps it while that can't be known.
+    fn refuse(
+        &mut self,
+        packet: &FlowPacket,
+        bytes: &[u8],
+        cause: RefusalCause,
+        now: ClockMillis,
+    ) -> FlowVerdict {
         if self.current && self.table.version() > 0 {
-            FlowVerdict::Reset(FlowReset::answering(packet), cause)
-        } else {
-            FlowVerdict::Drop(RefusalCause::NotReady)
+            return FlowVerdict::Reset(FlowReset::answering(packet), cause);
         }
+        self.parked.park(packet.caller_flow(), bytes, now);
+        FlowVerdict::Park(RefusalCause::NotReady)
     }
 }
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -18,6 +18,7 @@
 mod opening_watch;
 mod owner_cache;
 mod packet_codec;
+mod parked_packets;
 mod pass_ring;
 mod request_mark;
 mod target_health;
--- a/src/flow/tests/mod.rs
+++ b/src/flow/tests/mod.rs
@@ -4,6 +4,7 @@
 mod balancer_verdicts;
 mod frames;
 mod full_target;
+mod just_started;
 mod opening_wave;
 mod overload;
 mod ranking;
