--- a/src/fleet/control_seat.rs
+++ b/src/fleet/control_seat.rs
@@ -155,7 +155,10 @@
         });
     ReplicaOptions {
         own: ReplicaId::at(settings.address),
-        listen: Some(SocketAddrV4::new(settings.address, settings.ports.links)),
+        listen: Some(SocketAddrV4::new(
+            settings.listen_address(),
+            settings.ports.links,
+        )),
         peers: peers.collect(),
         ports: Some(PeerPorts {
             link: settings.ports.links,
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -96,7 +96,7 @@
         let clock = ProcessClock::new();
         let core = CoreView::new(settings.seeds.clone());
         let packets = open_socket(settings.packets, "packets of callers")?;
-        let fleet = FleetSocket::open(settings.address, settings.ports.datagrams)?;
+        let fleet = FleetSocket::open(settings.listen_address(), settings.ports.datagrams)?;
         let seat = match &settings.data_folder {
             Some(folder) => Some(ControlSeat::start(&settings, calls, folder)?),
             None => None,
@@ -108,7 +108,7 @@
                 let directory = TargetDirectory::new(rand::random(), clock.now());
                 let shared = SharedDirectory::new(directory);
                 let server = WatchServer::new(seat.clone(), shared.clone(), clock);
-                let address = SocketAddrV4::new(settings.address, settings.ports.watch);
+                let address = SocketAddrV4::new(settings.listen_address(), settings.ports.watch);
                 server.start(address).await?;
                 Some(shared)
             }
@@ -159,7 +159,10 @@
             sender,
         );
         tokio::spawn(watch.run());
-        let inspect = SocketAddrV4::new(self.settings.address, self.settings.ports.inspections);
+        let inspect = SocketAddrV4::new(
+            self.settings.listen_address(),
+            self.settings.ports.inspections,
+        );
         let mut inspections = start_inspections(inspect).await?;
         log_event!(
             info,
--- a/src/fleet/fleet_settings.rs
+++ b/src/fleet/fleet_settings.rs
@@ -37,7 +37,7 @@
 pub struct FleetSettings {
     /// The VM's name, for logs.
     pub name: String,
-    /// The VM's address.
+    /// The address at which others reach the VM.
     pub address: Ipv4Addr,
     /// The failure domain.
     pub domain: String,
@@ -59,6 +59,15 @@
     pub flow_age: SpanMillis,
 }
 
+impl FleetSettings {
+    /// Returns the address that sockets listen at; it differs from the VM's
+    /// address where something forwards to it.
+    #[must_use]
+    pub const fn listen_address(&self) -> Ipv4Addr {
+        *self.packets.ip()
+    }
+}
+
 /// What an agent is told besides.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SideSettings {
--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -98,7 +98,7 @@
             clock,
             frames: open_socket(fleet.packets, "frames of balancers")?,
             outbound: open_socket(settings.outbound, "packets of the target")?,
-            fleet: FleetSocket::open(fleet.address, fleet.ports.datagrams)?,
+            fleet: FleetSocket::open(fleet.listen_address(), fleet.ports.datagrams)?,
             core: CoreView::new(fleet.seeds.clone()),
             core_heard_at: now,
             flows: AgentFlows::new(fleet.address, service, rand::random(), fleet.flow_age),
@@ -131,7 +131,7 @@
         self.probes = probes;
         self.probe_target(self.clock.now());
         let fleet = &self.settings.fleet;
-        let inspect = SocketAddrV4::new(fleet.address, fleet.ports.inspections);
+        let inspect = SocketAddrV4::new(fleet.listen_address(), fleet.ports.inspections);
         let mut inspections = start_inspections(inspect).await?;
         log_event!(
             info,
--- a/src/flow/agent_flows.rs
+++ b/src/flow/agent_flows.rs
@@ -327,7 +327,7 @@
             action: AgentAction::Wait,
             report: Some((
                 opening.header.balancer,
-                self.report(opening.flow, ReportKind::Waiting),
+                self.report(opening.flow, opening.header.walk, ReportKind::Waiting),
             )),
         }
     }
@@ -361,7 +361,7 @@
                 }),
                 report: Some((
                     opening.header.balancer,
-                    self.report(opening.flow, ReportKind::Refused),
+                    self.report(opening.flow, opening.header.walk, ReportKind::Refused),
                 )),
             };
             return Some((opening.packet, opening.flow, step));
@@ -401,7 +401,7 @@
             held.established |= !packet.signs.has(PacketSigns::OPEN);
             if !held.reported {
                 held.reported = true;
-                report = Some((held.balancer, self.report(flow, ReportKind::Held)));
+                report = Some((held.balancer, self.report(flow, 0, ReportKind::Held)));
             }
         }
         AgentStep {
@@ -496,7 +496,7 @@
                 action: AgentAction::Drop,
                 report: Some((
                     header.balancer,
-                    self.report(packet.caller_flow(), ReportKind::NotHeld),
+                    self.report(packet.caller_flow(), header.walk, ReportKind::NotHeld),
                 )),
             },
         }
@@ -505,15 +505,19 @@
     fn end_flow(&self, header: HopHeader, packet: &FlowPacket, kind: ReportKind) -> AgentStep {
         AgentStep {
             action: AgentAction::Reset(FlowReset::answering(packet)),
-            report: Some((header.balancer, self.report(packet.caller_flow(), kind))),
+            report: Some((
+                header.balancer,
+                self.report(packet.caller_flow(), header.walk, kind),
+            )),
         }
     }
 
-    fn report(&self, flow: FlowKey, kind: ReportKind) -> FlowReport {
+    fn report(&self, flow: FlowKey, walk: u32, kind: ReportKind) -> FlowReport {
         FlowReport {
             flow,
             agent: self.own,
             target: self.incarnation,
+            walk,
             kind,
         }
     }
--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -78,6 +78,8 @@
     table: ListenerTable,
     targets: KnownTargets,
     walks: WalkTable,
+    /// The number of the last search for an owner.
+    last_walk: u32,
     owners: OwnerCache,
     openings: OpeningWatch,
     /// Where each watched opening was sent first.
@@ -101,6 +103,7 @@
             table,
             targets: KnownTargets::default(),
             walks: WalkTable::default(),
+            last_walk: 0,
             owners: OwnerCache::new(idle),
             openings: OpeningWatch::new(REPORT_MILLIS),
             sent_to: HashMap::new(),
@@ -285,6 +288,7 @@
             packet: bytes.to_vec(),
             reset: FlowReset::answering(packet),
             asked: Vec::new(),
+            number: 0,
             asked_at: now,
         };
         let likely = owner.map(|owner| owner.agent);
@@ -327,7 +331,11 @@
         }
         next.truncate(MAX_CANDIDATES + 1);
         let (to, rest) = next.split_first()?;
-        let header = HopHeader::new(services[0], self.own).with_candidates(rest.iter().copied());
+        self.last_walk = self.last_walk.wrapping_add(1).max(1);
+        let header = HopHeader::new(services[0], self.own)
+            .with_walk(self.last_walk)
+            .with_candidates(rest.iter().copied());
+        walk.number = self.last_walk;
         walk.asked.extend(&next);
         walk.asked_at = now;
         self.walks.insert(flow, walk);
@@ -354,7 +362,7 @@
                 ReportStep::Nothing
             }
             ReportKind::NotHeld => {
-                self.owners.forget(report.flow);
+                self.owners.doubt(report.flow, report.agent);
                 self.continue_walk(report, now)
             }
             ReportKind::Refused | ReportKind::Gone => {
@@ -369,7 +377,7 @@
     /// has given the packet back, the flow is gone and its caller is told.
     fn continue_walk(&mut self, report: &FlowReport, now: ClockMillis) -> ReportStep {
         let flow = report.flow;
-        let Some(walk) = self.walks.take(flow, report.agent) else {
+        let Some(walk) = self.walks.take(flow, report.agent, report.walk) else {
             return ReportStep::Nothing;
         };
         let Some(choice) = self.table.choose(flow.listener, flow.spread(), now) else {
--- a/src/flow/flow_report.rs
+++ b/src/flow/flow_report.rs
@@ -29,6 +29,8 @@
     pub(crate) agent: Ipv4Addr,
     /// The start of its target, if the target has announced itself.
     pub(crate) target: Option<IncarnationId>,
+    /// The search that the packet belonged to, from its frame.
+    pub(crate) walk: u32,
     /// What it knows.
     pub(crate) kind: ReportKind,
 }
--- a/src/flow/flow_walk.rs
+++ b/src/flow/flow_walk.rs
@@ -19,6 +19,8 @@
     /// The agents that were asked; the last one reports if none of them holds
     /// the flow.
     pub(crate) asked: Vec<Ipv4Addr>,
+    /// Names this round of asking.
+    pub(crate) number: u32,
     /// When the agents were asked.
     pub(crate) asked_at: ClockMillis,
 }
@@ -37,10 +39,11 @@
         }
     }
 
-    /// Takes the walk whose last agent is `agent`.
-    pub(crate) fn take(&mut self, flow: FlowKey, agent: Ipv4Addr) -> Option<FlowWalk> {
+    /// Takes the walk if its round `number` ended at `agent`; a word on an earlier
+    /// round says nothing of those asked since.
+    pub(crate) fn take(&mut self, flow: FlowKey, agent: Ipv4Addr, number: u32) -> Option<FlowWalk> {
         let walk = self.walks.get(&flow)?;
-        if walk.asked.last() != Some(&agent) {
+        if walk.number != number || walk.asked.last() != Some(&agent) {
             return None;
         }
         self.walks.remove(&flow)
--- a/src/flow/hop_frame.rs
+++ b/src/flow/hop_frame.rs
@@ -6,9 +6,9 @@
 };
 
 /// The first byte of a frame.
-const MAGIC: u8 = 0xC8;
-/// Magic, hops, candidates, rank, service, balancer, goal and timeout.
-const FIXED_BYTES: usize = 20;
+const MAGIC: u8 = 0xC9;
+/// Magic, hops, candidates, rank, service, balancer, goal, timeout and walk.
+const FIXED_BYTES: usize = 24;
 /// The most candidates that a frame carries.
 pub(crate) const MAX_CANDIDATES: usize = 8;
 
@@ -21,6 +21,9 @@
     pub(crate) balancer: Ipv4Addr,
     /// The agents that have passed the packet on.
     pub(crate) hops: u8,
+    /// The balancer's number of its search for the flow's owner, zero if it does
+    /// not search; reports name it, since they may come late.
+    pub(crate) walk: u32,
     /// How pressing the route's requests are; in frames, times end at 65 s.
     pub(crate) urgency: RouteUrgency,
     candidates: [Ipv4Addr; MAX_CANDIDATES],
@@ -34,12 +37,19 @@
             service,
             balancer,
             hops: 0,
+            walk: 0,
             urgency: RouteUrgency::default(),
             candidates: [Ipv4Addr::UNSPECIFIED; MAX_CANDIDATES],
             count: 0,
         }
     }
 
+    /// Sets the search that the packet belongs to.
+    pub(crate) fn with_walk(mut self, walk: u32) -> Self {
+        self.walk = walk;
+        self
+    }
+
     /// Sets how pressing the route's requests are.
     pub(crate) fn with_urgency(mut self, urgency: RouteUrgency) -> Self {
         self.urgency = urgency;
@@ -78,6 +88,7 @@
         out.extend_from_slice(&self.balancer.octets());
         out.extend_from_slice(&frame_span(self.urgency.goal));
         out.extend_from_slice(&frame_span(self.urgency.timeout));
+        out.extend_from_slice(&self.walk.to_be_bytes());
         for agent in self.candidates() {
             out.extend_from_slice(&agent.octets());
         }
@@ -111,6 +122,7 @@
         let span_at = |place: usize| {
             SpanMillis::new(u16::from_be_bytes([fixed[place], fixed[place + 1]]).into())
         };
+        let walk = u32::from_be_bytes(fixed[20..24].try_into().ok()?);
         let urgency = RouteUrgency {
             rank,
             goal: span_at(16),
@@ -121,6 +133,7 @@
             .map(|octets| Ipv4Addr::new(octets[0], octets[1], octets[2], octets[3]));
         let mut header = HopHeader::new(ServiceTag::from_number(service), balancer.into())
             .with_urgency(urgency)
+            .with_walk(walk)
             .with_candidates(agents);
         header.hops = hops;
         Some(Self { header, packet })
--- a/src/flow/owner_cache.rs
+++ b/src/flow/owner_cache.rs
@@ -91,6 +91,14 @@
         self.owners.insert(flow, owner);
     }
 
+    /// Forgets a flow unless another agent than `agent` has said that it holds it.
+    pub(crate) fn doubt(&mut self, flow: FlowKey, agent: Ipv4Addr) {
+        let stays = |owner: &FlowOwner| owner.confirmed && owner.agent != agent;
+        if !self.owners.get(&flow).is_some_and(stays) {
+            self.owners.remove(&flow);
+        }
+    }
+
     /// Forgets a flow.
     pub(crate) fn forget(&mut self, flow: FlowKey) {
         self.owners.remove(&flow);
--- a/src/flow/tests/balancer_verdicts.rs
+++ b/src/flow/tests/balancer_verdicts.rs
@@ -4,7 +4,7 @@
 use crate::{
     clock::{ClockMillis, SpanMillis},
     flow::{
-        BalancerFlows, FlowReport, FlowVerdict, KnownTargets, PacketSigns, RankedTarget,
+        BalancerFlows, FlowReport, FlowVerdict, HopHeader, KnownTargets, PacketSigns, RankedTarget,
         RefusalCause, ReportKind, ReportStep, ServiceTargets, TargetRanking, TargetStart,
     },
     key::IncarnationId,
@@ -96,10 +96,19 @@
         flow: flow(port),
         agent: from,
         target: Some(START_OF_TARGET),
+        walk: 0,
         kind,
     }
 }
 
+/// An agent's word that it, the last one asked in a walk, does not hold flow 1.
+fn not_held(from: Ipv4Addr, walk: u32) -> FlowReport {
+    FlowReport {
+        walk,
+        ..report(1, from, ReportKind::NotHeld)
+    }
+}
+
 #[test]
 fn packets_follow_the_agent_that_reported_the_flow() {
     let mut flows = balancer();
@@ -215,18 +224,34 @@
     assert_eq!(verdict, FlowVerdict::Park(RefusalCause::NotReady));
 }
 
+/// Sends data of flow 1, whose owner is not known; returns who is asked first
+/// and the frame's header.
+fn look(flows: &mut BalancerFlows) -> (Ipv4Addr, HopHeader) {
+    let data = from_caller(flow(1), PacketSigns::ACKNOWLEDGE);
+    match flows.take_packet(&data, &[1], START) {
+        FlowVerdict::Forward { to, header } => (to, header),
+        other => panic!("not forwarded: {other:?}"),
+    }
+}
+
+fn last_of(to: Ipv4Addr, header: &HopHeader) -> Ipv4Addr {
+    header.candidates().last().copied().unwrap_or(to)
+}
+
 /// Looks for flow 1 of which no target knows; returns who was asked and the end.
 pub(super) fn walk(flows: &mut BalancerFlows) -> (Vec<Ipv4Addr>, ReportStep) {
-    let (to, more) = continued(flows, 1);
-    let mut asked = vec![to];
-    asked.extend(more);
+    let (mut to, mut header) = look(flows);
+    let mut asked = Vec::new();
     loop {
-        let last = *asked.last().expect("somebody was asked");
-        match flows.take_report(&report(1, last, ReportKind::NotHeld), START) {
-            ReportStep::Forward { to, header, .. } => {
-                asked.push(to);
-                asked.extend(header.candidates());
-            }
+        asked.push(to);
+        asked.extend(header.candidates());
+        let word = not_held(last_of(to, &header), header.walk);
+        match flows.take_report(&word, START) {
+            ReportStep::Forward {
+                to: next,
+                header: after,
+                ..
+            } => (to, header) = (next, after),
             end => return (asked, end),
         }
     }
@@ -260,22 +285,44 @@
 #[test]
 fn a_target_that_came_meanwhile_is_asked_before_a_flow_is_reset() {
     let mut flows = balancer();
-    let (to, more) = continued(&mut flows, 1);
-    let last = more.last().copied().unwrap_or(to);
+    let (to, header) = look(&mut flows);
     let agents = [1, 2, 3, 4, 5, 6];
     flows.set_targets(known(HashMap::from([(
         service(),
         targets(&agents, &agents),
     )])));
-    let step = flows.take_report(&report(1, last, ReportKind::NotHeld), START);
+    let word = not_held(last_of(to, &header), header.walk);
+    let step = flows.take_report(&word, START);
     assert!(matches!(step, ReportStep::Forward { to, .. } if to == agent(6)));
 }
 
+/// Seed 2102 of the soak: on a slow path the last agent's word on an earlier
+/// packet came while a later one was still on its way to the owner.
+#[test]
+fn a_late_word_on_an_earlier_walk_ends_no_flow() {
+    let mut flows = balancer();
+    let (to, earlier) = look(&mut flows);
+    let (_, later) = look(&mut flows);
+    let last = last_of(to, &earlier);
+    let step = flows.take_report(&not_held(last, earlier.walk), START);
+    assert_eq!(step, ReportStep::Nothing);
+    let step = flows.take_report(&not_held(last, later.walk), START);
+    assert!(matches!(step, ReportStep::Reset(_)));
+}
+
+#[test]
+fn a_word_of_an_agent_that_was_asked_in_vain_leaves_the_owner_known() {
+    let mut flows = balancer();
+    flows.take_report(&report(1, agent(2), ReportKind::Held), START);
+    flows.take_report(&not_held(agent(3), 0), START);
+    assert_eq!(continued(&mut flows, 1), (agent(2), Vec::new()));
+}
+
 #[test]
 fn a_word_of_an_agent_in_the_middle_ends_no_walk() {
     let mut flows = balancer();
-    let (to, _) = continued(&mut flows, 1);
-    let step = flows.take_report(&report(1, to, ReportKind::NotHeld), START);
+    let (to, header) = look(&mut flows);
+    let step = flows.take_report(&not_held(to, header.walk), START);
     assert_eq!(step, ReportStep::Nothing);
 }
 
