The flow folder is split by duty; waits of openings are measured

An agent's openings, a balancer's searches and the types of both stand in files of their own. The end of a wait tells how long it was, in the log and as a histogram, and an agent whose target starts to leave refuses what waits at once.

--- a/src/fleet/side_packets.rs
+++ b/src/fleet/side_packets.rs
@@ -2,6 +2,8 @@
 
 use std::net::{SocketAddr, SocketAddrV4};
 
+use metrics::histogram;
+
 use super::{
     FleetEvent, SideNode,
     fleet_datagram::FleetDatagram,
@@ -156,12 +158,13 @@
     /// Hands over the openings that waited for a free slot, and refuses those
     /// that can't be served any more.
     pub(super) fn admit_waiting(&mut self, now: ClockMillis) {
-        while let Some((mut packet, flow, step)) = self.flows.next_waiting(now) {
+        while let Some(mut end) = self.flows.next_waiting(now) {
+            histogram!("cyclamen_side_wait_ms").record(end.waited.millis_float());
             if self.budget.allows(FleetEvent::WaitEnded, now) {
                 let (busy, waiting) = (self.flows.busy(), self.flows.waiting());
-                log_event!(info, FleetEvent::WaitEnded, %flow, action = %step.action, busy, waiting);
+                log_event!(info, FleetEvent::WaitEnded, flow = %end.flow, waited = %end.waited, action = %end.step.action, busy, waiting);
             }
-            self.act(step, &mut packet, flow, now);
+            self.act(end.step, &mut end.packet, end.flow, now);
         }
     }
 
--- a/src/fleet/side_target.rs
+++ b/src/fleet/side_target.rs
@@ -81,6 +81,7 @@
         if self.announced != Some((standing, self.tracker.incarnation())) {
             self.announce(now);
         }
+        self.admit_waiting(now);
     }
 
     /// Announces the target to the control group.
--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -1,8 +1,8 @@
 use std::{collections::HashMap, net::Ipv4Addr};
 
 use super::{
-    FlowFinding, FlowKey, FlowPacket, FlowReport, FlowReset, FoundOwner, HopHeader, KnownTargets,
-    ReportKind,
+    FlowFinding, FlowKey, FlowPacket, FlowReport, FlowReset, FlowVerdict, FoundOwner, HopHeader,
+    KnownTargets, RefusalCause, ReportKind, ReportStep,
     flow_walk::{FlowWalk, WalkTable},
     hop_frame::MAX_CANDIDATES,
     opening_watch::{OpeningWatch, WatchedOpening},
@@ -24,75 +24,28 @@
 /// The candidates that an opening is offered to besides the first one.
 const OPENING_CANDIDATES: usize = 5;
 
-/// What a balancer does with a packet of a caller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum FlowVerdict {
-    /// Send it to an agent.
-    Forward {
-        /// The agent.
-        to: Ipv4Addr,
-        /// The frame's header.
-        header: HopHeader,
-    },
-    /// Answer with a reset: the flow can't be served.
-    Reset(FlowReset, RefusalCause),
-    /// Keep it until more is known; it is decided on again then.
-    Park(RefusalCause),
-}
-
-/// Why a packet is not forwarded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum RefusalCause {
-    /// No route has its address and port.
-    NoRoute,
-    /// No target of the route's service is known.
-    NoTarget,
-    /// The routes or the targets are not known yet.
-    NotReady,
-    /// The target that held the flow is gone.
-    TargetGone,
-}
-
-/// What is to be sent after an agent's report.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum ReportStep {
-    /// Nothing.
-    Nothing,
-    /// The packet to the next agents that may hold the flow.
-    Forward {
-        /// The packet.
-        packet: Vec<u8>,
-        /// The first of the agents.
-        to: Ipv4Addr,
-        /// The frame's header.
-        header: HopHeader,
-    },
-    /// A reset: no target holds the flow.
-    Reset(FlowReset),
-}
-
 /// The flows of a balancer: which agent gets which packet.
 #[derive(Debug)]
 pub(crate) struct BalancerFlows {
-    own: Ipv4Addr,
-    table: ListenerTable,
-    targets: KnownTargets,
-    walks: WalkTable,
+    pub(super) own: Ipv4Addr,
+    pub(super) table: ListenerTable,
+    pub(super) targets: KnownTargets,
+    pub(super) walks: WalkTable,
     /// The number of the last search for an owner.
-    last_walk: u32,
-    owners: OwnerCache,
-    openings: OpeningWatch,
+    pub(super) last_walk: u32,
+    pub(super) owners: OwnerCache,
+    pub(super) openings: OpeningWatch,
     /// Where each watched opening was sent first.
-    sent_to: HashMap<FlowKey, Ipv4Addr>,
-    suspects: HashMap<Ipv4Addr, ClockMillis>,
+    pub(super) sent_to: HashMap<FlowKey, Ipv4Addr>,
+    pub(super) suspects: HashMap<Ipv4Addr, ClockMillis>,
     /// The openings that nobody reported since the last report.
-    unreported: u32,
+    pub(super) unreported: u32,
     /// Whether routes and targets are current, so that refusals are true.
-    current: bool,
+    pub(super) current: bool,
     /// Whether they have been so since this balancer started.
-    was_current: bool,
+    pub(super) was_current: bool,
     /// Packets that wait until routes and targets are known.
-    parked: ParkedPackets,
+    pub(super) parked: ParkedPackets,
 }
 
 impl BalancerFlows {
@@ -300,48 +253,6 @@
         FlowVerdict::Forward { to, header }
     }
 
-    /// Asks the next agents that may hold a flow; returns the first of them, or
-    /// `None` if all were asked.
-    fn walk_on(
-        &mut self,
-        mut walk: FlowWalk,
-        services: &[ServiceTag],
-        likely: Option<Ipv4Addr>,
-        now: ClockMillis,
-    ) -> Option<(Ipv4Addr, HopHeader)> {
-        let flow = walk.reset.flow;
-        let mut order: Vec<Ipv4Addr> = likely.into_iter().collect();
-        let mut asked_services = services.to_vec();
-        if !self.was_current {
-            // The flow may have been opened by newer routes than those known.
-            asked_services.extend(self.targets.services.keys());
-        }
-        for service in asked_services {
-            if let Some(targets) = self.targets.services.get(&service) {
-                order.extend(targets.hold.rank(flow, targets.hold.len()));
-            }
-        }
-        // A silent agent ends the walk, so it is asked last.
-        order.sort_by_key(|agent| self.suspects.contains_key(agent));
-        let mut next = Vec::new();
-        for agent in order {
-            if !walk.asked.contains(&agent) && !next.contains(&agent) {
-                next.push(agent);
-            }
-        }
-        next.truncate(MAX_CANDIDATES + 1);
-        let (to, rest) = next.split_first()?;
-        self.last_walk = self.last_walk.wrapping_add(1).max(1);
-        let header = HopHeader::new(services[0], self.own)
-            .with_walk(self.last_walk)
-            .with_candidates(rest.iter().copied());
-        walk.number = self.last_walk;
-        walk.asked.extend(&next);
-        walk.asked_at = now;
-        self.walks.insert(flow, walk);
-        Some((*to, header))
-    }
-
     /// Takes an agent's news of a flow; returns what is to be sent for it.
     pub(crate) fn take_report(&mut self, report: &FlowReport, now: ClockMillis) -> ReportStep {
         self.suspects.remove(&report.agent);
@@ -373,27 +284,6 @@
         }
     }
 
-    /// Asks the agents that remain. Once every target that may hold the flow
-    /// has given the packet back, the flow is gone and its caller is told.
-    fn continue_walk(&mut self, report: &FlowReport, now: ClockMillis) -> ReportStep {
-        let flow = report.flow;
-        let Some(walk) = self.walks.take(flow, report.agent, report.walk) else {
-            return ReportStep::Nothing;
-        };
-        let Some(choice) = self.table.choose(flow.listener, flow.spread(), now) else {
-            return ReportStep::Nothing;
-        };
-        let (packet, reset) = (walk.packet.clone(), walk.reset);
-        match self.walk_on(walk, &choice.holds, None, now) {
-            Some((to, header)) => ReportStep::Forward { packet, to, header },
-            None if self.can_end_flows() => ReportStep::Reset(reset),
-            None => {
-                self.parked.park(flow, &packet, now);
-                ReportStep::Nothing
-            }
-        }
-    }
-
     /// Returns the openings that no agent reported, each with the agent that is
     /// tried next; the silent agents are suspected.
     pub(crate) fn expire_openings(
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -6,12 +6,17 @@
 //! What a balancer or an agent remembers of a flow only saves hops.
 
 mod agent_flows;
+mod agent_openings;
+mod agent_step;
 mod balancer_flows;
+mod balancer_walks;
 mod flow_finding;
 mod flow_key;
 mod flow_packet;
 mod flow_report;
+mod flow_verdict;
 mod flow_walk;
+mod held_flow;
 mod hop_frame;
 mod known_targets;
 mod opening_queue;
@@ -29,10 +34,12 @@
 pub use flow_packet::{FlowPacket, FlowReset, PacketSigns};
 pub use packet_codec::{PacketCodec, PacketFault};
 
-pub(crate) use agent_flows::{AgentAction, AgentFlows, AgentStep, AgentTarget};
-pub(crate) use balancer_flows::{BalancerFlows, FlowVerdict, RefusalCause, ReportStep};
+pub(crate) use agent_flows::AgentFlows;
+pub(crate) use agent_step::{AgentAction, AgentStep, AgentTarget, WaitEnd};
+pub(crate) use balancer_flows::BalancerFlows;
 pub(crate) use flow_finding::{FlowFinding, FoundOwner, HeldFinding};
 pub(crate) use flow_report::{FlowReport, ReportKind};
+pub(crate) use flow_verdict::{FlowVerdict, RefusalCause, ReportStep};
 pub(crate) use hop_frame::{HopFrame, HopHeader};
 pub(crate) use known_targets::{KnownTargets, ServiceTargets, TargetStart};
 pub(crate) use request_mark::request_id;
--- a/src/flow/tests/full_target.rs
+++ b/src/flow/tests/full_target.rs
@@ -85,12 +85,10 @@
 /// Returns the flows of the openings that the target gets now.
 fn admitted(flows: &mut AgentFlows, now: ClockMillis) -> Vec<u16> {
     let mut ports = Vec::new();
-    while let Some((_, flow, step)) = flows.next_waiting(now) {
-        assert!(
-            matches!(step.action, AgentAction::Deliver { .. }),
-            "{step:?}"
-        );
-        ports.push(flow.caller.port());
+    while let Some(end) = flows.next_waiting(now) {
+        let taken = matches!(end.step.action, AgentAction::Deliver { .. });
+        assert!(taken, "{end:?}");
+        ports.push(end.flow.caller.port());
     }
     ports
 }
@@ -147,10 +145,10 @@
     offer(&mut flows, 9, 2, START);
     assert_eq!(flows.next_waiting(at(900)), None);
     assert!(flows.next_due().is_some_and(|due| due <= at(1_000)));
-    let (_, refused, step) = flows.next_waiting(at(1_000)).expect("an end of the wait");
-    assert_eq!(refused, flow(9));
-    assert!(matches!(step.action, AgentAction::Reset(_)));
-    let kind = step.report.map(|(_, report)| report.kind);
+    let end = flows.next_waiting(at(1_000)).expect("an end of the wait");
+    assert_eq!((end.flow, end.waited.millis()), (flow(9), 1_000));
+    assert!(matches!(end.step.action, AgentAction::Reset(_)));
+    let kind = end.step.report.map(|(_, report)| report.kind);
     assert_eq!(kind, Some(ReportKind::Refused));
 }
 
@@ -163,8 +161,8 @@
     offer(&mut flows, 9, 2, START);
     flows.set_target(target, None, START);
     flows.take_answer(&answer(flow(1)), at(10));
-    let (_, _, step) = flows.next_waiting(at(10)).expect("an end of the wait");
-    assert!(matches!(step.action, AgentAction::Reset(_)));
+    let end = flows.next_waiting(at(10)).expect("an end of the wait");
+    assert!(matches!(end.step.action, AgentAction::Reset(_)));
     assert_eq!(flows.next_waiting(at(10)), None);
 }
 
--- a/src/flow/tests/opening_wave.rs
+++ b/src/flow/tests/opening_wave.rs
@@ -152,9 +152,9 @@
         let opened_at = self.opened_at[&flow];
         self.answered_in.insert(flow, now.millis() - opened_at);
         let mut taken = Vec::new();
-        while let Some((_, waiting, step)) = flows.next_waiting(now) {
-            match step.action {
-                AgentAction::Deliver { .. } => taken.push(waiting),
+        while let Some(end) = flows.next_waiting(now) {
+            match end.step.action {
+                AgentAction::Deliver { .. } => taken.push(end.flow),
                 // The caller opens another flow, which the test leaves out.
                 AgentAction::Reset(_) => {}
                 other => panic!("neither taken nor refused: {other:?}"),
