Openings are as old as their caller's first one

Cause: what callers had sent before a power cut reached the agents as copies and was taken for new, and so went before requests that could still be answered in time. The header counts copies, which tells the age; a balancer adds the time that it kept a packet itself, and frames carry the sum to the agents.

--- a/src/clock/clock_millis.rs
+++ b/src/clock/clock_millis.rs
@@ -35,6 +35,12 @@
         Self(self.0.saturating_add(span.millis()))
     }
 
+    /// Returns the instant `span` earlier, at least the origin.
+    #[must_use]
+    pub const fn before(self, span: SpanMillis) -> Self {
+        Self(self.0.saturating_sub(span.millis()))
+    }
+
     /// Returns the time since `earlier`, zero if that lies ahead.
     #[must_use]
     pub const fn since(self, earlier: Self) -> SpanMillis {
--- a/src/clock/span_millis.rs
+++ b/src/clock/span_millis.rs
@@ -44,6 +44,12 @@
         Self(self.0.saturating_mul(factor))
     }
 
+    /// Returns the sum of both spans, at most the largest one.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+
     /// Returns the span less `other`, at least zero.
     #[must_use]
     pub const fn less(self, other: Self) -> Self {
--- a/src/fleet/entry_packets.rs
+++ b/src/fleet/entry_packets.rs
@@ -9,7 +9,7 @@
     entry_node::{MAX_PACKET_BYTES, PACKETS_A_TURN},
 };
 use crate::{
-    clock::ClockMillis,
+    clock::{ClockMillis, SpanMillis},
     event::log_event,
     flow::{FlowPacket, FlowReport, FlowVerdict, HopHeader, RefusalCause, ReportStep},
 };
@@ -29,13 +29,13 @@
     /// Counts a packet of a caller and decides on it.
     pub(super) fn take_packet(&mut self, bytes: &[u8]) {
         self.counters.received += 1;
-        self.decide_packet(bytes);
+        self.decide_packet(bytes, SpanMillis::ZERO);
     }
 
-    /// Forwards, refuses or keeps one packet.
-    fn decide_packet(&mut self, bytes: &[u8]) {
+    /// Forwards, refuses or keeps one packet, which arrived `kept` ago.
+    fn decide_packet(&mut self, bytes: &[u8], kept: SpanMillis) {
         let now = self.clock.now();
-        let packet = match self.codec.decode(bytes) {
+        let mut packet = match self.codec.decode(bytes) {
             Ok(packet) => packet,
             Err(fault) => {
                 self.counters.undecodable += 1;
@@ -45,6 +45,7 @@
                 return;
             }
         };
+        packet.age = packet.age.plus(kept);
         match self.flows.take_packet(&packet, bytes, now) {
             FlowVerdict::Forward { to, header } => {
                 self.log_forward(&packet, to, &header, now);
@@ -65,8 +66,8 @@
 
     /// Decides again on the packets that waited for routes or targets.
     pub(super) fn take_parked(&mut self) {
-        for packet in self.flows.take_parked(self.clock.now()) {
-            self.decide_packet(&packet);
+        for (kept, packet) in self.flows.take_parked(self.clock.now()) {
+            self.decide_packet(&packet, kept);
         }
     }
 
--- a/src/fleet/target_tracker.rs
+++ b/src/fleet/target_tracker.rs
@@ -125,7 +125,7 @@
             _ => SpanMillis::ZERO,
         };
         let unheard = SpanMillis::new(announced.millis().saturating_add(UNHEARD_MILLIS.millis()));
-        ClockMillis::new(now.millis().saturating_sub(unheard.millis()))
+        now.before(unheard)
     }
 
     /// Returns whether the target takes new flows.
--- a/src/fleet/watch_client.rs
+++ b/src/fleet/watch_client.rs
@@ -108,7 +108,7 @@
                 let stream = timeout(CONNECT_MILLIS.duration(), connect).await;
                 Some((replica, stream.ok()?.ok()?))
             });
-            delay = SpanMillis::new(delay.millis() + STAGGER_MILLIS.millis());
+            delay = delay.plus(STAGGER_MILLIS);
         }
         while let Some(attempt) = attempts.join_next().await {
             if let Ok(Some(connected)) = attempt {
--- a/src/flow/agent_openings.rs
+++ b/src/flow/agent_openings.rs
@@ -32,6 +32,7 @@
             flow,
             header,
             packet: bytes.to_vec(),
+            asked_at: now.before(header.age),
             sent_at: now,
         };
         if copy || self.load.has_room(now) {
--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -104,8 +104,9 @@
         self.targets.complete && (self.current || !self.was_current)
     }
 
-    /// Takes the packets that waited for what is known now.
-    pub(crate) fn take_parked(&mut self, now: ClockMillis) -> Vec<Vec<u8>> {
+    /// Takes the packets that waited for what is known now, each with the time
+    /// that it was kept.
+    pub(crate) fn take_parked(&mut self, now: ClockMillis) -> Vec<(SpanMillis, Vec<u8>)> {
         self.parked.take_all(now)
     }
 
@@ -200,6 +201,7 @@
         };
         let header = HopHeader::new(choice.opens, self.own)
             .with_urgency(choice.urgency)
+            .with_age(packet.age)
             .with_candidates(order);
         self.owners.assume(flow, to, now);
         if !self.openings.holds(flow) {
@@ -209,6 +211,7 @@
             flow,
             header,
             packet: bytes.to_vec(),
+            asked_at: now.before(packet.age),
             sent_at: now,
         });
         FlowVerdict::Forward { to, header }
--- a/src/flow/flow_packet.rs
+++ b/src/flow/flow_packet.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddrV4;
 
 use super::FlowKey;
+use crate::clock::SpanMillis;
 
 /// What a packet does to its flow, one bit each.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -46,6 +47,9 @@
     pub acknowledged: u32,
     /// The bytes of data.
     pub data_bytes: u16,
+    /// How long ago the caller sent an opening for the first time, as far as the
+    /// packet tells; zero for all other packets.
+    pub age: SpanMillis,
     /// What the system wrote into the packet on its way to the target.
     pub tag: u32,
 }
--- a/src/flow/hop_frame.rs
+++ b/src/flow/hop_frame.rs
@@ -6,9 +6,9 @@
 };
 
 /// The first byte of a frame.
-const MAGIC: u8 = 0xC9;
-/// Magic, hops, candidates, rank, service, balancer, goal, timeout and walk.
-const FIXED_BYTES: usize = 24;
+const MAGIC: u8 = 0xCA;
+/// Magic, hops, candidates, rank, service, balancer, goal, timeout, walk and age.
+const FIXED_BYTES: usize = 26;
 /// The most candidates that a frame carries.
 pub(crate) const MAX_CANDIDATES: usize = 8;
 
@@ -24,6 +24,8 @@
     /// The balancer's number of its search for the flow's owner, zero if it does
     /// not search; reports name it, since they may come late.
     pub(crate) walk: u32,
+    /// How long ago the caller first sent the opening, when the balancer sent it.
+    pub(crate) age: SpanMillis,
     /// How pressing the route's requests are; in frames, times end at 65 s.
     pub(crate) urgency: RouteUrgency,
     candidates: [Ipv4Addr; MAX_CANDIDATES],
@@ -38,6 +40,7 @@
             balancer,
             hops: 0,
             walk: 0,
+            age: SpanMillis::ZERO,
             urgency: RouteUrgency::default(),
             candidates: [Ipv4Addr::UNSPECIFIED; MAX_CANDIDATES],
             count: 0,
@@ -50,6 +53,12 @@
         self
     }
 
+    /// Sets how long ago the caller first sent the opening.
+    pub(crate) fn with_age(mut self, age: SpanMillis) -> Self {
+        self.age = age;
+        self
+    }
+
     /// Sets how pressing the route's requests are.
     pub(crate) fn with_urgency(mut self, urgency: RouteUrgency) -> Self {
         self.urgency = urgency;
@@ -89,6 +98,7 @@
         out.extend_from_slice(&frame_span(self.urgency.goal));
         out.extend_from_slice(&frame_span(self.urgency.timeout));
         out.extend_from_slice(&self.walk.to_be_bytes());
+        out.extend_from_slice(&frame_span(self.age));
         for agent in self.candidates() {
             out.extend_from_slice(&agent.octets());
         }
@@ -134,6 +144,7 @@
         let mut header = HopHeader::new(ServiceTag::from_number(service), balancer.into())
             .with_urgency(urgency)
             .with_walk(walk)
+            .with_age(span_at(24))
             .with_candidates(agents);
         header.hops = hops;
         Some(Self { header, packet })
--- a/src/flow/opening_queue.rs
+++ b/src/flow/opening_queue.rs
@@ -52,9 +52,9 @@
     pub(crate) fn take_next(&mut self, now: ClockMillis) -> Option<WatchedOpening> {
         let order = |opening: &WatchedOpening| {
             let urgency = opening.header.urgency;
-            let waited = now.since(opening.sent_at);
-            let late = waited.times(GOAL_PARTS) > urgency.goal;
-            (late, urgency.rank, Reverse(opening.sent_at))
+            let age = now.since(opening.asked_at);
+            let late = age.times(GOAL_PARTS) > urgency.goal;
+            (late, urgency.rank, Reverse(opening.asked_at))
         };
         let waiting = self.waiting.iter().enumerate();
         let place = waiting.min_by_key(|(_, opening)| order(opening))?.0;
--- a/src/flow/opening_watch.rs
+++ b/src/flow/opening_watch.rs
@@ -15,6 +15,8 @@
     pub(crate) header: HopHeader,
     /// The packet as the caller sent it.
     pub(crate) packet: Vec<u8>,
+    /// When the caller first sent it.
+    pub(crate) asked_at: ClockMillis,
     /// When it was handed over.
     pub(crate) sent_at: ClockMillis,
 }
--- a/src/flow/parked_packets.rs
+++ b/src/flow/parked_packets.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::{cmp::Reverse, collections::HashMap};
 
 use super::FlowKey;
 use crate::clock::{ClockMillis, SpanMillis};
@@ -30,12 +30,16 @@
         self.packets.remove(&flow);
     }
 
-    /// Takes all packets that are not too old, to decide on them again.
-    pub(crate) fn take_all(&mut self, now: ClockMillis) -> Vec<Vec<u8>> {
-        let mut packets: Vec<_> = self.packets.drain().map(|(_, parked)| parked).collect();
-        packets.retain(|(parked_at, _)| now.since(*parked_at) < PARKED_MILLIS);
-        packets.sort_by_key(|(parked_at, _)| *parked_at);
-        packets.into_iter().map(|(_, packet)| packet).collect()
+    /// Takes all packets that are not too old, to decide on them again, each with
+    /// the time that it was kept; the oldest first.
+    pub(crate) fn take_all(&mut self, now: ClockMillis) -> Vec<(SpanMillis, Vec<u8>)> {
+        let kept = self
+            .packets
+            .drain()
+            .map(|(_, (parked_at, packet))| (now.since(parked_at), packet));
+        let mut packets: Vec<_> = kept.filter(|(kept, _)| *kept < PARKED_MILLIS).collect();
+        packets.sort_by_key(|(kept, _)| Reverse(*kept));
+        packets
     }
 
     /// Drops the packets that are too old.
--- a/src/flow/tests/full_target.rs
+++ b/src/flow/tests/full_target.rs
@@ -139,6 +139,18 @@
     assert_eq!(admitted(&mut flows, at(200)), [9]);
 }
 
+/// After a power cut, openings arrive that their callers sent before it.
+#[test]
+fn a_copy_of_an_opening_is_as_old_as_the_first_one() {
+    let mut flows = full_agent();
+    let copy = from_caller(flow(9), PacketSigns::OPEN);
+    let aged = header(1, &[]).with_age(SpanMillis::new(600));
+    flows.take_frame(aged, &copy, &[1], at(20));
+    offer(&mut flows, 10, 2, at(0));
+    flows.take_answer(&answer(flow(1)), at(20));
+    assert_eq!(admitted(&mut flows, at(20)), [10]);
+}
+
 #[test]
 fn an_opening_that_waited_too_long_is_refused_as_not_run() {
     let mut flows = full_agent();
--- a/src/flow/tests/just_started.rs
+++ b/src/flow/tests/just_started.rs
@@ -48,8 +48,10 @@
         HashMap::from([(service(), targets(&[1, 2], &[1, 2]))]),
     );
     // One packet a flow, the one that has waited longest first.
-    assert_eq!(flows.take_parked(at(300)), [vec![2], vec![1]]);
-    assert_eq!(flows.take_parked(at(300)), [[0; 0]; 0]);
+    let kept = [295, 290].map(SpanMillis::new);
+    let parked = flows.take_parked(at(300));
+    assert_eq!(parked, [(kept[0], vec![2]), (kept[1], vec![1])]);
+    assert_eq!(flows.take_parked(at(300)), []);
     let verdict = flows.take_packet(&opening(1), &[1], at(300));
     assert!(matches!(verdict, FlowVerdict::Forward { .. }));
 }
@@ -58,7 +60,7 @@
 fn a_packet_whose_caller_has_repeated_it_is_not_kept_for_ever() {
     let mut flows = newcomer();
     flows.take_packet(&opening(1), &[1], START);
-    assert_eq!(flows.take_parked(at(1_000)), [[0; 0]; 0]);
+    assert_eq!(flows.take_parked(at(1_000)), []);
 }
 
 #[test]
--- a/src/flow/tests/mod.rs
+++ b/src/flow/tests/mod.rs
@@ -13,6 +13,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use super::{FlowKey, FlowPacket, PacketSigns};
+use crate::clock::SpanMillis;
 
 /// The balancer of the tests.
 const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
@@ -44,6 +45,7 @@
         sequence: 1,
         acknowledged: 7,
         data_bytes: 0,
+        age: SpanMillis::ZERO,
         tag: 0,
     }
 }
