--- a/src/fleet/watch_client.rs
+++ b/src/fleet/watch_client.rs
@@ -112,11 +112,11 @@
         }
         loop {
             tokio::select! {
-                attempt = attempts.join_next() => match attempt? {
-                    Ok(Some(connected)) => return Some(connected),
-                    // Another one may answer.
-                    Ok(None) | Err(_) => {}
-                },
+                attempt = attempts.join_next() => {
+                    if let Ok(Some(connected)) = attempt? {
+                        return Some(connected);
+                    }
+                }
                 // Others are worth trying now.
                 () = self.core.changed() => return None,
             }
