Openings that would get their turn too late are refused at once

Change: an agent measures how long requests are at its target, which tells how many it can begin in time; beyond that, the opening whose turn would come last is refused as not run the moment it is clear.

--- a/src/fleet/side_packets.rs
+++ b/src/fleet/side_packets.rs
@@ -22,9 +22,10 @@
         for _ in 0..PACKETS_A_TURN {
             match self.frames.try_recv_from(&mut buffer) {
                 Ok((length, _)) => self.take_frame(&mut buffer[..length]),
-                Err(_) => return,
+                Err(_) => break,
             }
         }
+        self.admit_waiting(self.clock.now());
     }
 
     /// Decides on a caller's packet.
--- a/src/flow/agent_flows.rs
+++ b/src/flow/agent_flows.rs
@@ -184,11 +184,11 @@
         let flow = packet.target_flow();
         if packet.signs.has(PacketSigns::RESET) {
             self.held.remove(&flow);
-            self.load.finish(flow);
+            self.load.cancel(flow);
             return AgentStep::quiet(AgentAction::Return);
         }
         if packet.data_bytes > 0 || packet.signs.has(PacketSigns::FINISH) {
-            self.load.finish(flow);
+            self.load.finish(flow, now);
         }
         let opening = self.openings.take(flow);
         let balancer = opening.map(|opening| opening.header.balancer);
@@ -216,7 +216,7 @@
             return AgentStep::quiet(AgentAction::Drop);
         };
         let flow = packet.caller_flow();
-        self.load.finish(flow);
+        self.load.cancel(flow);
         if packet.opens() {
             self.openings.take(flow);
             return self.pass_on(header, packet);
--- a/src/flow/agent_openings.rs
+++ b/src/flow/agent_openings.rs
@@ -3,7 +3,7 @@
 
 use super::{
     AgentAction, AgentFlows, AgentStep, AgentTarget, FlowKey, FlowPacket, FlowReset, HopHeader,
-    ReportKind, WaitEnd, opening_watch::WatchedOpening,
+    ReportKind, WaitEnd, opening_queue::longest_wait, opening_watch::WatchedOpening,
 };
 use crate::clock::ClockMillis;
 
@@ -45,7 +45,9 @@
             return self.pass_on(header, packet);
         }
         let step = self.wait(&opening);
-        self.displaced.extend(self.queue.push(opening));
+        let servable = self.load.begins_within(longest_wait(&header.urgency));
+        self.displaced
+            .extend(self.queue.push(opening, servable, now));
         step
     }
 
@@ -120,7 +122,7 @@
         let mut steps = Vec::new();
         while let Some(opening) = self.openings.take_due(now) {
             self.health.miss(opening.sent_at);
-            self.load.finish(opening.flow);
+            self.load.cancel(opening.flow);
             let step = match opening.header.next_hop() {
                 Some((to, header)) => AgentStep::quiet(AgentAction::PassOn { to, header }),
                 None => AgentStep::quiet(AgentAction::Drop),
--- a/src/flow/opening_queue.rs
+++ b/src/flow/opening_queue.rs
@@ -1,7 +1,10 @@
 use std::cmp::Reverse;
 
 use super::{FlowKey, opening_watch::WatchedOpening};
-use crate::clock::{ClockMillis, SpanMillis};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    listener::RouteUrgency,
+};
 
 /// The most openings that wait at an agent.
 const MAX_WAITING: usize = 256;
@@ -25,17 +28,22 @@
 }
 
 impl OpeningQueue {
-    /// Adds an opening; returns the one that has to make room for it.
-    pub(crate) fn push(&mut self, opening: WatchedOpening) -> Option<WatchedOpening> {
-        let displaced = if self.waiting.len() >= MAX_WAITING {
-            let oldest = self.waiting.iter().enumerate();
-            let place = oldest.min_by_key(|(_, waiting)| waiting.sent_at)?.0;
-            Some(self.waiting.swap_remove(place))
-        } else {
-            None
-        };
+    /// Adds an opening; returns the one that would get its turn too late, if more
+    /// wait than the target can begin in time, as told by `servable`.
+    pub(crate) fn push(
+        &mut self,
+        opening: WatchedOpening,
+        servable: Option<usize>,
+        now: ClockMillis,
+    ) -> Option<WatchedOpening> {
         self.waiting.push(opening);
-        displaced
+        let most = servable.map_or(MAX_WAITING, |servable| servable.min(MAX_WAITING));
+        if self.waiting.len() <= most {
+            return None;
+        }
+        let waiting = self.waiting.iter().enumerate();
+        let last = waiting.max_by_key(|(_, opening)| turn_of(opening, now))?.0;
+        Some(self.waiting.swap_remove(last))
     }
 
     /// Returns whether an opening of the flow waits.
@@ -50,14 +58,8 @@
 
     /// Takes the opening that the target should get next.
     pub(crate) fn take_next(&mut self, now: ClockMillis) -> Option<WatchedOpening> {
-        let order = |opening: &WatchedOpening| {
-            let urgency = opening.header.urgency;
-            let age = now.since(opening.asked_at);
-            let late = age.times(GOAL_PARTS) > urgency.goal;
-            (late, urgency.rank, Reverse(opening.asked_at))
-        };
         let waiting = self.waiting.iter().enumerate();
-        let place = waiting.min_by_key(|(_, opening)| order(opening))?.0;
+        let place = waiting.min_by_key(|(_, opening)| turn_of(opening, now))?.0;
         Some(self.waiting.swap_remove(place))
     }
 
@@ -79,8 +81,19 @@
     }
 }
 
+/// Returns how long an opening may wait.
+pub(crate) fn longest_wait(urgency: &RouteUrgency) -> SpanMillis {
+    SpanMillis::new(urgency.timeout.millis() / TIMEOUT_PARTS).min(LONGEST_WAIT_MILLIS)
+}
+
 fn lapse_of(opening: &WatchedOpening) -> ClockMillis {
-    let timeout = opening.header.urgency.timeout.millis();
-    let longest = SpanMillis::new(timeout / TIMEOUT_PARTS).min(LONGEST_WAIT_MILLIS);
-    opening.sent_at.after(longest)
+    opening.sent_at.after(longest_wait(&opening.header.urgency))
+}
+
+/// Returns the key by which openings get their turn; the least goes first.
+fn turn_of(opening: &WatchedOpening, now: ClockMillis) -> (bool, u8, Reverse<ClockMillis>) {
+    let urgency = opening.header.urgency;
+    let age = now.since(opening.asked_at);
+    let late = age.times(GOAL_PARTS) > urgency.goal;
+    (late, urgency.rank, Reverse(opening.asked_at))
 }
