--- a/src/flow/agent_openings.rs
+++ b/src/flow/agent_openings.rs
@@ -3,7 +3,7 @@
 
 use super::{
     AgentAction, AgentFlows, AgentStep, AgentTarget, FlowKey, FlowPacket, FlowReset, HopHeader,
-    ReportKind, WaitEnd, opening_queue::longest_wait, opening_watch::WatchedOpening,
+    ReportKind, WaitEnd, opening_watch::WatchedOpening,
 };
 use crate::clock::ClockMillis;
 
@@ -45,7 +45,7 @@
             return self.pass_on(header, packet);
         }
         let step = self.wait(&opening);
-        let servable = self.load.begins_within(longest_wait(&header.urgency));
+        let servable = self.load.begins_within(header.urgency.timeout);
         self.displaced
             .extend(self.queue.push(opening, servable, now));
         step
--- a/src/flow/opening_queue.rs
+++ b/src/flow/opening_queue.rs
@@ -1,10 +1,7 @@
 use std::cmp::Reverse;
 
 use super::{FlowKey, opening_watch::WatchedOpening};
-use crate::{
-    clock::{ClockMillis, SpanMillis},
-    listener::RouteUrgency,
-};
+use crate::clock::{ClockMillis, SpanMillis};
 
 /// The most openings that wait at an agent.
 const MAX_WAITING: usize = 256;
@@ -28,8 +25,8 @@
 }
 
 impl OpeningQueue {
-    /// Adds an opening; returns the one that would get its turn too late, if more
-    /// wait than the target can begin in time, as told by `servable`.
+    /// Adds an opening; returns the one whose turn would come last, if more wait
+    /// than the target can begin before their timeout, as told by `servable`.
     pub(crate) fn push(
         &mut self,
         opening: WatchedOpening,
@@ -81,13 +78,10 @@
     }
 }
 
-/// Returns how long an opening may wait.
-pub(crate) fn longest_wait(urgency: &RouteUrgency) -> SpanMillis {
-    SpanMillis::new(urgency.timeout.millis() / TIMEOUT_PARTS).min(LONGEST_WAIT_MILLIS)
-}
-
 fn lapse_of(opening: &WatchedOpening) -> ClockMillis {
-    opening.sent_at.after(longest_wait(&opening.header.urgency))
+    let timeout = opening.header.urgency.timeout.millis();
+    let longest = SpanMillis::new(timeout / TIMEOUT_PARTS).min(LONGEST_WAIT_MILLIS);
+    opening.sent_at.after(longest)
 }
 
 /// Returns the key by which openings get their turn; the least goes first.
