A flood of openings uses bounded memory at a balancer

Cause: openings beyond the limit of pending ones were not timed, but the agent that each was sent to was still recorded, and nothing removed that record. Now only pending openings have one. The test a_flood_of_openings_uses_bounded_memory sends 9,000 openings at once and fails without the change.

--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -220,16 +220,16 @@
             .with_age(packet.age)
             .with_candidates(order);
         self.owners.assume(flow, to, now);
-        if !self.openings.contains(flow) {
-            self.opening_agents.insert(flow, to);
-        }
-        self.openings.insert(PendingOpening {
+        let opening = PendingOpening {
             flow,
             header,
             packet: bytes.to_vec(),
             first_sent_at: now.before(packet.age),
             sent_at: now,
-        });
+        };
+        if self.openings.insert(opening) {
+            self.opening_agents.insert(flow, to);
+        }
         FlowVerdict::Forward { to, header }
     }
 
@@ -322,8 +322,10 @@
             resent.push((opening.flow, opening.packet.clone(), to, header));
             opening.header = header;
             opening.sent_at = now;
-            self.opening_agents.insert(opening.flow, to);
-            self.openings.insert(opening);
+            let flow = opening.flow;
+            if self.openings.insert(opening) {
+                self.opening_agents.insert(flow, to);
+            }
         }
         resent
     }
--- a/src/flow/pending_openings.rs
+++ b/src/flow/pending_openings.rs
@@ -39,13 +39,16 @@
     }
 
     /// Adds an opening; a retransmission of a pending one changes nothing.
-    pub(crate) fn insert(&mut self, opening: PendingOpening) {
+    ///
+    /// Returns whether it was added.
+    pub(crate) fn insert(&mut self, opening: PendingOpening) -> bool {
         if self.openings.len() >= MAX_OPENINGS || self.openings.contains_key(&opening.flow) {
-            return;
+            return false;
         }
         self.deadlines
             .push_back((opening.sent_at.after(self.timeout), opening.flow));
         self.openings.insert(opening.flow, opening);
+        true
     }
 
     /// Returns whether an opening of the flow is pending.
--- a/src/flow/tests/balancer_verdicts.rs
+++ b/src/flow/tests/balancer_verdicts.rs
@@ -404,3 +404,20 @@
     flows.handle_report(&report(1, agent(1), ReportKind::Held), START);
     assert!(!flows.is_isolated());
 }
+
+/// In a flood of openings the balancer stops timing new ones; it keeps nothing of
+/// them either.
+#[test]
+fn a_flood_of_openings_uses_bounded_memory() {
+    let mut flows = balancer();
+    for port in 0..9_000 {
+        send_opening(&mut flows, port, START);
+    }
+    assert!(flows.opening_agents.len() <= 8_192);
+    let mut now = START;
+    while let Some(due) = flows.next_due() {
+        now = due.max(now);
+        flows.expire_openings(now);
+    }
+    assert_eq!(flows.opening_agents.len(), 0);
+}
