A target that has left is not used again after a restart

Three ways in which a restarted process could bring it back, each shown by a test that fails without the change: - a delayed announcement of an agent's earlier run replaced that of the newer run (a_delayed_announcement_of_an_earlier_run_changes_nothing). The directory now ignores the run that was replaced for five seconds; if the runs were heard in the wrong order, the one that goes on is taken again after that. - an agent that restarted announced its leaving or ended target as serving until the target's next announcement (a_target_that_left_is_not_used_again_after_its_agent_restarted). The directory keeps what it knows until the agent names an incarnation. - a balancer that changed replica took older records from one that had been cut off from the agents (a_watcher_that_changes_replica_ignores_records_older_than_its_own). Not covered: a replica that has lost its directory and hears only the restarted agent.

--- a/src/directory/target_directory.rs
+++ b/src/directory/target_directory.rs
@@ -20,6 +20,9 @@
 const ENDED_RETENTION_MILLIS: SpanMillis = SpanMillis::new(60_000);
 /// Time after its start at which a replica has heard from every running agent.
 const SETTLE_MILLIS: SpanMillis = SpanMillis::new(2_500);
+/// How long announcements of an agent's earlier run are ignored after a newer run
+/// was heard: longer than a datagram may be delayed.
+const EARLIER_RUN_MILLIS: SpanMillis = SpanMillis::new(5_000);
 /// Minimum number of live targets for the mass-silence check in `expire`.
 const MASS_SILENCE_MIN_TARGETS: usize = 4;
 
@@ -29,6 +32,29 @@
     last_heard_at: ClockMillis,
     /// The revision that added or last changed the record.
     revision: u64,
+    /// The agent's run before the current one.
+    earlier_run: Option<EarlierRun>,
+}
+
+/// A run of an agent that a newer one replaced.
+#[derive(Debug, Clone, Copy)]
+struct EarlierRun {
+    agent_run: u64,
+    replaced_at: ClockMillis,
+}
+
+impl DirectoryEntry {
+    /// Returns whether an announcement is of an earlier run, or older than one
+    /// heard before.
+    fn is_late(&self, record: &TargetRecord, now: ClockMillis) -> bool {
+        if self.record.agent_run == record.agent_run {
+            return record.sequence <= self.record.sequence;
+        }
+        self.earlier_run.is_some_and(|earlier_run| {
+            earlier_run.agent_run == record.agent_run
+                && now.since(earlier_run.replaced_at) < EARLIER_RUN_MILLIS
+        })
+    }
 }
 
 /// The targets that have announced themselves to one replica.
@@ -92,19 +118,31 @@
     /// Records an announcement; returns whether it changed the directory.
     pub(crate) fn announce(&mut self, record: TargetRecord, now: ClockMillis) -> bool {
         self.expected.remove(&record.agent);
-        let current = self.entries.get_mut(&record.agent);
-        if let Some(entry) = current {
-            let old = entry.record;
-            if old.agent_run == record.agent_run && record.sequence <= old.sequence {
+        self.apply_announcement(record, now)
+    }
+
+    fn apply_announcement(&mut self, mut record: TargetRecord, now: ClockMillis) -> bool {
+        let mut earlier_run = None;
+        if let Some(entry) = self.entries.get_mut(&record.agent) {
+            if entry.is_late(&record, now) {
                 return false;
             }
+            let old = entry.record;
+            if old.agent_run != record.agent_run {
+                entry.earlier_run = Some(EarlierRun {
+                    agent_run: old.agent_run,
+                    replaced_at: now,
+                });
+            }
+            record = record.after_restart_of(&old);
             entry.last_heard_at = now;
             entry.record = record;
+            earlier_run = entry.earlier_run;
             if old.has_same_state(&record) {
                 return false;
             }
         }
-        self.set(record, now);
+        self.set(record, earlier_run, now);
         true
     }
 
@@ -127,8 +165,8 @@
         if !mass_silence {
             for mut record in silent {
                 record.status = TargetStatus::Silent;
-                let last_heard_at = self.entries[&record.agent].last_heard_at;
-                self.set(record, last_heard_at);
+                let entry = self.entries[&record.agent];
+                self.set(record, entry.earlier_run, entry.last_heard_at);
             }
         }
         let count_before = self.entries.len();
@@ -164,12 +202,18 @@
         }
     }
 
-    fn set(&mut self, record: TargetRecord, last_heard_at: ClockMillis) {
+    fn set(
+        &mut self,
+        record: TargetRecord,
+        earlier_run: Option<EarlierRun>,
+        last_heard_at: ClockMillis,
+    ) {
         self.revision += 1;
         let entry = DirectoryEntry {
             record,
             last_heard_at,
             revision: self.revision,
+            earlier_run,
         };
         self.entries.insert(record.agent, entry);
     }
--- a/src/directory/target_record.rs
+++ b/src/directory/target_record.rs
@@ -45,4 +45,22 @@
         (self.service, self.incarnation, self.status)
             == (other.service, other.incarnation, other.status)
     }
+
+    /// Returns this announcement with what `old`, the agent's last one, tells of the
+    /// target. An agent that has restarted does not know that its target has left
+    /// until the target announces itself again.
+    pub(crate) fn after_restart_of(mut self, old: &Self) -> Self {
+        let has_left = matches!(old.status, TargetStatus::Leaving | TargetStatus::Ended);
+        if has_left && self.incarnation.is_none() && self.service == old.service {
+            self.status = old.status;
+            self.incarnation = old.incarnation;
+        }
+        self
+    }
+
+    /// Returns whether this record is older than `other`, of the same run of the
+    /// agent.
+    pub(crate) fn is_older_than(&self, other: &Self) -> bool {
+        self.agent_run == other.agent_run && self.sequence < other.sequence
+    }
 }
--- a/src/directory/target_view.rs
+++ b/src/directory/target_view.rs
@@ -33,7 +33,8 @@
 
     /// Applies an update of a directory; returns the records that changed.
     ///
-    /// Records that an unsettled directory does not list are kept.
+    /// Records that an unsettled directory does not list are kept, and so are those
+    /// that are newer than what the directory lists.
     pub(crate) fn apply_update(&mut self, update: DirectoryUpdate) -> Vec<TargetRecord> {
         let mut changed = Vec::new();
         self.complete = update.settled;
@@ -43,10 +44,14 @@
             self.records.retain(|agent, _| listed(agent));
         }
         for record in update.records {
-            let old = self.records.insert(record.agent, record);
+            let old = self.records.get(&record.agent);
+            if old.is_some_and(|old| record.is_older_than(old)) {
+                continue;
+            }
             if !old.is_some_and(|old| old.has_same_state(&record)) {
                 changed.push(record);
             }
+            self.records.insert(record.agent, record);
         }
         changed
     }
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeSet, net::Ipv4Addr};
 
+use rstest::rstest;
+
 use super::{DirectoryPosition, TargetDirectory, TargetRecord, TargetStatus, TargetView};
 use crate::{
     clock::{ClockMillis, SpanMillis},
@@ -118,3 +120,66 @@
     assert!(!directory(3, START).is_settled(START));
     assert!(directory(3, START).is_settled(SETTLED));
 }
+
+/// A datagram of a run that has been killed may arrive after the first one of the
+/// agent's next run.
+#[test]
+fn a_delayed_announcement_of_an_earlier_run_changes_nothing() {
+    let mut directory = directory(1, START);
+    let mut restarted = record(0, 1, TargetStatus::Leaving);
+    restarted.agent_run = 2;
+    assert!(directory.announce(restarted, START));
+    let late = START.after(SpanMillis::new(2_000));
+    assert!(!directory.announce(record(0, 9, TargetStatus::Serving), late));
+    let update = directory.changes_since(DirectoryPosition::default(), SETTLED);
+    assert_eq!(update.records, [restarted]);
+}
+
+/// If the runs were heard in the wrong order, the one that goes on is taken again.
+#[test]
+fn a_run_that_goes_on_announcing_is_not_ignored_for_long() {
+    let mut directory = directory(1, START);
+    let mut late = record(0, 1, TargetStatus::Leaving);
+    late.agent_run = 2;
+    directory.announce(late, START);
+    let next = START.after(SpanMillis::new(6_000));
+    assert!(directory.announce(record(0, 13, TargetStatus::Serving), next));
+}
+
+#[rstest]
+#[case::leaving(TargetStatus::Leaving)]
+#[case::ended(TargetStatus::Ended)]
+fn a_target_that_left_is_not_used_again_after_its_agent_restarted(#[case] left: TargetStatus) {
+    let mut directory = directory(2, START);
+    directory.announce(record(0, 2, left), START);
+    let restarted = TargetRecord {
+        agent_run: 2,
+        incarnation: None,
+        ..record(0, 1, TargetStatus::Serving)
+    };
+    directory.announce(restarted, START);
+    let mut view = TargetView::default();
+    view.apply_update(directory.changes_since(DirectoryPosition::default(), SETTLED));
+    assert_eq!(accepting_targets(&view), 1);
+    // Its next incarnation is.
+    let next = TargetRecord {
+        agent_run: 2,
+        incarnation: Some(IncarnationId::new(90)),
+        ..record(0, 2, TargetStatus::Serving)
+    };
+    assert!(directory.announce(next, START));
+    view.apply_update(directory.changes_since(DirectoryPosition::default(), SETTLED));
+    assert_eq!(accepting_targets(&view), 2);
+}
+
+/// A replica that was cut off from the agents may list what was true before.
+#[test]
+fn a_watcher_that_changes_replica_ignores_records_older_than_its_own() {
+    let mut view = TargetView::default();
+    let mut newer = directory(2, START);
+    newer.announce(record(0, 5, TargetStatus::Leaving), START);
+    view.apply_update(newer.changes_since(DirectoryPosition::default(), SETTLED));
+    let older = directory(2, START);
+    view.apply_update(older.changes_since(DirectoryPosition::default(), SETTLED));
+    assert_eq!(accepting_targets(&view), 1);
+}
