A waiting request claims slots of peers that become known, and again after a lost grant

Claims without a peer now go to those known at the next resend, after the time that the last refusal asked for, and a request may lose two grants before it keeps to its own slots.

--- a/src/agent/claim/outgoing_claims.rs
+++ b/src/agent/claim/outgoing_claims.rs
@@ -41,7 +41,8 @@
         }
     }
 
-    /// Claims a slot at each of the given peers for a waiting request.
+    /// Claims a slot at each of the given peers for a waiting request. Without any
+    /// peer, the claim is made once [`Self::resend_due`] finds some.
     pub(crate) fn open(
         &mut self,
         waiter: WaiterKey,
@@ -49,9 +50,6 @@
         peers: Vec<TargetKey>,
         now: ClockMillis,
     ) -> Vec<AddressedFrame> {
-        if peers.is_empty() {
-            return Vec::new();
-        }
         self.last_sequence += 1;
         let claim = OutgoingClaim {
             waiter,
@@ -106,18 +104,32 @@
         (Some(grant), frames)
     }
 
-    /// Handles a refusal; the claim is not resent to that peer.
-    pub(crate) fn handle_refusal(&mut self, key: ClaimKey, refuser: TargetKey) {
+    /// Handles a refusal; the claim is not resent to that peer. Once all peers have
+    /// refused it, others are chosen after the time that the last one asked for.
+    pub(crate) fn handle_refusal(
+        &mut self,
+        key: ClaimKey,
+        (refuser, retry_after): (TargetKey, SpanMillis),
+        now: ClockMillis,
+    ) {
         if key.claimant != self.identity {
             return;
         }
         if let Some(claim) = self.claims.get_mut(&key.sequence) {
             claim.peers.retain(|peer| *peer != refuser);
+            if claim.peers.is_empty() {
+                claim.resend_at = now.after(retry_after.max(RESEND_MILLIS));
+            }
         }
     }
 
     /// Returns the claims that are due to be resent, in case their frames were lost.
-    pub(crate) fn resend_due(&mut self, now: ClockMillis) -> Vec<AddressedFrame> {
+    /// Claims without a peer go to those that `choose_peers` returns.
+    pub(crate) fn resend_due(
+        &mut self,
+        mut choose_peers: impl FnMut() -> Vec<TargetKey>,
+        now: ClockMillis,
+    ) -> Vec<AddressedFrame> {
         let due: Vec<u64> = self
             .claims
             .iter()
@@ -128,6 +140,9 @@
         for sequence in due {
             if let Some(claim) = self.claims.get_mut(&sequence) {
                 claim.resend_at = now.after(RESEND_MILLIS);
+                if claim.peers.is_empty() {
+                    claim.peers = choose_peers();
+                }
             }
             if let Some(claim) = self.claims.get(&sequence) {
                 frames.extend(self.claim_frames(sequence, claim, now));
--- a/src/agent/claim/slot_broker.rs
+++ b/src/agent/claim/slot_broker.rs
@@ -55,19 +55,22 @@
         self.queue.set_limits(limits);
     }
 
-    /// Requests a local slot; a request that has to wait also claims slots at `peers`.
+    /// Requests a local slot; a request that has to wait also claims slots at some of
+    /// `peers`, or at none if that is `None`.
     ///
     /// `draw` is a random number that selects the peers.
     pub(crate) fn request(
         &mut self,
         request: SlotRequest,
-        peers: &[PeerView],
+        peers: Option<&[PeerView]>,
         draw: u64,
         now: ClockMillis,
     ) -> (SlotVerdict, BrokerOutput) {
         let (verdict, events) = self.queue.request(request, now);
         let mut output = self.route_events(events, now);
-        if let SlotVerdict::Wait(waiter) = verdict {
+        if let SlotVerdict::Wait(waiter) = verdict
+            && let Some(peers) = peers
+        {
             let chosen = sample_peers(peers, draw, now);
             output
                 .frames
@@ -96,8 +99,9 @@
         let key = frame.key;
         match frame.message {
             ClaimMessage::Grant => self.handle_grant(key, frame.sender),
-            ClaimMessage::Refuse { .. } => {
-                self.outgoing.handle_refusal(key, frame.sender.target);
+            ClaimMessage::Refuse { retry_after } => {
+                let refusal = (frame.sender.target, retry_after);
+                self.outgoing.handle_refusal(key, refusal, now);
                 BrokerOutput::default()
             }
             // Only the claimant may change its claim.
@@ -128,13 +132,26 @@
         self.incoming.bind(key)
     }
 
-    /// Expires and resends claims, and advances the queue, to `now`.
-    pub(crate) fn advance(&mut self, now: ClockMillis) -> BrokerOutput {
+    /// Expires and resends claims, and advances the queue, to `now`. Claims without a
+    /// peer go to some of `peers`, selected by `draw`.
+    pub(crate) fn advance(
+        &mut self,
+        peers: &[PeerView],
+        draw: u64,
+        now: ClockMillis,
+    ) -> BrokerOutput {
         let expired = self.incoming.expire(&mut self.queue, now);
         let mut output = self.withdraw_dequeued(expired);
         let events = self.queue.advance(now);
         output.append(self.route_events(events, now));
-        output.frames.extend(self.outgoing.resend_due(now));
+        let mut next_draw = draw;
+        let choose_peers = || {
+            next_draw = next_draw.wrapping_add(1);
+            sample_peers(peers, next_draw, now)
+        };
+        output
+            .frames
+            .extend(self.outgoing.resend_due(choose_peers, now));
         output
     }
 
--- a/src/agent/measure/decision_benchmark.rs
+++ b/src/agent/measure/decision_benchmark.rs
@@ -96,11 +96,11 @@
     let mut broker = SlotBroker::new(own, LIMITS);
     let peers: Vec<PeerView> = (2..8).map(peer_view).collect();
     for _ in 0..LIMITS.slots {
-        broker.request(REQUEST, &peers, 0, NOW);
+        broker.request(REQUEST, Some(&peers), 0, NOW);
     }
     measure("wait_with_claims_and_leave", rounds, |round| {
         let draw = u64::from(round);
-        if let (SlotVerdict::Wait(waiter), _) = broker.request(REQUEST, &peers, draw, NOW) {
+        if let (SlotVerdict::Wait(waiter), _) = broker.request(REQUEST, Some(&peers), draw, NOW) {
             black_box(broker.withdraw(waiter));
         }
     })
--- a/src/agent/relay/driver_actions.rs
+++ b/src/agent/relay/driver_actions.rs
@@ -20,6 +20,10 @@
     route::TargetPhase,
 };
 
+/// After this many lost grants a request claims no slots of peers any more: this
+/// process or the path to the peers is too slow to use them.
+const MAX_LOST_GRANTS: u32 = 3;
+
 impl RequestDriver {
     pub(super) async fn handle(&mut self, event: RequestEvent) {
         let actions = self.coordinator.handle_event(&mut self.machine, event);
@@ -36,9 +40,9 @@
             RequestAction::Open(_) | RequestAction::Send(_) => {}
             RequestAction::RetryElsewhere => self.retry_elsewhere(),
             RequestAction::Requeue => {
-                // Waits locally: a peer that lost one grant may lose another.
                 self.grant = None;
-                self.wait_for_slot(false);
+                self.lost_grants += 1;
+                self.wait_for_slot(self.lost_grants < MAX_LOST_GRANTS);
             }
             RequestAction::ForwardAnswer => self.forward_head().await,
             RequestAction::EndAnswer => {
--- a/src/agent/relay/request_coordinator.rs
+++ b/src/agent/relay/request_coordinator.rs
@@ -193,16 +193,9 @@
         let now = self.now();
         let (sender, receiver) = oneshot::channel();
         let mut state = self.lock();
-        let peers = if claims_peers {
-            std::mem::take(&mut state.peers)
-        } else {
-            Vec::new()
-        };
-        let draw = rand::random();
-        let (verdict, output) = state.broker.request(request, &peers, draw, now);
-        if claims_peers {
-            state.peers = peers;
-        }
+        let CoordinatorState { broker, peers, .. } = &mut *state;
+        let peers = claims_peers.then_some(peers.as_slice());
+        let (verdict, output) = broker.request(request, peers, rand::random(), now);
         let mut waiter = None;
         let outcome = match verdict {
             SlotVerdict::Run(slot) => Some(WaitOutcome::Slot(slot)),
@@ -275,7 +268,8 @@
     pub(super) fn advance(&self) -> bool {
         let now = self.now();
         let mut state = self.lock();
-        let output = state.broker.advance(now);
+        let CoordinatorState { broker, peers, .. } = &mut *state;
+        let output = broker.advance(peers, rand::random(), now);
         self.apply_output(&mut state, output);
         let waiting = state.broker.counts().waiting > 0;
         waiting || state.broker.claims() != (0, 0)
--- a/src/agent/relay/request_driver.rs
+++ b/src/agent/relay/request_driver.rs
@@ -48,6 +48,8 @@
     pub(super) slot_permit: Option<SlotPermit>,
     pub(super) stream_permit: Option<StreamPermit>,
     pub(super) grant: Option<ClaimKey>,
+    /// The number of grants of peers that expired before the request arrived.
+    pub(super) lost_grants: u32,
     pub(super) fallback_homes: Vec<TargetKey>,
     pub(super) connection: Option<RelayConnection>,
     pub(super) answer: Option<Response<Incoming>>,
@@ -85,6 +87,7 @@
             slot_permit: None,
             stream_permit: None,
             grant: None,
+            lost_grants: 0,
             fallback_homes: Vec::new(),
             connection: None,
             answer: None,
