Every attempt has a connection of its own to the upstream

Cause: the agent kept idle connections to its upstream for idempotent requests. An upstream that sends a second copy of an answer late, after the next request is on that connection, then answers the next caller with what isn't its own. Shown by a_late_second_copy_of_an_answer_reaches_nobody, with an upstream that does so. Ruled out: checking the connection before its use, since the copy may come after. The price is one connection on the VM itself for each request; commands already had one each. Peers were always connected to anew.

--- a/src/agent/relay/mod.rs
+++ b/src/agent/relay/mod.rs
@@ -21,7 +21,6 @@
 mod request_server;
 mod slot_wait;
 mod ticket_handover;
-mod upstream_pool;
 
 pub(crate) use connection_server::{ConnectionContext, serve_connection};
 pub(crate) use coordinator_state::RequestCounts;
@@ -43,7 +42,6 @@
 use request_driver::RequestDriver;
 use request_server::{IncomingRequest, serve_request};
 use slot_wait::{SlotPermit, SlotWait, StreamPermit, WaitOutcome};
-use upstream_pool::UpstreamPool;
 
 #[cfg(test)]
 mod tests;
--- a/src/agent/relay/relay_connection.rs
+++ b/src/agent/relay/relay_connection.rs
@@ -76,16 +76,6 @@
         Ok(Self { sender, driver })
     }
 
-    /// Returns whether the connection is still open.
-    pub(super) fn is_open(&self) -> bool {
-        !self.sender.is_closed()
-    }
-
-    /// Waits until the connection is ready for another request; false if it closed.
-    pub(super) async fn ready(&mut self) -> bool {
-        self.sender.ready().await.is_ok()
-    }
-
     /// Sends a request and returns the response once its head has arrived.
     ///
     /// # Errors
--- a/src/agent/relay/request_coordinator.rs
+++ b/src/agent/relay/request_coordinator.rs
@@ -7,8 +7,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 
 use super::{
-    CoordinatorState, PeerMessage, RequestCounts, SlotPermit, SlotWait, StreamPermit, UpstreamPool,
-    WaitOutcome,
+    CoordinatorState, PeerMessage, RequestCounts, SlotPermit, SlotWait, StreamPermit, WaitOutcome,
 };
 use crate::{
     agent::{
@@ -40,7 +39,7 @@
     socket: Arc<TunnelSocket>,
     load_gauge: Arc<LoadGauge>,
     open_work: Arc<OpenWorkGauge>,
-    pool: Arc<UpstreamPool>,
+    upstream: SocketAddrV4,
     spec: ArcSwap<ServiceSpec>,
     state: Mutex<CoordinatorState>,
     settled: watch::Sender<u64>,
@@ -72,7 +71,7 @@
             socket,
             load_gauge,
             open_work,
-            pool: UpstreamPool::new(upstream),
+            upstream,
             spec: ArcSwap::from_pointee(spec),
             state: Mutex::new(state),
             settled: watch::Sender::new(0),
@@ -120,8 +119,8 @@
         self.identity
     }
 
-    pub(super) fn pool(&self) -> &Arc<UpstreamPool> {
-        &self.pool
+    pub(super) fn upstream(&self) -> SocketAddrV4 {
+        self.upstream
     }
 
     pub(super) fn open_work(&self) -> &Arc<OpenWorkGauge> {
--- a/src/agent/relay/request_driver.rs
+++ b/src/agent/relay/request_driver.rs
@@ -170,7 +170,7 @@
         }
         let coordinator = Arc::clone(&self.coordinator);
         let connection = tokio::select! {
-            connection = connect(&coordinator, place, self.profile.idempotent) => connection,
+            connection = connect(&coordinator, place) => connection,
             interruption = self.interruptions.next(DeadlineMode::Enforced) => {
                 return self.handle_interruption(interruption).await;
             }
@@ -268,11 +268,7 @@
                 self.handle(RequestEvent::AnswerTruncated).await;
             }
             None => {
-                if let Some(connection) = self.connection.take()
-                    && self.machine.stage() == RequestStage::Answering(RunPlace::Own)
-                {
-                    self.coordinator.pool().release(connection);
-                }
+                self.connection = None;
                 self.handle(RequestEvent::AnswerEnd).await;
             }
         }
@@ -309,13 +305,14 @@
     }
 }
 
+/// Connects to the place of a run. Every attempt has a connection of its own: on a
+/// reused one, a late second copy of an earlier answer would pass for the answer.
 async fn connect(
     coordinator: &RequestCoordinator,
     place: RunPlace,
-    idempotent: bool,
 ) -> Result<RelayConnection, AttemptError> {
     let (RunPlace::Peer(target) | RunPlace::TicketHome(target)) = place else {
-        return coordinator.pool().acquire(idempotent).await;
+        return RelayConnection::connect(coordinator.upstream()).await;
     };
     match coordinator.peer(target) {
         Some(peer) => RelayConnection::connect(peer.peer_address).await,
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -204,6 +204,16 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_second_copy_of_an_answer_reaches_nobody() {
+    let pair = AgentPair::start().await;
+    let caller = pair.connect(0).await;
+    assert_eq!(get(&caller, "/twice").await.body, "twice");
+    for _ in 0..3 {
+        assert_eq!(get(&caller, "/name").await.body, "upstream-0");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_burst_on_one_connection_uses_both_targets_within_their_four_slots() {
     let pair = AgentPair::start().await;
--- a/tests/support/scripted_upstream.rs
+++ b/tests/support/scripted_upstream.rs
@@ -44,8 +44,9 @@
 /// Starts an upstream that serves until the test ends.
 ///
 /// `/hold/MS` is counted and answered with `name` after a delay of MS
-/// milliseconds, `/cut` ends before its body is complete, and any other path is
-/// answered with `name`.
+/// milliseconds, `/cut` ends before its body is complete, `/twice` sends a second
+/// copy of its answer when the next request arrives on its connection, and any other
+/// path is answered with `name`.
 pub async fn start_upstream(name: &str, address: SocketAddrV4) -> Arc<UpstreamCounters> {
     let listener = TcpListener::bind(address).await.expect("a free address");
     let counters = Arc::new(UpstreamCounters::default());
@@ -69,6 +70,12 @@
     } else if path == "/cut" {
         let head = "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nonly this";
         let _ = stream.write_all(head.as_bytes()).await;
+    } else if path == "/twice" {
+        let copy = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\ntwice";
+        let _ = stream.write_all(copy.as_bytes()).await;
+        if read_path(&mut stream).await.is_some() {
+            let _ = stream.write_all(copy.as_bytes()).await;
+        }
     } else {
         respond(&mut stream, &name).await;
     }
