The metrics recorder calibrates no clock and stalls no process

The exporter's recorder calibrates the CPU's clock for up to 200 ms in a busy loop when it is built; on 0.15 of a core it takes the whole share. It had been moved from the start to three seconds later, where it hits all processes at once after an outage. The recorder is now ours, without a clock; histograms are real ones with fixed buckets in place of summaries. Metrics are served from the start on.

--- a/src/admin/admin_error.rs
+++ b/src/admin/admin_error.rs
@@ -22,15 +22,6 @@
         #[source]
         cause: io::Error,
     },
-    /// The metrics could not be served.
-    #[error("cannot serve metrics on {address}: {cause}")]
-    Metrics {
-        /// The address from the settings.
-        address: SocketAddr,
-        /// The error of the metrics library.
-        #[source]
-        cause: metrics_exporter_prometheus::BuildError,
-    },
     /// The process already has a metrics recorder.
     #[error("this process already has a metrics recorder")]
     RecorderInstalled,
--- a/src/admin/metrics_listener.rs
+++ b/src/admin/metrics_listener.rs
@@ -1,11 +1,19 @@
-use std::net::{SocketAddr, SocketAddrV4};
+use std::{
+    io,
+    net::{SocketAddr, SocketAddrV4},
+};
 
-use metrics_exporter_prometheus::{BuildError, PrometheusBuilder};
+use bytes::Bytes;
+use http::{HeaderValue, Response, header};
+use http_body_util::Full;
+use tokio::net::TcpListener;
 
-use super::AdminError;
-use crate::clock::SpanMillis;
+use super::{AdminError, MetricsRecorder, serve_http};
 
-/// Serves the metrics of this process in the Prometheus text format.
+/// The content type of the Prometheus text format.
+const CONTENT_TYPE: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
+
+/// Serves the metrics of this process in the Prometheus text format, on every path.
 ///
 /// Must be called within the runtime, once per process.
 ///
@@ -13,38 +21,24 @@
 ///
 /// Fails when the address cannot be bound, or on a second call.
 pub fn start_metrics(listen: SocketAddrV4) -> Result<(), AdminError> {
-    let address = SocketAddr::V4(listen);
-    PrometheusBuilder::new()
-        .with_http_listener(address)
-        .install()
-        .map_err(|cause| match cause {
-            BuildError::FailedToSetGlobalRecorder(_) => AdminError::RecorderInstalled,
-            cause => AdminError::Metrics { address, cause },
-        })
+    let listener = bind(listen).map_err(|cause| AdminError::Listen {
+        address: SocketAddr::V4(listen),
+        cause,
+    })?;
+    let recorder = MetricsRecorder::default();
+    metrics::set_global_recorder(recorder.clone()).map_err(|_| AdminError::RecorderInstalled)?;
+    tokio::spawn(serve_http(listener, move |_| {
+        let mut response = Response::new(Full::new(Bytes::from(recorder.render())));
+        response
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, CONTENT_TYPE);
+        std::future::ready(response)
+    }));
+    Ok(())
 }
 
-/// Serves the metrics after `delay`; none are recorded or served before that.
-///
-/// Building the recorder calibrates the CPU's clock, which takes a large part of
-/// a small VM's startup time, so it is built later and on a blocking thread. Must
-/// be called within the runtime.
-///
-/// # Errors
-///
-/// Fails as [`start_metrics`] does.
-pub async fn start_metrics_delayed(
-    delay: SpanMillis,
-    listen: SocketAddrV4,
-) -> Result<(), AdminError> {
-    tokio::time::sleep(delay.duration()).await;
-    let address = SocketAddr::V4(listen);
-    let failed = |cause| AdminError::Metrics { address, cause };
-    let build = move || PrometheusBuilder::new().with_http_listener(address).build();
-    let (recorder, exporter) = tokio::task::spawn_blocking(build)
-        .await
-        .map_err(|_| AdminError::RecorderInstalled)?
-        .map_err(failed)?;
-    metrics::set_global_recorder(recorder).map_err(|_| AdminError::RecorderInstalled)?;
-    tokio::spawn(exporter);
-    Ok(())
+fn bind(listen: SocketAddrV4) -> io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(listen)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
 }
--- a/src/admin/tests/mod.rs
+++ b/src/admin/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the admin address, over loopback.
 
 mod calls;
+mod metrics_page;
 mod refusals;
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
--- a/src/control/control_run.rs
+++ b/src/control/control_run.rs
@@ -1,6 +1,5 @@
 use std::io;
 
-use metrics_exporter_prometheus::{BuildError, PrometheusBuilder};
 use miette::Diagnostic;
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
@@ -13,6 +12,7 @@
     store::{ControlStore, StateHandle},
 };
 use crate::{
+    admin::{AdminError, start_metrics},
     event::log_event,
     program::init_logging,
     secret::{SecretError, SecretStore},
@@ -37,8 +37,9 @@
     #[diagnostic(transparent)]
     Replica(#[from] ReplicaShellError),
     /// The metrics listener could not start.
-    #[error("cannot serve metrics: {0}")]
-    Metrics(#[from] BuildError),
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Metrics(#[from] AdminError),
     /// The signal handler could not be installed.
     #[error("cannot listen for signals: {0}")]
     Signals(#[source] io::Error),
@@ -53,9 +54,7 @@
     init_logging(settings.log_format);
     let mut terminate = signal(SignalKind::terminate()).map_err(ControlError::Signals)?;
     if let Some(address) = settings.metrics_listen {
-        PrometheusBuilder::new()
-            .with_http_listener(address)
-            .install()?;
+        start_metrics(address)?;
     }
     let options = settings.replica_options();
     let secret = SecretStore::open(settings.secret_file)?;
--- a/src/proof/tests/layer.rs
+++ b/src/proof/tests/layer.rs
@@ -16,12 +16,12 @@
     core::BoxError,
     server::{HttpBody, HttpRequest, HttpResponse},
 };
-use metrics_exporter_prometheus::PrometheusBuilder;
 use rstest::rstest;
 use tower::{Layer, ServiceExt, service_fn};
 
 use super::proof::secret;
 use crate::{
+    admin::MetricsRecorder,
     clock::{ClockMillis, SpanMillis},
     proof::{
         CALL_HEADER, CallHead, CallProof, ClientProofLayer, REPLY_HEADER, ReplyProof,
@@ -113,13 +113,13 @@
     #[case] status: u16,
     #[case] reason: &str,
 ) {
-    let recorder = PrometheusBuilder::new().build_recorder();
+    let recorder = MetricsRecorder::default();
     let _guard = metrics::set_default_local_recorder(&recorder);
     let (header, body) = invalid_call(call);
     let (response, reached) = send(header, body).await;
     assert_eq!((response.status().as_u16(), reached), (status, 0));
     let counted = format!("cyclamen_call_proof_refused_total{{reason=\"{reason}\"}} 1");
-    assert!(recorder.handle().render().contains(&counted));
+    assert!(recorder.render().contains(&counted));
 }
 
 /// A body that counts how often it is polled.
