A queued opening has the full time for its answer once it is delivered

Cause: dequeue_opening kept the time at which the opening was queued as the time at which it was sent, so one that had waited for 30 ms or more counted as unanswered at once: its reservation was dropped, the agent could suspect a healthy target, and the flow was not reported to its balancer when the target answered. Test: an_opening_that_was_queued_has_the_full_time_for_its_answer, which fails without the change.

--- a/src/flow/agent_openings.rs
+++ b/src/flow/agent_openings.rs
@@ -87,9 +87,10 @@
         if self.queue.len() == 0 || !self.load.has_capacity(now) {
             return None;
         }
-        let opening = self.queue.take_next(now)?;
+        let mut opening = self.queue.take_next(now)?;
         let (packet, flow) = (opening.packet.clone(), opening.flow);
         let waited = now.since(opening.sent_at);
+        opening.sent_at = now;
         let step = AgentStep::without_report(self.deliver_opening(opening, now));
         Some(DequeuedOpening {
             flow,
--- a/src/flow/tests/full_target.rs
+++ b/src/flow/tests/full_target.rs
@@ -117,6 +117,23 @@
     assert_eq!(flows.waiting(), 0);
 }
 
+/// The wait for the answer starts when the target gets the opening, not when the
+/// opening was queued.
+#[test]
+fn an_opening_that_was_queued_has_the_full_time_for_its_answer() {
+    let mut flows = full_agent();
+    offer(&mut flows, 9, 2, START);
+    flows.handle_target_packet(&answer(flow(1)), at(100));
+    assert_eq!(admitted(&mut flows, at(100)), [9]);
+    assert_eq!(flows.expire_openings(at(129)), []);
+    assert_eq!(flows.in_flight(), usize::from(MAX_IN_FLIGHT));
+    assert!(!flows.is_suspect());
+    let accepted = PacketFlags::OPEN.with(PacketFlags::ACKNOWLEDGE);
+    let step = flows.handle_target_packet(&from_target(flow(9), accepted), at(129));
+    let kind = step.report.map(|(_, report)| report.kind);
+    assert_eq!(kind, Some(ReportKind::Held));
+}
+
 #[test]
 fn a_retransmission_of_a_queued_opening_is_not_queued_again() {
     let mut flows = full_agent();
