An agent that stops refuses the openings that wait in its queue

They now get a reset at once, which is true: nothing has run. Test: an_agent_that_stops_refuses_every_queued_opening.

--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -160,6 +160,7 @@
             info,
             FleetEvent::SideStopped,
             flows = self.flows.tracked_flows()
+        self.refuse_waiting();
         );
         Ok(())
     }
--- a/src/fleet/side_packets.rs
+++ b/src/fleet/side_packets.rs
@@ -12,7 +12,7 @@
 use crate::{
     clock::ClockMillis,
     event::log_event,
-    flow::{AgentAction, AgentStep, FlowKey, HopFrame, request_id},
+    flow::{AgentAction, AgentStep, DequeuedOpening, FlowKey, HopFrame, request_id},
 };
 
 impl SideNode {
@@ -160,14 +160,26 @@
     /// Admits waiting openings to free slots, and refuses those that can't be
     /// served any more.
     pub(super) fn admit_waiting(&mut self, now: ClockMillis) {
-        while let Some(mut dequeued) = self.flows.dequeue_opening(now) {
-            histogram!("cyclamen_side_wait_ms").record(dequeued.waited.millis_float());
-            if self.log_limiter.allows(FleetEvent::WaitEnded, now) {
-                let (in_flight, waiting) = (self.flows.in_flight(), self.flows.waiting());
-                log_event!(info, FleetEvent::WaitEnded, flow = %dequeued.flow, waited = %dequeued.waited, action = %dequeued.step.action, busy = in_flight, waiting);
-            }
-            self.apply_step(dequeued.step, &mut dequeued.packet, dequeued.flow, now);
+        while let Some(dequeued) = self.flows.dequeue_opening(now) {
+            self.end_wait(dequeued, now);
+        }
+    }
+
+    /// Refuses all waiting openings, before this process stops.
+    pub(super) fn refuse_waiting(&mut self) {
+        let now = self.clock.now();
+        while let Some(dequeued) = self.flows.refuse_next(now) {
+            self.end_wait(dequeued, now);
+        }
+    }
+
+    fn end_wait(&mut self, mut dequeued: DequeuedOpening, now: ClockMillis) {
+        histogram!("cyclamen_side_wait_ms").record(dequeued.waited.millis_float());
+        if self.log_limiter.allows(FleetEvent::WaitEnded, now) {
+            let (in_flight, waiting) = (self.flows.in_flight(), self.flows.waiting());
+            log_event!(info, FleetEvent::WaitEnded, flow = %dequeued.flow, waited = %dequeued.waited, action = %dequeued.step.action, busy = in_flight, waiting);
         }
+        self.apply_step(dequeued.step, &mut dequeued.packet, dequeued.flow, now);
     }
 
     /// Sends bytes to the caller of a flow.
--- a/src/flow/agent_openings.rs
+++ b/src/flow/agent_openings.rs
@@ -100,6 +100,13 @@
         })
     }
 
+    /// Removes the next queued opening to refuse it, since the agent stops. Its
+    /// caller opens another flow at once instead of waiting for its own timeout.
+    pub(crate) fn refuse_next(&mut self, now: ClockMillis) -> Option<DequeuedOpening> {
+        let opening = self.evicted.pop().or_else(|| self.queue.take_any())?;
+        Some(self.refuse_queued(opening, now))
+    }
+
     fn refuse_queued(&self, opening: PendingOpening, now: ClockMillis) -> DequeuedOpening {
         let report = self.report(opening.flow, opening.header.lookup_id, ReportKind::Refused);
         DequeuedOpening {
--- a/src/flow/tests/full_target.rs
+++ b/src/flow/tests/full_target.rs
@@ -218,6 +218,25 @@
     assert_eq!(flows.dequeue_opening(at(10)), None);
 }
 
+/// A planned stop of the agent: what it has queued is refused, not forgotten.
+#[test]
+fn an_agent_that_stops_refuses_every_queued_opening() {
+    let mut flows = full_agent();
+    for port in 10..13 {
+        offer(&mut flows, port, 2, START);
+    }
+    let mut refused = Vec::new();
+    while let Some(dequeued) = flows.refuse_next(at(5)) {
+        assert!(matches!(dequeued.step.action, AgentAction::Reset(_)));
+        let kind = dequeued.step.report.map(|(_, report)| report.kind);
+        assert_eq!(kind, Some(ReportKind::Refused));
+        refused.push(dequeued.flow.caller.port());
+    }
+    refused.sort_unstable();
+    assert_eq!(refused, [10, 11, 12]);
+    assert_eq!(flows.waiting(), 0);
+}
+
 #[test]
 fn a_retransmitted_request_is_not_counted_again() {
     let mut flows = full_agent();
