After an outage every replica that is back recalls all processes

A replica that came late heard each agent at its next regular announcement only, up to 0.5 s later, and could not settle before. While a directory had not settled, watchers got all of it every 50 ms. - Balancers contact every replica every two seconds; each replica keeps all of them on disk (KnownBalancers) and recalls them. - A recall asks an agent to announce itself to that replica now.

--- a/src/directory/target_directory.rs
+++ b/src/directory/target_directory.rs
@@ -70,6 +70,8 @@
     expected: BTreeSet<Ipv4Addr>,
     /// Whether the agents that ran before this replica started are known.
     knows_previous_agents: bool,
+    /// Whether a revision told watchers that the directory has settled.
+    settled_published: bool,
 }
 
 impl TargetDirectory {
@@ -83,6 +85,7 @@
             last_removal: 0,
             expected: BTreeSet::new(),
             knows_previous_agents: false,
+            settled_published: false,
         }
     }
 
@@ -118,7 +121,8 @@
     /// Records an announcement; returns whether it changed the directory.
     pub(crate) fn announce(&mut self, record: TargetRecord, now: ClockMillis) -> bool {
         self.expected.remove(&record.agent);
-        self.apply_announcement(record, now)
+        let changed = self.apply_announcement(record, now);
+        self.publish_settled(now) || changed
     }
 
     fn apply_announcement(&mut self, mut record: TargetRecord, now: ClockMillis) -> bool {
@@ -146,6 +150,17 @@
         true
     }
 
+    /// Starts a new revision once the directory has settled, so that watchers learn
+    /// of it; returns whether it did.
+    fn publish_settled(&mut self, now: ClockMillis) -> bool {
+        let publish = !self.settled_published && self.is_settled(now);
+        if publish {
+            self.settled_published = true;
+            self.revision += 1;
+        }
+        publish
+    }
+
     /// Marks targets as silent whose agents stopped announcing and drops expired
     /// records; returns whether that changed the directory.
     ///
@@ -176,6 +191,7 @@
             self.revision += 1;
             self.last_removal = self.revision;
         }
+        self.publish_settled(now);
         self.revision != revision_before
     }
 
--- a/src/directory/target_view.rs
+++ b/src/directory/target_view.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::Ipv4Addr,
 };
 
@@ -17,6 +17,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct TargetView {
     records: BTreeMap<Ipv4Addr, TargetRecord>,
+    /// The agents in the watched directory.
+    listed: BTreeSet<Ipv4Addr>,
     complete: bool,
 }
 
@@ -36,13 +38,17 @@
     /// Records that an unsettled directory does not list are kept, and so are those
     /// that are newer than what the directory lists.
     pub(crate) fn apply_update(&mut self, update: DirectoryUpdate) -> Vec<TargetRecord> {
-        let mut changed = Vec::new();
+        if update.full {
+            self.listed.clear();
+        }
+        self.listed
+            .extend(update.records.iter().map(|record| record.agent));
+        let settles = update.settled && (update.full || !self.complete);
         self.complete = update.settled;
-        if update.full && update.settled {
-            let listed =
-                |agent: &Ipv4Addr| update.records.iter().any(|record| record.agent == *agent);
-            self.records.retain(|agent, _| listed(agent));
+        if settles {
+            self.records.retain(|agent, _| self.listed.contains(agent));
         }
+        let mut changed = Vec::new();
         for record in update.records {
             let old = self.records.get(&record.agent);
             if old.is_some_and(|old| record.is_older_than(old)) {
--- a/src/fleet/entry_maintenance.rs
+++ b/src/fleet/entry_maintenance.rs
@@ -1,7 +1,7 @@
 //! The work of an entry VM besides forwarding: expiry, discovery, readiness, and
 //! inspections.
 
-use std::sync::atomic::Ordering;
+use std::{net::Ipv4Addr, sync::atomic::Ordering};
 
 use metrics::histogram;
 use serde_json::json;
@@ -9,8 +9,8 @@
 use super::{
     EntryNode, FleetEvent,
     entry_node::{
-        DISCOVERY_INTERVAL_MILLIS, MAINTENANCE_INTERVAL_MILLIS, MAX_CONTROL_AGE_MILLIS,
-        SEEDS_REREAD_MILLIS,
+        CONTACT_INTERVAL_MILLIS, DISCOVERY_INTERVAL_MILLIS, MAINTENANCE_INTERVAL_MILLIS,
+        MAX_CONTROL_AGE_MILLIS, SEEDS_REREAD_MILLIS,
     },
     fleet_counters::publish_gauge,
     fleet_datagram::FleetDatagram,
@@ -65,12 +65,14 @@
             }
             replica.update_peers(&self.group.contacts());
         }
-        for process in self.restart_notifier.recipients(now) {
-            self.send_members(process);
+        self.recall_processes(now);
+        if now >= self.contact_at {
+            self.contact_at = now.after(CONTACT_INTERVAL_MILLIS);
+            self.contact(&self.group.members());
         }
         if !self.is_control_fresh(now) {
             self.flows.set_current(false);
-            self.locate_group();
+            self.contact(&self.group.contacts());
             if now >= self.seeds_reread_at {
                 self.seeds_reread_at = now.after(SEEDS_REREAD_MILLIS);
                 self.reread_seeds();
@@ -123,11 +125,25 @@
             .is_some_and(|at| now.since(at) < MAX_CONTROL_AGE_MILLIS)
     }
 
-    /// Asks every contact for the members of the control group.
-    pub(super) fn locate_group(&self) {
-        for contact in self.group.contacts() {
-            if contact != self.settings.address {
-                self.fleet_socket.send(contact, &FleetDatagram::Locate);
+    /// Asks other entry VMs for the members of the control group.
+    fn contact(&self, contacts: &[Ipv4Addr]) {
+        for contact in contacts {
+            if *contact != self.settings.address {
+                self.fleet_socket.send(*contact, &FleetDatagram::Locate);
+            }
+        }
+    }
+
+    /// Asks the processes that ran before this replica started to contact it.
+    fn recall_processes(&self, now: ClockMillis) {
+        let members = self.group.members();
+        if members.is_empty() {
+            return;
+        }
+        let recall = FleetDatagram::Recall { members };
+        for process in self.restart_notifier.recipients(now) {
+            if process != self.settings.address {
+                self.fleet_socket.send(process, &recall);
             }
         }
     }
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -45,6 +45,9 @@
 pub(super) const DISCOVERY_INTERVAL_MILLIS: SpanMillis = SpanMillis::new(50);
 /// How often the seeds are reread while no caught-up replica answers.
 pub(super) const SEEDS_REREAD_MILLIS: SpanMillis = SpanMillis::new(1_000);
+/// How often a balancer contacts every replica, so that each of them can recall it
+/// after a restart.
+pub(super) const CONTACT_INTERVAL_MILLIS: SpanMillis = SpanMillis::new(2_000);
 /// How long a stopping process still forwards packets: the network stops sending
 /// after two missed probes at two a second, and packets may be on their way.
 pub(super) const STOP_DELAY_MILLIS: SpanMillis = SpanMillis::new(1_300);
@@ -78,6 +81,7 @@
     pub(super) control_lost: bool,
     pub(super) maintenance_at: ClockMillis,
     pub(super) seeds_reread_at: ClockMillis,
+    pub(super) contact_at: ClockMillis,
     pub(super) log_limiter: LogLimiter,
     pub(super) counters: EntryCounters,
     pub(super) frame_buffer: Vec<u8>,
@@ -145,6 +149,7 @@
             control_lost: false,
             maintenance_at: clock.now(),
             seeds_reread_at: clock.now().after(SEEDS_REREAD_MILLIS),
+            contact_at: clock.now(),
             log_limiter: LogLimiter::default(),
             counters: EntryCounters::default(),
             frame_buffer: Vec::with_capacity(MAX_PACKET_BYTES),
@@ -253,12 +258,15 @@
             }
             FleetDatagram::Locate => {
                 self.restart_notifier.note_heard(from);
+                if let Some(directory) = &self.directory {
+                    directory.note_balancer(from, now);
+                }
                 self.send_members(from);
             }
-            FleetDatagram::Located { members } => {
-                if self.group.update_members(members.clone(), None) {
-                    log_event!(info, FleetEvent::CoreFound, ?members, %from);
-                }
+            FleetDatagram::Located { members } => self.note_members(members, from),
+            FleetDatagram::Recall { members } => {
+                self.note_members(members, from);
+                self.fleet_socket.send(from, &FleetDatagram::Locate);
             }
             FleetDatagram::Report(report) => {
                 self.handle_report(report, now);
@@ -269,6 +277,12 @@
         }
     }
 
+    fn note_members(&mut self, members: &[Ipv4Addr], from: Ipv4Addr) {
+        if self.group.update_members(members.to_vec(), None) {
+            log_event!(info, FleetEvent::CoreFound, ?members, %from);
+        }
+    }
+
     /// Sends the members of the control group to another process, if known.
     pub(super) fn send_members(&self, to: Ipv4Addr) {
         let members = self.group.members();
@@ -315,7 +329,9 @@
         if let Some(targets) = reply.targets {
             for record in self.view.apply_update(targets) {
                 learned = true;
-                log_event!(info, FleetEvent::TargetChanged, agent = %record.agent, service = %record.service, standing = ?record.status);
+                if self.log_limiter.allows(FleetEvent::TargetChanged, now) {
+                    log_event!(info, FleetEvent::TargetChanged, agent = %record.agent, service = %record.service, standing = ?record.status);
+                }
             }
             self.flows.set_targets(self.view.known_targets());
         }
--- a/src/fleet/fleet_datagram.rs
+++ b/src/fleet/fleet_datagram.rs
@@ -21,6 +21,12 @@
     },
     /// An agent reports on a flow.
     Report(FlowReport),
+    /// A replica that has just started asks a process that ran before to contact
+    /// it: an agent announces its target, a balancer asks for the members.
+    Recall {
+        /// The members of the control group.
+        members: Vec<Ipv4Addr>,
+    },
 }
 
 impl FleetDatagram {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod fleet_settings;
 mod group_view;
 mod inspect_server;
+mod known_balancers;
 mod local_replica;
 mod log_limiter;
 mod process_file;
--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -1,4 +1,8 @@
-use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    sync::Arc,
+    time::Duration,
+};
 
 use serde_json::json;
 use tokio::{
@@ -156,11 +160,11 @@
                 () = wait_for_signal(&mut terminate) => break,
             }
         }
+        self.refuse_waiting();
         log_event!(
             info,
             FleetEvent::SideStopped,
             flows = self.flows.tracked_flows()
-        self.refuse_waiting();
         );
         Ok(())
     }
@@ -226,17 +230,27 @@
 
     fn receive_datagrams(&mut self) {
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
-        while let Some((length, _)) = self.fleet_socket.receive(&mut buffer) {
-            if let Some(FleetDatagram::Located { members }) =
-                FleetDatagram::decode(&buffer[..length])
-            {
-                self.group_heard_at = self.clock.now();
-                if self.group.update_members(members.clone(), None) {
-                    log_event!(info, FleetEvent::CoreFound, ?members);
-                    // New members have not heard of this agent's target yet.
-                    self.announce_at = self.group_heard_at;
+        while let Some((length, from)) = self.fleet_socket.receive(&mut buffer) {
+            match FleetDatagram::decode(&buffer[..length]) {
+                Some(FleetDatagram::Located { members }) => self.note_members(members),
+                Some(FleetDatagram::Recall { members }) => {
+                    self.note_members(members);
+                    if let SocketAddr::V4(replica) = from {
+                        self.announce_to(&[*replica.ip()]);
+                    }
                 }
+                // Agents get no other datagrams.
+                Some(_) | None => {}
             }
         }
     }
+
+    fn note_members(&mut self, members: Vec<Ipv4Addr>) {
+        self.group_heard_at = self.clock.now();
+        if self.group.update_members(members.clone(), None) {
+            log_event!(info, FleetEvent::CoreFound, ?members);
+            // New members have not heard of this agent's target yet.
+            self.announce_at = self.group_heard_at;
+        }
+    }
 }
--- a/src/fleet/side_target.rs
+++ b/src/fleet/side_target.rs
@@ -107,25 +107,34 @@
             ANNOUNCE_MILLIS
         };
         self.announce_at = now.after(pause);
+        let contacts = self.contacts(now);
+        self.announce_to(&contacts);
+        self.flows.sweep(now);
+        self.counters.publish();
+        publish_gauge("cyclamen_side_flows", self.flows.tracked_flows());
+        publish_gauge("cyclamen_side_busy", self.flows.in_flight());
+        publish_gauge("cyclamen_side_waiting", self.flows.waiting());
+        publish_gauge("cyclamen_side_suspect", self.flows.is_suspect().into());
+    }
+
+    /// Sends what was announced last, with a new sequence number.
+    pub(super) fn announce_to(&mut self, replicas: &[Ipv4Addr]) {
+        let Some((status, incarnation)) = self.announced else {
+            return;
+        };
         self.sequence += 1;
         let record = TargetRecord {
             agent: self.settings.fleet.address,
             service: self.service,
             agent_run: self.agent_run,
             sequence: self.sequence,
-            incarnation: self.tracker.incarnation(),
+            incarnation,
             status,
         };
-        for contact in self.contacts(now) {
+        for replica in replicas {
             self.fleet_socket
-                .send(contact, &FleetDatagram::Announce(record));
+                .send(*replica, &FleetDatagram::Announce(record));
         }
-        self.flows.sweep(now);
-        self.counters.publish();
-        publish_gauge("cyclamen_side_flows", self.flows.tracked_flows());
-        publish_gauge("cyclamen_side_busy", self.flows.in_flight());
-        publish_gauge("cyclamen_side_waiting", self.flows.waiting());
-        publish_gauge("cyclamen_side_suspect", self.flows.is_suspect().into());
     }
 
     /// Returns the addresses to announce to: the control group, and the seeds as
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -1,9 +1,10 @@
-//! Tests of the target tracker and the restart notifier.
+//! Tests of the target tracker, the known balancers and the restart notifier.
 
 use std::net::Ipv4Addr;
 
 use super::{
     TargetNotice, TargetState,
+    known_balancers::KnownBalancers,
     restart_notifier::{KnownProcesses, RestartNotifier},
     target_tracker::{NoticeVerdict, TargetTracker},
 };
@@ -151,3 +152,17 @@
         0
     );
 }
+
+/// Only some replicas may be back after a power outage, and each of them recalls all
+/// balancers, not just those that watched it.
+#[test]
+fn a_balancer_counts_as_running_until_it_has_been_silent_for_ten_seconds() {
+    let balancer = |number| Ipv4Addr::new(10, 0, 0, number);
+    let mut balancers = KnownBalancers::default();
+    balancers.note_heard(balancer(1), START);
+    balancers.note_heard(balancer(2), START.after(SpanMillis::new(9_000)));
+    let running = balancers.running(START.after(SpanMillis::new(9_999)));
+    assert_eq!(Vec::from_iter(running), [balancer(1), balancer(2)]);
+    let running = balancers.running(START.after(SpanMillis::new(10_000)));
+    assert_eq!(Vec::from_iter(running), [balancer(2)]);
+}
--- a/src/fleet/watch_client.rs
+++ b/src/fleet/watch_client.rs
@@ -54,6 +54,8 @@
     updates: mpsc::Sender<WatchUpdate>,
     routes_version: u64,
     position: DirectoryPosition,
+    /// Whether the watched directory had settled at that position.
+    settled: bool,
 }
 
 impl WatchClient {
@@ -71,6 +73,7 @@
             updates,
             routes_version: 0,
             position: DirectoryPosition::default(),
+            settled: false,
         }
     }
 
@@ -144,14 +147,10 @@
                 self.routes_version = routes.version;
             }
             if let Some(targets) = &reply.targets {
-                self.position = if targets.settled {
-                    targets.position
-                } else {
-                    DirectoryPosition::default()
-                };
+                self.position = targets.position;
+                self.settled = targets.settled;
             }
             let caught_up = reply.caught_up;
-            let unsettled = self.position == DirectoryPosition::default();
             if self
                 .updates
                 .send(WatchUpdate::Reply(Box::new(reply)))
@@ -163,10 +162,10 @@
             if !caught_up {
                 return Err(io::ErrorKind::NotConnected.into());
             }
-            let pause = if unsettled {
-                RETRY_PAUSE_MILLIS
-            } else {
+            let pause = if self.settled {
                 MIN_POLL_SPACING_MILLIS
+            } else {
+                RETRY_PAUSE_MILLIS
             };
             sleep(pause.duration()).await;
         }
--- a/src/fleet/watch_server.rs
+++ b/src/fleet/watch_server.rs
@@ -1,5 +1,4 @@
 use std::{
-    collections::BTreeSet,
     io,
     net::{Ipv4Addr, SocketAddrV4},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -13,6 +12,7 @@
 
 use super::{
     FleetError,
+    known_balancers::KnownBalancers,
     local_replica::LocalReplica,
     restart_notifier::KnownProcesses,
     watch_frame::{WatchPoll, WatchReply, read_frame, write_frame},
@@ -35,8 +35,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct SharedDirectory {
     directory: Arc<Mutex<TargetDirectory>>,
-    /// The balancers that watch this replica.
-    watchers: Arc<Mutex<BTreeSet<Ipv4Addr>>>,
+    balancers: Arc<Mutex<KnownBalancers>>,
     changes: watch::Sender<()>,
 }
 
@@ -45,7 +44,7 @@
     pub(super) fn new(directory: TargetDirectory) -> Self {
         Self {
             directory: Arc::new(Mutex::new(directory)),
-            watchers: Arc::default(),
+            balancers: Arc::default(),
             changes: watch::Sender::new(()),
         }
     }
@@ -62,12 +61,19 @@
     pub(super) fn settled_processes(&self, now: ClockMillis) -> Option<KnownProcesses> {
         let agents = self
             .with_directory(|directory| directory.is_settled(now).then(|| directory.running()))?;
-        let balancers = self.watchers().clone();
+        let balancers = self.balancers().running(now);
         Some(KnownProcesses { agents, balancers })
     }
 
-    fn watchers(&self) -> MutexGuard<'_, BTreeSet<Ipv4Addr>> {
-        self.watchers.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Records a message of a balancer.
+    pub(super) fn note_balancer(&self, balancer: Ipv4Addr, now: ClockMillis) {
+        self.balancers().note_heard(balancer, now);
+    }
+
+    fn balancers(&self) -> MutexGuard<'_, KnownBalancers> {
+        self.balancers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     fn with_directory<T>(&self, access: impl FnOnce(&mut TargetDirectory) -> T) -> T {
@@ -127,12 +133,8 @@
                 };
                 let server = self.clone();
                 tokio::spawn(async move {
-                    let mut watcher = None;
                     // A watcher that lost its connection reconnects to any replica.
-                    let _ = server.serve(stream, &mut watcher).await;
-                    if let Some(watcher) = watcher {
-                        server.directory.watchers().remove(&watcher);
-                    }
+                    let _ = server.serve(stream).await;
                     drop(permit);
                 });
             }
@@ -140,16 +142,14 @@
         Ok(())
     }
 
-    /// Serves one watcher until it disconnects; sets `watcher` to its address.
-    async fn serve(&self, mut stream: TcpStream, watcher: &mut Option<Ipv4Addr>) -> io::Result<()> {
+    /// Serves one watcher until it disconnects.
+    async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut routes = self.replica.store().subscribe();
         let mut changes = self.directory.changes.subscribe();
         loop {
             let poll: WatchPoll = read_frame(&mut stream, FRAME_TIMEOUT_MILLIS.duration()).await?;
-            if watcher.replace(poll.watcher).is_none() {
-                self.directory.watchers().insert(poll.watcher);
-            }
+            self.directory.note_balancer(poll.watcher, self.clock.now());
             routes.mark_unchanged();
             changes.mark_unchanged();
             if !self.has_changes(&poll) {
