Replicas count as frozen once all their threads have stopped

Cause: a process that gets SIGSTOP stops only when one of its threads handles the signal; beside much load the others go on for a while and answer the leader. ControlGroup::freeze waits until every thread is stopped; the checks and bounds stay as they are.

--- a/tests/control_durability.rs
+++ b/tests/control_durability.rs
@@ -126,7 +126,7 @@
     let group = ControlGroup::start(3);
     apply_until_accepted(&group.client_for_all(), 1).await;
     let frozen = group.leader().await;
-    group.signal(frozen, "STOP");
+    group.freeze(frozen).await;
     let others: Vec<usize> = (0..3).filter(|index| *index != frozen).collect();
     apply_until_accepted(&group.client(&others), 2).await;
     // This call waits in the frozen process and is answered once it resumes.
@@ -161,7 +161,7 @@
     let leader = group.leader().await;
     let others: Vec<usize> = (0..3).filter(|index| *index != leader).collect();
     for other in &others {
-        group.signal(*other, "STOP");
+        group.freeze(*other).await;
     }
     // The leader has not noticed yet; even so it must not serve reads or accept
     // changes alone.
--- a/tests/control_group/mod.rs
+++ b/tests/control_group/mod.rs
@@ -130,7 +130,25 @@
         fs::remove_dir_all(&self.replicas[index].data_folder).expect("own folder");
     }
 
-    /// Sends a signal, such as STOP or CONT, to a replica's process.
+    /// Freezes a replica's process; returns once none of its threads runs any more.
+    ///
+    /// A process stops only when one of its threads handles the signal. Until that
+    /// one gets a CPU, the others go on and may answer a peer.
+    pub async fn freeze(&self, index: usize) {
+        self.signal(index, "STOP");
+        let child = self.replicas[index]
+            .child
+            .as_ref()
+            .expect("a running process");
+        let tasks = PathBuf::from(format!("/proc/{}/task", child.id()));
+        wait_until("every thread of the frozen replica has stopped", || {
+            let mut threads = fs::read_dir(&tasks).expect("a running process").flatten();
+            threads.all(|thread| is_stopped(&thread.path()))
+        })
+        .await;
+    }
+
+    /// Sends a signal, such as CONT, to a replica's process.
     pub fn signal(&self, index: usize, name: &str) {
         let child = self.replicas[index]
             .child
@@ -228,6 +246,15 @@
     }
 }
 
+/// Returns whether the thread with this folder in `/proc` is stopped by a signal.
+fn is_stopped(thread: &Path) -> bool {
+    let status = fs::read_to_string(thread.join("stat")).unwrap_or_default();
+    // The state follows the name, which is in parentheses.
+    status
+        .rsplit_once(") ")
+        .is_some_and(|(_, fields)| fields.starts_with('T'))
+}
+
 /// Waits until `condition` holds; panics after `WAIT_TIMEOUT`.
 pub async fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let deadline = Instant::now() + WAIT_TIMEOUT;
