Lookups ask the rest of a large service along parallel chains

The first round stays a chain of nine agents, which finds the owner of nearly every flow that is held; then all others are asked along chains of 25 at once, and the flow is reset once every chain has reported. Frames may list 24 candidates; agents of an older build drop those with more than eight, which are only sent after the first round. Tests: flow::tests::large_service (200 targets; before: 200 agents in a row).

--- a/src/fleet/entry_packets.rs
+++ b/src/fleet/entry_packets.rs
@@ -147,7 +147,11 @@
         }
         match self.flows.handle_report(report, now) {
             ReportAction::Nothing => {}
-            ReportAction::Forward { packet, to, header } => self.forward(&packet, to, header),
+            ReportAction::Forward { packet, hops } => {
+                for (to, header) in hops {
+                    self.forward(&packet, to, header);
+                }
+            }
             ReportAction::Reset(reset) => {
                 self.counters.ended += 1;
                 let answer = self.codec.encode_reset(&reset);
--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -260,11 +260,14 @@
             packet: bytes.to_vec(),
             reset: FlowReset::answering(packet),
             asked_agents: Vec::new(),
+            awaited_agents: Vec::new(),
             lookup_id: 0,
             sent_at: now,
         };
         let assumed_owner = owner.map(|owner| owner.agent);
-        let Some((to, header)) = self.send_lookup(lookup, services, assumed_owner, now) else {
+        // The first round of a lookup is a single chain.
+        let hops = self.send_lookup(lookup, services, assumed_owner, now);
+        let Some((to, header)) = hops.first().copied() else {
             self.parked.park(flow, bytes, now);
             return FlowVerdict::Park(RefusalCause::NoTarget);
         };
--- a/src/flow/balancer_lookups.rs
+++ b/src/flow/balancer_lookups.rs
@@ -1,7 +1,7 @@
 //! Owner lookup: a balancer asks agent after agent for a flow whose owner it does
 //! not know.
 
-use std::net::Ipv4Addr;
+use std::{collections::HashSet, net::Ipv4Addr};
 
 use super::{
     BalancerFlows, FlowReport, HopHeader, ReportAction, hop_frame::MAX_CANDIDATES,
@@ -9,17 +9,24 @@
 };
 use crate::{clock::ClockMillis, listener::ServiceTag};
 
+/// Number of agents of the first round, which nearly always finds the owner of a
+/// flow that is held.
+const FIRST_ROUND_AGENTS: usize = 9;
+/// Number of agents that a chain of the second round passes one after the other.
+const CHAIN_AGENTS: usize = MAX_CANDIDATES + 1;
+
 impl BalancerFlows {
-    /// Starts the next round of a lookup with agents not asked yet. Returns the
-    /// first of them and the header that lists the others, or `None` if all were
-    /// asked.
+    /// Starts the next round of a lookup with agents not asked yet. The first round
+    /// is one chain of agents, the second asks all others along several chains at
+    /// once. Returns the first agent of each chain and the header that lists the
+    /// others, nothing if all agents were asked.
     pub(super) fn send_lookup(
         &mut self,
         mut lookup: OwnerLookup,
         services: &[ServiceTag],
         assumed_owner: Option<Ipv4Addr>,
         now: ClockMillis,
-    ) -> Option<(Ipv4Addr, HopHeader)> {
+    ) -> Vec<(Ipv4Addr, HopHeader)> {
         let flow = lookup.reset.flow;
         let mut order: Vec<Ipv4Addr> = assumed_owner.into_iter().collect();
         let mut searched_services = services.to_vec();
@@ -27,38 +34,48 @@
             // The flow may have been opened under newer routes than the known ones.
             searched_services.extend(self.targets.services.keys());
         }
+        let is_first_round = lookup.asked_agents.is_empty();
         for service in searched_services {
             if let Some(targets) = self.targets.services.get(&service) {
-                order.extend(
-                    targets
-                        .possible_owners
-                        .rank(flow, targets.possible_owners.len()),
-                );
+                let limit = if is_first_round {
+                    FIRST_ROUND_AGENTS + self.suspects.len()
+                } else {
+                    targets.possible_owners.len()
+                };
+                order.extend(targets.possible_owners.rank(flow, limit));
             }
         }
         // An agent that does not answer ends the lookup, so suspects come last.
         order.sort_by_key(|agent| self.suspects.contains_key(agent));
-        let mut next = Vec::new();
-        for agent in order {
-            if !lookup.asked_agents.contains(&agent) && !next.contains(&agent) {
-                next.push(agent);
-            }
+        let mut seen: HashSet<Ipv4Addr> = lookup.asked_agents.iter().copied().collect();
+        let mut next = order;
+        next.retain(|agent| seen.insert(*agent));
+        if is_first_round {
+            next.truncate(FIRST_ROUND_AGENTS);
+        }
+        if next.is_empty() {
+            return Vec::new();
         }
-        next.truncate(MAX_CANDIDATES + 1);
-        let (to, rest) = next.split_first()?;
         self.last_lookup_id = self.last_lookup_id.wrapping_add(1).max(1);
-        let header = HopHeader::new(services[0], self.own_address)
-            .with_lookup_id(self.last_lookup_id)
-            .with_candidates(rest.iter().copied());
+        let header =
+            HopHeader::new(services[0], self.own_address).with_lookup_id(self.last_lookup_id);
+        let hops = next
+            .chunks(CHAIN_AGENTS)
+            .map(|chain| (chain[0], header.with_candidates(chain[1..].iter().copied())))
+            .collect();
         lookup.lookup_id = self.last_lookup_id;
+        lookup.awaited_agents = next
+            .chunks(CHAIN_AGENTS)
+            .filter_map(|chain| chain.last().copied())
+            .collect();
         lookup.asked_agents.extend(&next);
         lookup.sent_at = now;
         self.lookups.insert(flow, lookup);
-        Some((*to, header))
+        hops
     }
 
-    /// Starts the next round after the last agent of a round reported that it does
-    /// not hold the flow. Once no target that may hold the flow has it, the flow is
+    /// Starts the next round after every chain of a round reported that it does not
+    /// hold the flow. Once no target that may hold the flow has it, the flow is
     /// reset, or its packet parked while a target may be missing.
     pub(super) fn continue_lookup(
         &mut self,
@@ -66,20 +83,21 @@
         now: ClockMillis,
     ) -> ReportAction {
         let flow = report.flow;
-        let Some(lookup) = self.lookups.take(flow, report.agent, report.lookup_id) else {
+        let Some(lookup) = self.lookups.end_chain(flow, report.agent, report.lookup_id) else {
             return ReportAction::Nothing;
         };
         let Some(choice) = self.table.choose(flow.listener, flow.stable_hash(), now) else {
             return ReportAction::Nothing;
         };
         let (packet, reset) = (lookup.packet.clone(), lookup.reset);
-        match self.send_lookup(lookup, &choice.owner_services, None, now) {
-            Some((to, header)) => ReportAction::Forward { packet, to, header },
-            None if self.can_reset_flows() => ReportAction::Reset(reset),
-            None => {
-                self.parked.park(flow, &packet, now);
-                ReportAction::Nothing
-            }
+        let hops = self.send_lookup(lookup, &choice.owner_services, None, now);
+        if !hops.is_empty() {
+            return ReportAction::Forward { packet, hops };
+        }
+        if self.can_reset_flows() {
+            return ReportAction::Reset(reset);
         }
+        self.parked.park(flow, &packet, now);
+        ReportAction::Nothing
     }
 }
--- a/src/flow/flow_verdict.rs
+++ b/src/flow/flow_verdict.rs
@@ -38,14 +38,13 @@
 pub(crate) enum ReportAction {
     /// Nothing.
     Nothing,
-    /// Send the packet to the next agents that may hold the flow.
+    /// Send the packet to the next agents that may hold the flow, along several
+    /// chains at once.
     Forward {
         /// The packet.
         packet: Vec<u8>,
-        /// The first of these agents.
-        to: Ipv4Addr,
-        /// The frame's header.
-        header: HopHeader,
+        /// The first agent of each chain, with the frame's header.
+        hops: Vec<(Ipv4Addr, HopHeader)>,
     },
     /// Reset the flow: no target holds it.
     Reset(FlowReset),
--- a/src/flow/hop_frame.rs
+++ b/src/flow/hop_frame.rs
@@ -11,7 +11,7 @@
 /// goal, timeout, lookup id and age.
 const FIXED_BYTES: usize = 26;
 /// Maximum number of candidates in a frame.
-pub(crate) const MAX_CANDIDATES: usize = 8;
+pub(crate) const MAX_CANDIDATES: usize = 24;
 
 /// Header in front of a packet that is sent from a balancer to an agent or
 /// between agents.
--- a/src/flow/owner_lookup.rs
+++ b/src/flow/owner_lookup.rs
@@ -16,9 +16,11 @@
     pub(crate) packet: Vec<u8>,
     /// The reset that ends the flow if no target holds it.
     pub(crate) reset: FlowReset,
-    /// The agents of all rounds so far; the last one reports if no agent of its
-    /// round holds the flow.
+    /// The agents of all rounds so far.
     pub(crate) asked_agents: Vec<Ipv4Addr>,
+    /// The last agent of each chain of the current round; it reports if no agent of
+    /// its chain holds the flow.
+    pub(crate) awaited_agents: Vec<Ipv4Addr>,
     /// Identifies the current round.
     pub(crate) lookup_id: u32,
     /// When the current round was sent.
@@ -39,17 +41,27 @@
         }
     }
 
-    /// Removes and returns the lookup if `lookup_id` is its current round and
-    /// `agent` the last one of it. A late report on an earlier round says nothing
-    /// about the agents asked since.
-    pub(crate) fn take(
+    /// Records that no agent of the chain that ends at `agent` holds the flow.
+    ///
+    /// Removes and returns the lookup once all chains of its current round have
+    /// reported. A late report on an earlier round says nothing about the agents
+    /// asked since.
+    pub(crate) fn end_chain(
         &mut self,
         flow: FlowKey,
         agent: Ipv4Addr,
         lookup_id: u32,
     ) -> Option<OwnerLookup> {
-        let lookup = self.lookups.get(&flow)?;
-        if lookup.lookup_id != lookup_id || lookup.asked_agents.last() != Some(&agent) {
+        let lookup = self.lookups.get_mut(&flow)?;
+        if lookup.lookup_id != lookup_id {
+            return None;
+        }
+        let position = lookup
+            .awaited_agents
+            .iter()
+            .position(|awaited| *awaited == agent)?;
+        lookup.awaited_agents.swap_remove(position);
+        if !lookup.awaited_agents.is_empty() {
             return None;
         }
         self.lookups.remove(&flow)
--- a/src/flow/tests/balancer_verdicts.rs
+++ b/src/flow/tests/balancer_verdicts.rs
@@ -245,21 +245,19 @@
 /// Runs a lookup of flow 1, which no target holds; returns the agents that were
 /// asked and the last action.
 pub(super) fn run_lookup(flows: &mut BalancerFlows) -> (Vec<Ipv4Addr>, ReportAction) {
-    let (mut to, mut header) = start_lookup(flows);
+    let mut chains = vec![start_lookup(flows)];
     let mut asked = Vec::new();
-    loop {
+    let mut end = ReportAction::Nothing;
+    while let Some((to, header)) = chains.pop() {
         asked.push(to);
         asked.extend(header.candidates());
         let report = not_held(last_candidate(to, &header), header.lookup_id);
         match flows.handle_report(&report, START) {
-            ReportAction::Forward {
-                to: next,
-                header: after,
-                ..
-            } => (to, header) = (next, after),
-            end => return (asked, end),
+            ReportAction::Forward { hops, .. } => chains.extend(hops),
+            action => end = action,
         }
     }
+    (asked, end)
 }
 
 #[test]
@@ -301,7 +299,11 @@
     )])));
     let report = not_held(last_candidate(to, &header), header.lookup_id);
     let action = flows.handle_report(&report, START);
-    assert!(matches!(action, ReportAction::Forward { to, .. } if to == agent(6)));
+    let asked_next = match action {
+        ReportAction::Forward { hops, .. } => hops.iter().map(|(to, _)| *to).collect(),
+        _ => Vec::new(),
+    };
+    assert_eq!(asked_next, [agent(6)]);
 }
 
 /// Soak seed 2102: on a slow path, the last agent's report on an earlier packet
--- a/src/flow/tests/mod.rs
+++ b/src/flow/tests/mod.rs
@@ -5,6 +5,7 @@
 mod balancer_verdicts;
 mod frames;
 mod full_target;
+mod large_service;
 mod opening_burst;
 mod overload;
 mod ranking;
