--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -232,9 +232,9 @@
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         while let Some((length, from)) = self.fleet_socket.receive(&mut buffer) {
             match FleetDatagram::decode(&buffer[..length]) {
-                Some(FleetDatagram::Located { members }) => self.note_members(members),
+                Some(FleetDatagram::Located { members }) => self.note_members(&members),
                 Some(FleetDatagram::Recall { members }) => {
-                    self.note_members(members);
+                    self.note_members(&members);
                     if let SocketAddr::V4(replica) = from {
                         self.announce_to(&[*replica.ip()]);
                     }
@@ -245,9 +245,9 @@
         }
     }
 
-    fn note_members(&mut self, members: Vec<Ipv4Addr>) {
+    fn note_members(&mut self, members: &[Ipv4Addr]) {
         self.group_heard_at = self.clock.now();
-        if self.group.update_members(members.clone(), None) {
+        if self.group.update_members(members.to_vec(), None) {
             log_event!(info, FleetEvent::CoreFound, ?members);
             // New members have not heard of this agent's target yet.
             self.announce_at = self.group_heard_at;
