A flow on an address and port used again is not reset for the earlier one

Found while the case of a reused connection was looked for: an opening on the four addresses and ports of an earlier flow left that flow's confirmed owner in the cache. If the owner's target had ended and the report on the new flow was lost, the next packet of the new flow was reset as one of the old. An opening now drops an owner that is gone. Test: a_flow_on_an_address_and_port_used_again_is_not_reset_for_the_earlier_one, which fails without the change.

--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -195,6 +195,10 @@
                 targets.accepting.rank(flow, OPENING_CANDIDATES + 1)
             });
         self.suspects.retain(|_, until| *until > now);
+        if self.is_owner_gone(flow) {
+            // The caller uses the address and port of an earlier flow again.
+            self.owners.remove(flow);
+        }
         // A retransmitted opening goes to the agent of the first one, unless that
         // agent is a suspect.
         let previous = self
@@ -241,13 +245,11 @@
         now: ClockMillis,
     ) -> FlowVerdict {
         let flow = packet.caller_flow();
-        let owner = self.owners.get(flow, now);
-        if let Some(owner) = owner.filter(|owner| owner.confirmed)
-            && self.targets.has_ended(owner.agent, owner.incarnation)
-        {
+        if self.is_owner_gone(flow) {
             self.owners.remove(flow);
             return FlowVerdict::Reset(FlowReset::answering(packet), RefusalCause::TargetGone);
         }
+        let owner = self.owners.get(flow, now);
         if let Some(owner) = owner.filter(|owner| owner.confirmed)
             && !self.targets.has_restarted(owner.agent, owner.incarnation)
         {
@@ -275,6 +277,13 @@
         FlowVerdict::Forward { to, header }
     }
 
+    /// Returns whether the target that was reported to hold the flow has ended.
+    fn is_owner_gone(&self, flow: FlowKey) -> bool {
+        self.owners.peek(flow).is_some_and(|owner| {
+            owner.confirmed && self.targets.has_ended(owner.agent, owner.incarnation)
+        })
+    }
+
     /// Handles an agent's report on a flow; returns what to send in response.
     pub(crate) fn handle_report(&mut self, report: &FlowReport, now: ClockMillis) -> ReportAction {
         self.suspects.remove(&report.agent);
--- a/src/flow/tests/balancer_verdicts.rs
+++ b/src/flow/tests/balancer_verdicts.rs
@@ -364,6 +364,20 @@
     ));
 }
 
+/// The report on the new flow may be lost; its packets must not be taken for those
+/// of the earlier flow.
+#[test]
+fn a_flow_on_an_address_and_port_used_again_is_not_reset_for_the_earlier_one() {
+    let mut flows = balancer_with_incarnation(TargetIncarnation {
+        id: Some(INCARNATION),
+        ended: true,
+    });
+    send_opening(&mut flows, 1, START);
+    let data = from_caller(flow(1), PacketFlags::ACKNOWLEDGE);
+    let verdict = flows.handle_packet(&data, &[1], START);
+    assert!(matches!(verdict, FlowVerdict::Forward { .. }));
+}
+
 /// Soak seed 1006: the agent may have reported the flow before it learned of the
 /// newer incarnation that accepted it.
 #[test]
