Elections wait longer after fruitless ones, so that slow disks don't prevent a leader

The pause before an election now doubles with each term without a leader after the second, to 20 s at most, and is short again once a leader is heard. Ruled out: longer pauses from the start, since a loss of power waits for them. Test: a_leader_is_replaced_while_all_disks_are_slow, to 2 s a sync.

--- a/src/control/replica/election.rs
+++ b/src/control/replica/election.rs
@@ -76,6 +76,7 @@
         leader.update_members(self.log.members(), self.hard_state.disk, last_index, now);
         self.role = CoreRole::Leader(Box::new(leader));
         self.leader = Some(self.member_id());
+        self.last_led_term = term;
         self.report(ReplicaReport::LeaderElected { term });
         self.append_entry(EntryBody::Empty);
         self.send_heartbeats(now);
--- a/src/control/replica/message_dispatch.rs
+++ b/src/control/replica/message_dispatch.rs
@@ -154,6 +154,7 @@
         self.role = CoreRole::Follower;
         self.leader = Some(from);
         self.leader_contact_at = now;
+        self.last_led_term = self.hard_state.term;
         self.reset_election_timer(now);
         true
     }
--- a/src/control/replica/replica_core.rs
+++ b/src/control/replica/replica_core.rs
@@ -12,6 +12,7 @@
     limits::{
         ELECTION_MAX_MILLIS, ELECTION_MIN_MILLIS, ELECTION_RETRY_MAX_MILLIS,
         ELECTION_RETRY_MIN_MILLIS, FIRST_ELECTION_MAX_MILLIS, FIRST_ELECTION_MIN_MILLIS,
+        MAX_ELECTION_DOUBLINGS, MAX_ELECTION_MILLIS, PROMPT_ELECTIONS,
     },
     replica_log::{LogCompaction, ReplicaLog},
     snapshots::IncomingSnapshot,
@@ -66,6 +67,8 @@
     pub(super) leader: Option<MemberId>,
     pub(super) leader_contact_at: ClockMillis,
     pub(super) election_due_at: ClockMillis,
+    /// The newest term in which this replica heard or was a leader.
+    pub(super) last_led_term: TermNumber,
     pub(super) commit: LogIndex,
     pub(super) applied: LogIndex,
     /// The commit index that is saved in the data folder.
@@ -101,6 +104,7 @@
         let start = log.snapshot_index();
         let mut core = Self {
             peers,
+            last_led_term: hard_state.term,
             hard_state,
             disk: DiskQueue::new(log.last_index()),
             log,
@@ -220,11 +224,28 @@
     }
 
     fn set_election_timer(&mut self, shortest: SpanMillis, longest: SpanMillis, now: ClockMillis) {
+        let factor = self.election_backoff();
+        let longest = longest.saturating_mul(factor).min(MAX_ELECTION_MILLIS);
+        let shortest = shortest.saturating_mul(factor);
+        let shortest = shortest.min(SpanMillis::new(longest.millis() / 2));
         let range = shortest.millis()..=longest.millis();
         let wait = SpanMillis::new(self.rng.random_range(range));
         self.election_due_at = now.after(wait);
     }
 
+    /// Returns the factor by which elections wait longer after several in a row
+    /// without a leader: votes are synced by candidate and voter, and on slow disks
+    /// that takes longer than the usual pause.
+    fn election_backoff(&self) -> u64 {
+        let leaderless_terms = self
+            .hard_state
+            .term
+            .number()
+            .saturating_sub(self.last_led_term.number());
+        let doublings = leaderless_terms.saturating_sub(PROMPT_ELECTIONS);
+        1 << doublings.min(MAX_ELECTION_DOUBLINGS)
+    }
+
     /// Becomes a follower in `term`, which is the current term or a newer one.
     pub(super) fn become_follower(&mut self, term: TermNumber) {
         let led_term = self.step_down();
--- a/src/control/replica/tests/group_simulator.rs
+++ b/src/control/replica/tests/group_simulator.rs
@@ -227,6 +227,29 @@
         }
     }
 
+    /// Runs all replicas for a time span; every sync takes `sync_time`.
+    pub(super) fn run_with_slow_disks(&mut self, span: SpanMillis, sync_time: SpanMillis) {
+        let end = self.now.after(span);
+        let mut pending_since = vec![None; self.nodes.len()];
+        while self.now < end {
+            self.pass_time(TICK_MILLIS);
+            for (node, since) in pending_since.iter_mut().enumerate() {
+                self.tick(node);
+                if self.nodes[node].pending_sync.is_none() {
+                    *since = None;
+                    continue;
+                }
+                if self.now.since(*since.get_or_insert(self.now)) >= sync_time {
+                    *since = None;
+                    self.sync(node);
+                }
+            }
+            while !self.in_flight.is_empty() {
+                self.deliver(0, false);
+            }
+        }
+    }
+
     /// Delivers messages and completes syncs until none are pending.
     pub(super) fn settle(&mut self) {
         const MAX_STEPS: usize = 100_000;
--- a/src/control/replica/tests/scenarios.rs
+++ b/src/control/replica/tests/scenarios.rs
@@ -275,3 +275,36 @@
     assert_eq!(completed_repairs(&simulator), 1);
     simulator.assert_applied_all_acknowledged(learner);
 }
+
+/// Crashes the leader, lets every sync take `sync_time` from then on, and checks that
+/// another replica leads after a minute.
+fn replace_leader_on_slow_disks(sync_time: SpanMillis) {
+    for seed in 0..20 {
+        let mut simulator = GroupSimulator::new(3, seed);
+        simulator.run(SETTLE_MILLIS);
+        let leader = simulator.leader().expect("a group is formed");
+        simulator.crash(leader, 0);
+        simulator.run_with_slow_disks(SpanMillis::new(60_000), sync_time);
+        assert!(
+            simulator.leader().is_some_and(|node| node != leader),
+            "no leader after 60 s with syncs of {sync_time}, seed {seed}"
+        );
+    }
+}
+
+/// Other work on the VMs may make every sync take as long as an election timeout.
+#[rstest]
+#[case(0)]
+#[case(100)]
+#[case(200)]
+#[case(400)]
+#[case(1_000)]
+#[case(2_000)]
+fn a_leader_is_replaced_while_all_disks_are_slow(#[case] sync_millis: u64) {
+    replace_leader_on_slow_disks(SpanMillis::new(sync_millis));
+}
+
+#[test]
+fn a_leader_is_replaced_while_every_sync_takes_four_seconds() {
+    replace_leader_on_slow_disks(SpanMillis::new(4_000));
+}
