--- a/src/flow/tests/mod.rs
+++ b/src/flow/tests/mod.rs
@@ -10,6 +10,7 @@
 mod overload;
 mod ranking;
 mod request_ids;
+mod target_incarnations;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
