--- a/src/flow/agent_flows.rs
+++ b/src/flow/agent_flows.rs
@@ -6,6 +6,7 @@
     delivery_ring::DeliveryRing,
     opening_queue::OpeningQueue,
     pending_openings::{PendingOpening, PendingOpenings},
+    request_progress::RequestProgress,
     target_health::TargetHealth,
     target_load::TargetLoad,
     tracked_flow::TrackedFlow,
@@ -175,9 +176,8 @@
         self.track(flow, header.balancer, now);
         if let Some(tracked) = self.tracked.get_mut(&flow) {
             tracked.acknowledged = packet.acknowledged;
-            if tracked.record_data(packet) {
-                self.load.start(flow, now);
-            }
+            let change = tracked.request.record_data(packet);
+            self.load.apply_change(flow, change, now);
         }
         let tag = self.ring.insert(header);
         AgentStep::without_report(AgentAction::Deliver { tag })
@@ -199,7 +199,8 @@
             self.load.cancel(flow);
             return AgentStep::without_report(AgentAction::Return);
         }
-        if packet.data_bytes > 0 || packet.flags.has(PacketFlags::FINISH) {
+        let is_answer = packet.data_bytes > 0 || packet.flags.has(PacketFlags::FINISH);
+        if is_answer {
             self.load.finish(flow, now);
         }
         let opening = self.openings.remove(flow);
@@ -211,6 +212,10 @@
         if let Some(tracked) = self.tracked.get_mut(&flow) {
             tracked.last_packet_at = now;
             tracked.established |= !packet.flags.has(PacketFlags::OPEN);
+            let change = tracked.request.record_acknowledged(packet.acknowledged);
+            if !is_answer {
+                self.load.apply_change(flow, change, now);
+            }
             if !tracked.reported {
                 tracked.reported = true;
                 report = Some((tracked.balancer, self.report(flow, 0, ReportKind::Held)));
@@ -261,7 +266,7 @@
             reported: false,
             established: false,
             acknowledged: 0,
-            next_sequence: None,
+            request: RequestProgress::default(),
             first_seen_at: now,
             last_packet_at: now,
         });
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -27,6 +27,7 @@
 mod parked_packets;
 mod pending_openings;
 mod request_id;
+mod request_progress;
 mod target_health;
 mod target_load;
 mod target_ranking;
--- a/src/flow/target_load.rs
+++ b/src/flow/target_load.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 
-use super::FlowKey;
+use super::{FlowKey, request_progress::RequestChange};
 use crate::clock::{ClockMillis, SpanMillis};
 
 /// How long a new flow reserves capacity for its first request: a few round
@@ -9,6 +9,9 @@
 /// How long an unanswered request counts as in flight; callers give up after
 /// a few seconds without an answer.
 const REQUEST_EXPIRY_MILLIS: SpanMillis = SpanMillis::new(3_000);
+/// Maximum number of requests that the target receives at the same time: enough
+/// for a burst of uploads that takes a second over a slow link to arrive.
+const MAX_RECEIVING: usize = 64;
 /// Each answer has a weight of `1 / AVERAGE_DIVISOR` in the moving average, which
 /// covers a few answers of each slot.
 const AVERAGE_DIVISOR: u64 = 8;
@@ -32,6 +35,9 @@
     slots: Option<u32>,
     /// Flows with a request at the target or with reserved capacity.
     in_flight: HashMap<FlowKey, InFlightRequest>,
+    /// Flows whose request has arrived in part, with the time when that stops
+    /// counting.
+    receiving: HashMap<FlowKey, ClockMillis>,
     /// Moving average of the time from delivery to answer, in units of
     /// `1 / AVERAGE_DIVISOR` ms; zero before the first answer.
     scaled_average: u64,
@@ -52,8 +58,22 @@
         self.in_flight.insert(flow, request);
     }
 
-    /// Records that a request was delivered to the target.
-    pub(crate) fn start(&mut self, flow: FlowKey, now: ClockMillis) {
+    /// Records what has arrived of a flow's request.
+    pub(super) fn apply_change(&mut self, flow: FlowKey, change: RequestChange, now: ClockMillis) {
+        match change {
+            RequestChange::Nothing => {}
+            RequestChange::Receiving => {
+                self.in_flight.remove(&flow);
+                self.receiving
+                    .insert(flow, now.after(REQUEST_EXPIRY_MILLIS));
+            }
+            RequestChange::Complete => self.start(flow, now),
+        }
+    }
+
+    /// Records that a request was delivered to the target in full.
+    fn start(&mut self, flow: FlowKey, now: ClockMillis) {
+        self.receiving.remove(&flow);
         let request = InFlightRequest {
             started_at: Some(now),
             expires_at: now.after(REQUEST_EXPIRY_MILLIS),
@@ -63,6 +83,7 @@
 
     /// Records the answer to a flow's request.
     pub(crate) fn finish(&mut self, flow: FlowKey, now: ClockMillis) {
+        self.receiving.remove(&flow);
         let Some(started_at) = self
             .in_flight
             .remove(&flow)
@@ -79,12 +100,14 @@
 
     /// Removes a flow's request after a bounce, a timeout or a reset.
     pub(crate) fn cancel(&mut self, flow: FlowKey) {
+        self.receiving.remove(&flow);
         self.in_flight.remove(&flow);
     }
 
     /// Removes all requests after the target ended or restarted.
     pub(crate) fn clear(&mut self) {
         self.in_flight.clear();
+        self.receiving.clear();
     }
 
     /// Returns the number of requests in flight, with reservations.
@@ -103,15 +126,16 @@
         if self.in_flight.len() >= limit {
             self.in_flight.retain(|_, request| request.expires_at > now);
         }
-        self.in_flight.len() < limit
+        if self.receiving.len() >= MAX_RECEIVING {
+            self.receiving.retain(|_, expires_at| *expires_at > now);
+        }
+        self.in_flight.len() < limit && self.receiving.len() < MAX_RECEIVING
     }
 
     /// Returns when the next unanswered request or reservation expires.
     pub(crate) fn next_expiry(&self) -> Option<ClockMillis> {
-        self.in_flight
-            .values()
-            .map(|request| request.expires_at)
-            .min()
+        let in_flight = self.in_flight.values().map(|request| request.expires_at);
+        in_flight.chain(self.receiving.values().copied()).min()
     }
 
     /// Returns how many requests the target can start within `span` at the rate
--- a/src/flow/tests/mod.rs
+++ b/src/flow/tests/mod.rs
@@ -11,6 +11,7 @@
 mod ranking;
 mod request_ids;
 mod target_incarnations;
+mod uploads;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
