--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -6,11 +6,13 @@
 //! removes none, until the replica has heard from every running agent.
 
 mod directory_update;
+mod target_attributes;
 mod target_directory;
 mod target_record;
 mod target_view;
 
 pub(crate) use directory_update::{DirectoryPosition, DirectoryUpdate};
+pub(crate) use target_attributes::{AttributeEntry, TargetAttributes};
 pub(crate) use target_directory::{ANNOUNCE_MILLIS, TargetDirectory};
 pub(crate) use target_record::{TargetRecord, TargetStatus};
 pub(crate) use target_view::TargetView;
--- a/src/directory/target_record.rs
+++ b/src/directory/target_record.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::TargetAttributes;
 use crate::{key::IncarnationId, listener::ServiceTag};
 
 /// Whether a target accepts new flows, as announced by its agent.
@@ -36,14 +37,24 @@
     /// Whether the target accepts new flows.
     #[serde(rename = "standing")]
     pub(crate) status: TargetStatus,
+    /// What else the agent announces of the target.
+    #[serde(skip)]
+    pub(crate) attributes: TargetAttributes,
 }
 
 impl TargetRecord {
     /// Returns whether another record of the same agent differs only in its run or
     /// sequence number.
     pub(crate) fn has_same_state(&self, other: &Self) -> bool {
-        (self.service, self.incarnation, self.status)
-            == (other.service, other.incarnation, other.status)
+        let state = |record: &Self| {
+            (
+                record.service,
+                record.incarnation,
+                record.status,
+                record.attributes,
+            )
+        };
+        state(self) == state(other)
     }
 
     /// Returns this announcement with what `old`, the agent's last one, tells of the
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -4,7 +4,9 @@
 
 use rstest::rstest;
 
-use super::{DirectoryPosition, TargetDirectory, TargetRecord, TargetStatus, TargetView};
+use super::{
+    DirectoryPosition, TargetAttributes, TargetDirectory, TargetRecord, TargetStatus, TargetView,
+};
 use crate::{
     clock::{ClockMillis, SpanMillis},
     key::IncarnationId,
@@ -22,6 +24,7 @@
         sequence,
         incarnation: Some(IncarnationId::new(u64::from(number))),
         status,
+        attributes: TargetAttributes::default(),
     }
 }
 
--- a/src/fleet/fleet_datagram.rs
+++ b/src/fleet/fleet_datagram.rs
@@ -10,7 +10,8 @@
 /// A datagram between processes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum FleetDatagram {
-    /// An agent announces its target.
+    /// An agent announces its target. The record's attributes follow the datagram;
+    /// builds without them ignore them.
     Announce(TargetRecord),
     /// Asks for the members of the control group.
     Locate,
@@ -32,12 +33,21 @@
 impl FleetDatagram {
     /// Encodes the datagram; `None` if it exceeds `MAX_DATAGRAM_BYTES`.
     pub(super) fn encode(&self) -> Option<Vec<u8>> {
-        let bytes = postcard::to_stdvec(self).ok()?;
+        let mut bytes = postcard::to_stdvec(self).ok()?;
+        if let Self::Announce(record) = self {
+            bytes.extend(postcard::to_stdvec(&record.attributes).ok()?);
+        }
         (bytes.len() <= MAX_DATAGRAM_BYTES).then_some(bytes)
     }
 
     /// Decodes a datagram; `None` if the bytes are malformed.
     pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
-        postcard::from_bytes(bytes).ok()
+        let (mut datagram, rest): (Self, &[u8]) = postcard::take_from_bytes(bytes).ok()?;
+        if let Self::Announce(record) = &mut datagram
+            && !rest.is_empty()
+        {
+            record.attributes = postcard::from_bytes(rest).ok()?;
+        }
+        Some(datagram)
     }
 }
--- a/src/fleet/side_target.rs
+++ b/src/fleet/side_target.rs
@@ -17,8 +17,9 @@
 };
 use crate::{
     clock::ClockMillis,
-    directory::{ANNOUNCE_MILLIS, TargetRecord, TargetStatus},
+    directory::{ANNOUNCE_MILLIS, TargetAttributes, TargetRecord, TargetStatus},
     event::log_event,
+    key::DomainTag,
 };
 
 impl SideNode {
@@ -130,6 +131,10 @@
             sequence: self.sequence,
             incarnation,
             status,
+            attributes: TargetAttributes {
+                domain: Some(DomainTag::of(&self.settings.fleet.domain)),
+                ..TargetAttributes::default()
+            },
         };
         for replica in replicas {
             self.fleet_socket
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of the target tracker, the known balancers and the restart notifier.
 
+mod datagrams;
+
 use std::net::Ipv4Addr;
 
 use super::{
--- a/src/fleet/watch_client.rs
+++ b/src/fleet/watch_client.rs
@@ -13,7 +13,7 @@
 
 use super::{
     group_view::GroupView,
-    watch_frame::{WatchPoll, WatchReply, read_frame, write_frame},
+    watch_frame::{WatchPoll, WatchReply, read_reply, write_frame},
     watch_server::LONG_POLL_MILLIS,
 };
 use crate::{clock::SpanMillis, directory::DirectoryPosition};
@@ -178,6 +178,6 @@
             position: self.position,
         };
         write_frame(stream, &poll, REPLY_TIMEOUT_MILLIS.duration()).await?;
-        read_frame(stream, REPLY_TIMEOUT_MILLIS.duration()).await
+        read_reply(stream, REPLY_TIMEOUT_MILLIS.duration()).await
     }
 }
--- a/src/fleet/watch_frame.rs
+++ b/src/fleet/watch_frame.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    directory::{DirectoryPosition, DirectoryUpdate},
+    directory::{AttributeEntry, DirectoryPosition, DirectoryUpdate},
     listener::ListenerManifest,
 };
 
@@ -52,10 +52,29 @@
     limit: Duration,
 ) -> io::Result<()> {
     let payload = postcard::to_stdvec(value).map_err(io::Error::other)?;
+    write_payload(stream, &payload, limit).await
+}
+
+/// Writes a reply, followed by the attributes of its records, which builds without
+/// them ignore.
+pub(super) async fn write_reply(
+    stream: &mut TcpStream,
+    reply: &WatchReply,
+    limit: Duration,
+) -> io::Result<()> {
+    let mut payload = postcard::to_stdvec(reply).map_err(io::Error::other)?;
+    if let Some(targets) = &reply.targets {
+        let entries = AttributeEntry::list(&targets.records);
+        payload.extend(postcard::to_stdvec(&entries).map_err(io::Error::other)?);
+    }
+    write_payload(stream, &payload, limit).await
+}
+
+async fn write_payload(stream: &mut TcpStream, payload: &[u8], limit: Duration) -> io::Result<()> {
     let length = u32::try_from(payload.len()).map_err(io::Error::other)?;
     let mut bytes = Vec::with_capacity(4 + payload.len());
     bytes.extend_from_slice(&length.to_be_bytes());
-    bytes.extend_from_slice(&payload);
+    bytes.extend_from_slice(payload);
     timeout(limit, stream.write_all(&bytes)).await?
 }
 
@@ -64,6 +83,25 @@
     stream: &mut TcpStream,
     limit: Duration,
 ) -> io::Result<T> {
+    let payload = read_payload(stream, limit).await?;
+    postcard::from_bytes(&payload).map_err(io::Error::other)
+}
+
+/// Reads a reply with the attributes of its records; fails after `limit`.
+pub(super) async fn read_reply(stream: &mut TcpStream, limit: Duration) -> io::Result<WatchReply> {
+    let payload = read_payload(stream, limit).await?;
+    let (mut reply, rest): (WatchReply, &[u8]) =
+        postcard::take_from_bytes(&payload).map_err(io::Error::other)?;
+    if let Some(targets) = &mut reply.targets
+        && !rest.is_empty()
+    {
+        let entries: Vec<AttributeEntry> = postcard::from_bytes(rest).map_err(io::Error::other)?;
+        AttributeEntry::apply(&entries, &mut targets.records);
+    }
+    Ok(reply)
+}
+
+async fn read_payload(stream: &mut TcpStream, limit: Duration) -> io::Result<Vec<u8>> {
     timeout(limit, async {
         let length = stream.read_u32().await? as usize;
         if length > MAX_FRAME_BYTES {
@@ -71,7 +109,7 @@
         }
         let mut payload = vec![0; length];
         stream.read_exact(&mut payload).await?;
-        postcard::from_bytes(&payload).map_err(io::Error::other)
+        Ok(payload)
     })
     .await?
 }
--- a/src/fleet/watch_server.rs
+++ b/src/fleet/watch_server.rs
@@ -15,7 +15,7 @@
     known_balancers::KnownBalancers,
     local_replica::LocalReplica,
     restart_notifier::KnownProcesses,
-    watch_frame::{WatchPoll, WatchReply, read_frame, write_frame},
+    watch_frame::{WatchPoll, WatchReply, read_frame, write_reply},
 };
 use crate::{
     clock::{ClockMillis, ProcessClock, SpanMillis},
@@ -161,7 +161,7 @@
                 })
                 .await;
             }
-            write_frame(
+            write_reply(
                 &mut stream,
                 &self.reply(&poll),
                 FRAME_TIMEOUT_MILLIS.duration(),
