--- a/src/directory/target_view.rs
+++ b/src/directory/target_view.rs
@@ -109,6 +109,7 @@
     let incarnation = TargetIncarnation {
         id: record.incarnation,
         ended: record.status == TargetStatus::Ended,
+        silent: record.status == TargetStatus::Silent,
     };
     (record.agent, incarnation)
 }
--- a/src/fleet/entry_maintenance.rs
+++ b/src/fleet/entry_maintenance.rs
@@ -29,6 +29,16 @@
             self.counters.resent += 1;
             self.forward(&packet, to, header);
         }
+        self.end_waits();
+        for lookup in self.flows.expire_lookups(now) {
+            self.counters.widened += 1;
+            if self.log_limiter.allows(FleetEvent::LookupWidened, now) {
+                log_event!(warn, FleetEvent::LookupWidened, flow = %lookup.flow, agents = lookup.hops.len());
+            }
+            for (to, header) in lookup.hops {
+                self.forward(&lookup.packet, to, header);
+            }
+        }
         if now >= self.maintenance_at {
             self.run_maintenance(now);
             let pause = if self.is_control_fresh(now) {
@@ -82,6 +92,7 @@
         self.update_ready();
         self.counters.publish();
         publish_gauge("cyclamen_entry_flows", self.flows.cached_owners());
+        publish_gauge("cyclamen_entry_large_requests", self.flows.link_load().0);
         publish_gauge("cyclamen_entry_targets", self.view.len());
         publish_gauge("cyclamen_entry_suspects", self.flows.suspects());
         if let Some(at) = self.control_heard_at {
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -130,8 +130,12 @@
             Arc::clone(&ready),
         );
         let table = ListenerTable::new(settings.max_flow_age);
+        let mut flows = BalancerFlows::new(settings.address, table, settings.max_flow_age);
+        if let Some(rate) = settings.link_rate {
+            flows = flows.with_link(rate);
+        }
         let node = Self {
-            flows: BalancerFlows::new(settings.address, table, settings.max_flow_age),
+            flows,
             codec,
             settings_source,
             clock,
--- a/src/fleet/entry_packets.rs
+++ b/src/fleet/entry_packets.rs
@@ -11,7 +11,7 @@
 use crate::{
     clock::{ClockMillis, SpanMillis},
     event::log_event,
-    flow::{FlowPacket, FlowReport, FlowVerdict, HopHeader, RefusalCause, ReportAction},
+    flow::{FlowPacket, FlowReport, FlowReset, FlowVerdict, HopHeader, RefusalCause, ReportAction},
 };
 
 impl EntryNode {
@@ -21,7 +21,32 @@
         for _ in 0..PACKETS_PER_TURN {
             match self.packet_socket.try_recv_from(&mut buffer) {
                 Ok((length, _)) => self.handle_packet(&buffer[..length]),
-                Err(_) => return,
+                Err(_) => break,
+            }
+        }
+        self.end_waits();
+    }
+
+    /// Forwards or refuses the openings whose wait for this VM's link has ended.
+    pub(super) fn end_waits(&mut self) {
+        let now = self.clock.now();
+        while let Some(ended) = self.flows.take_ended_wait(now) {
+            histogram!("cyclamen_entry_link_wait_ms").record(ended.waited.millis_float());
+            if ended.admitted {
+                self.dispatch_packet(&ended.packet, ended.waited);
+                continue;
+            }
+            self.counters.refused += 1;
+            self.counters.link_refused += 1;
+            let reset = FlowReset {
+                flow: ended.flow,
+                sequence: 0,
+            };
+            let answer = self.codec.encode_reset(&reset);
+            self.send_to_caller(*reset.flow.caller.ip(), &answer);
+            if self.log_limiter.allows(FleetEvent::LinkRefused, now) {
+                let (under_way, waiting) = self.flows.link_load();
+                log_event!(info, FleetEvent::LinkRefused, flow = %ended.flow, waited = %ended.waited, under_way, waiting);
             }
         }
     }
@@ -57,6 +82,13 @@
                 self.send_to_caller(*reset.flow.caller.ip(), &answer);
                 self.log_refusal(FleetEvent::FlowRefused, &packet, cause, now);
             }
+            FlowVerdict::Wait => {
+                self.counters.link_waits += 1;
+                if self.log_limiter.allows(FleetEvent::LinkWaits, now) {
+                    let (under_way, waiting) = self.flows.link_load();
+                    log_event!(info, FleetEvent::LinkWaits, flow = %packet.caller_flow(), under_way, waiting);
+                }
+            }
             FlowVerdict::Park(cause) => {
                 self.counters.parked += 1;
                 self.log_refusal(FleetEvent::FlowParked, &packet, cause, now);
--- a/src/fleet/fleet_counters.rs
+++ b/src/fleet/fleet_counters.rs
@@ -16,8 +16,14 @@
     pub(super) resent: u64,
     /// Packets of flows whose owner had to be searched for.
     pub(super) looked: u64,
+    /// Lookups that asked all agents at once, since a chain did not answer.
+    pub(super) widened: u64,
     /// Packets answered with a reset.
     pub(super) refused: u64,
+    /// Openings that waited for their turn on the link.
+    pub(super) link_waits: u64,
+    /// Openings that were refused after such a wait.
+    pub(super) link_refused: u64,
     /// Flows reset because no target holds them.
     pub(super) ended: u64,
     /// Packets parked until routes and targets are known.
@@ -36,7 +42,10 @@
             ("opened", self.opened),
             ("resent", self.resent),
             ("looked", self.looked),
+            ("widened", self.widened),
             ("refused", self.refused),
+            ("link_waits", self.link_waits),
+            ("link_refused", self.link_refused),
             ("ended", self.ended),
             ("parked", self.parked),
             ("unsent", self.unsent),
--- a/src/fleet/fleet_settings.rs
+++ b/src/fleet/fleet_settings.rs
@@ -54,6 +54,8 @@
     /// The address that receives packets: from callers on an entry VM, from
     /// balancers and agents beside a target.
     pub packet_address: SocketAddrV4,
+    /// The rate of the VM's link in bytes a second, if it is known.
+    pub link_rate: Option<u64>,
     /// How long a stopping process may take.
     pub grace: SpanMillis,
     /// The age from which the state of a flow may be dropped.
--- a/src/flow/agent_flows.rs
+++ b/src/flow/agent_flows.rs
@@ -176,6 +176,10 @@
         self.track(flow, header.balancer, now);
         if let Some(tracked) = self.tracked.get_mut(&flow) {
             tracked.acknowledged = packet.acknowledged;
+            if header.lookup_id != 0 {
+                // The balancer does not know, or has forgotten, who holds the flow.
+                tracked.reported = false;
+            }
             let change = tracked.request.record_data(packet);
             self.load.apply_change(flow, change, now);
         }
--- a/src/flow/agent_openings.rs
+++ b/src/flow/agent_openings.rs
@@ -35,6 +35,11 @@
             first_sent_at: now.before(header.age),
             sent_at: now,
         };
+        if let Some(tracked) = self.tracked.get_mut(&flow) {
+            // The report on the first copy may have come late or not at all.
+            tracked.balancer = header.balancer;
+            tracked.reported = false;
+        }
         if retransmitted || self.load.has_capacity(now) {
             return AgentStep::without_report(self.deliver_opening(opening, now));
         }
--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -4,19 +4,18 @@
     BalancerFlowInfo, FlowKey, FlowOwnerInfo, FlowPacket, FlowReport, FlowReset, FlowVerdict,
     HopHeader, KnownTargets, RefusalCause, ReportAction, ReportKind,
     hop_frame::MAX_CANDIDATES,
+    link_admission::{EndedWait, LinkAdmission, LinkVerdict},
     owner_cache::OwnerCache,
     owner_lookup::{OwnerLookup, PendingLookups},
     parked_packets::ParkedPackets,
     pending_openings::{PendingOpening, PendingOpenings},
+    report_timer::{MIN_TIMEOUT_MILLIS, ReportTimer},
 };
 use crate::{
     clock::{ClockMillis, SpanMillis},
     listener::{ListenerTable, RouteChoice, ServiceTag},
 };
 
-/// Time after which an opening counts as unreported; an agent waits for its
-/// target half as long before it passes the opening on.
-const REPORT_TIMEOUT_MILLIS: SpanMillis = SpanMillis::new(60);
 /// How long new flows avoid an agent that did not report an opening.
 const SUSPICION_MILLIS: SpanMillis = SpanMillis::new(1_000);
 /// Number of unreported openings in a row after which a balancer counts as
@@ -36,6 +35,10 @@
     pub(super) last_lookup_id: u32,
     pub(super) owners: OwnerCache,
     pub(super) openings: PendingOpenings,
+    /// Bounds the large requests on this VM's link, if its rate is known.
+    pub(super) link: Option<LinkAdmission>,
+    /// How long openings wait for their reports.
+    pub(super) report_timer: ReportTimer,
     /// The agent that each pending opening was sent to.
     pub(super) opening_agents: HashMap<FlowKey, Ipv4Addr>,
     /// Agents that new flows avoid, each with the time when the suspicion ends.
@@ -65,7 +68,9 @@
             lookups: PendingLookups::default(),
             last_lookup_id: 0,
             owners: OwnerCache::new(idle_timeout),
-            openings: PendingOpenings::new(REPORT_TIMEOUT_MILLIS),
+            openings: PendingOpenings::new(MIN_TIMEOUT_MILLIS),
+            link: None,
+            report_timer: ReportTimer::default(),
             opening_agents: HashMap::new(),
             suspects: HashMap::new(),
             unreported_openings: 0,
@@ -75,6 +80,13 @@
         }
     }
 
+    /// Bounds the large requests that cross this VM's link of `bytes_per_second` at
+    /// the same time.
+    pub(crate) fn with_link(mut self, bytes_per_second: u64) -> Self {
+        self.link = Some(LinkAdmission::new(bytes_per_second));
+        self
+    }
+
     /// Returns the routes in force.
     pub(crate) fn table(&self) -> &ListenerTable {
         &self.table
@@ -174,7 +186,20 @@
             return self.refuse(packet, bytes, RefusalCause::NoRoute, now);
         };
         if packet.is_opening() {
-            return self.open_flow(packet, bytes, &choice, now);
+            let verdict = self
+                .link
+                .as_mut()
+                .map(|link| link.offer(packet, bytes, now));
+            return match verdict {
+                Some(LinkVerdict::Wait) => FlowVerdict::Wait,
+                Some(LinkVerdict::Refuse) => {
+                    FlowVerdict::Reset(FlowReset::answering(packet), RefusalCause::LinkFull)
+                }
+                Some(LinkVerdict::Admit) | None => self.open_flow(packet, bytes, &choice, now),
+            };
+        }
+        if let Some(link) = &mut self.link {
+            link.record(packet, now);
         }
         self.continue_flow(packet, bytes, &choice.owner_services, now)
     }
@@ -195,6 +220,15 @@
                 targets.accepting.rank(flow, OPENING_CANDIDATES + 1)
             });
         self.suspects.retain(|_, until| *until > now);
+        let is_copy = packet.age > SpanMillis::ZERO;
+        if is_copy && let Some(owner) = self.live_owner(flow, now) {
+            // The flow is open already, unless the answer was lost on its way to the
+            // caller; either way its owner answers again.
+            let header = HopHeader::new(choice.new_flow_service, self.own_address)
+                .with_urgency(choice.urgency)
+                .with_age(packet.age);
+            return FlowVerdict::Forward { to: owner, header };
+        }
         if self.is_owner_gone(flow) {
             // The caller uses the address and port of an earlier flow again.
             self.owners.remove(flow);
@@ -206,6 +240,10 @@
             .get(flow, now)
             .map(|owner| owner.agent)
             .filter(|agent| ranked.contains(agent));
+        if !is_copy {
+            // The confirmed owner of an earlier flow may not be that of the new one.
+            self.owners.remove(flow);
+        }
         let (trusted, suspected): (Vec<Ipv4Addr>, Vec<Ipv4Addr>) = previous
             .into_iter()
             .chain(
@@ -249,24 +287,19 @@
             self.owners.remove(flow);
             return FlowVerdict::Reset(FlowReset::answering(packet), RefusalCause::TargetGone);
         }
-        let owner = self.owners.get(flow, now);
-        if let Some(owner) = owner.filter(|owner| owner.confirmed)
-            && !self.targets.has_restarted(owner.agent, owner.incarnation)
-        {
-            return FlowVerdict::Forward {
-                to: owner.agent,
-                header: HopHeader::new(services[0], self.own_address),
-            };
+        if let Some(to) = self.live_owner(flow, now) {
+            let header = HopHeader::new(services[0], self.own_address);
+            return FlowVerdict::Forward { to, header };
         }
-        let lookup = OwnerLookup {
-            packet: bytes.to_vec(),
-            reset: FlowReset::answering(packet),
-            asked_agents: Vec::new(),
-            awaited_agents: Vec::new(),
-            lookup_id: 0,
-            sent_at: now,
+        let assumed_owner = self.owners.peek(flow).map(|owner| owner.agent);
+        let lookup = match self.lookups.get(flow) {
+            // The caller sends this packet again if the flow is not found by then.
+            Some(lookup) if lookup.is_wide_pending(now) => {
+                return FlowVerdict::Park(RefusalCause::OwnerUnknown);
+            }
+            Some(lookup) => OwnerLookup::new(bytes, packet, lookup.start_for_next(now)),
+            None => OwnerLookup::new(bytes, packet, now),
         };
-        let assumed_owner = owner.map(|owner| owner.agent);
         // The first round of a lookup is a single chain.
         let hops = self.send_lookup(lookup, services, assumed_owner, now);
         let Some((to, header)) = hops.first().copied() else {
@@ -277,6 +310,14 @@
         FlowVerdict::Forward { to, header }
     }
 
+    /// Returns the agent that reported the flow as held, if its target still runs.
+    fn live_owner(&mut self, flow: FlowKey, now: ClockMillis) -> Option<Ipv4Addr> {
+        let owner = self.owners.get(flow, now).filter(|owner| owner.confirmed)?;
+        let lost = self.targets.has_ended(owner.agent, owner.incarnation)
+            || self.targets.has_restarted(owner.agent, owner.incarnation);
+        (!lost).then_some(owner.agent)
+    }
+
     /// Returns whether the target that was reported to hold the flow has ended.
     fn is_owner_gone(&self, flow: FlowKey) -> bool {
         self.owners.peek(flow).is_some_and(|owner| {
@@ -288,8 +329,22 @@
     pub(crate) fn handle_report(&mut self, report: &FlowReport, now: ClockMillis) -> ReportAction {
         self.suspects.remove(&report.agent);
         self.unreported_openings = 0;
+        let delay = self.openings.age(report.flow, now);
+        self.report_timer
+            .record_report(report.flow, report.agent, delay, now);
+        self.openings.set_timeout(self.report_timer.timeout());
+        if let Some(delay) = delay {
+            self.openings
+                .note_answered(now.before(delay), MIN_TIMEOUT_MILLIS);
+        }
         self.openings.remove(report.flow);
         self.opening_agents.remove(&report.flow);
+        let live_owner = self.live_owner(report.flow, now);
+        if live_owner.is_some_and(|owner| owner != report.agent) && report.lookup_id == 0 {
+            // Copies of an opening may reach several targets. The caller keeps to the
+            // first one that answered; what the others report changes nothing.
+            return ReportAction::Nothing;
+        }
         match report.kind {
             ReportKind::Held => {
                 self.lookups.remove(report.flow);
@@ -326,6 +381,8 @@
             self.unreported_openings = self.unreported_openings.saturating_add(1);
             if let Some(silent) = self.opening_agents.remove(&opening.flow) {
                 self.suspects.insert(silent, now.after(SUSPICION_MILLIS));
+                self.report_timer
+                    .record_timeout(opening.flow, silent, opening.sent_at);
             }
             let Some((to, header)) = opening.header.next_hop() else {
                 continue;
@@ -342,9 +399,25 @@
         resent
     }
 
-    /// Returns when an opening may next time out.
+    /// Returns when an opening or the round of a lookup may next time out.
     pub(crate) fn next_due(&self) -> Option<ClockMillis> {
-        self.openings.next_due()
+        let openings = self.openings.next_due().into_iter();
+        let waits = self.link.as_ref().and_then(LinkAdmission::next_due);
+        openings.chain(self.lookups.next_due()).chain(waits).min()
+    }
+
+    /// Removes and returns an opening whose wait for the link has ended; an admitted
+    /// one is handled again as a new packet.
+    pub(crate) fn take_ended_wait(&mut self, now: ClockMillis) -> Option<EndedWait> {
+        self.link.as_mut()?.take_ended(now)
+    }
+
+    /// Returns the number of large requests that cross the link, and of openings that
+    /// wait for it.
+    pub(crate) fn link_load(&self) -> (usize, usize) {
+        self.link
+            .as_ref()
+            .map_or((0, 0), |link| (link.under_way(), link.waiting()))
     }
 
     /// Drops idle flows, lookups that timed out and parked packets that are too
@@ -352,6 +425,10 @@
     pub(crate) fn sweep(&mut self, now: ClockMillis) {
         self.owners.sweep(now);
         self.lookups.sweep(now);
+        self.report_timer.sweep(now);
+        if let Some(link) = &mut self.link {
+            link.sweep(now);
+        }
         self.parked.sweep(now);
     }
 
--- a/src/flow/balancer_lookups.rs
+++ b/src/flow/balancer_lookups.rs
@@ -4,21 +4,24 @@
 use std::{collections::HashSet, net::Ipv4Addr};
 
 use super::{
-    BalancerFlows, FlowReport, HopHeader, ReportAction, hop_frame::MAX_CANDIDATES,
-    owner_lookup::OwnerLookup,
+    BalancerFlows, FlowReport, HopHeader, ReportAction,
+    hop_frame::MAX_CANDIDATES,
+    owner_lookup::{LookupRound, OwnerLookup, WideLookup},
 };
 use crate::{clock::ClockMillis, listener::ServiceTag};
 
 /// Number of agents of the first round, which nearly always finds the owner of a
 /// flow that is held.
 const FIRST_ROUND_AGENTS: usize = 9;
+/// Number of agents that are each asked by themselves once a chain has not answered.
+const WIDE_ROUND_AGENTS: usize = 64;
 /// Number of agents that a chain of the second round passes one after the other.
 const CHAIN_AGENTS: usize = MAX_CANDIDATES + 1;
 
 impl BalancerFlows {
-    /// Starts the next round of a lookup with agents not asked yet. The first round
-    /// is one chain of agents, the second asks all others along several chains at
-    /// once. Returns the first agent of each chain and the header that lists the
+    /// Starts a round of a lookup. The first round is one chain of agents, the second
+    /// asks all others along several chains at once, a wide one asks all again, most
+    /// of them each by itself. Returns the first agent of each chain and the header that lists the
     /// others, nothing if all agents were asked.
     pub(super) fn send_lookup(
         &mut self,
@@ -34,7 +37,10 @@
             // The flow may have been opened under newer routes than the known ones.
             searched_services.extend(self.targets.services.keys());
         }
-        let is_first_round = lookup.asked_agents.is_empty();
+        if lookup.round == LookupRound::Wide {
+            lookup.asked_agents.clear();
+        }
+        let is_first_round = lookup.round == LookupRound::First;
         for service in searched_services {
             if let Some(targets) = self.targets.services.get(&service) {
                 let limit = if is_first_round {
@@ -45,8 +51,10 @@
                 order.extend(targets.possible_owners.rank(flow, limit));
             }
         }
-        // An agent that does not answer ends the lookup, so suspects come last.
-        order.sort_by_key(|agent| self.suspects.contains_key(agent));
+        // An agent that does not answer ends its chain, so such agents come last.
+        order.sort_by_key(|agent| {
+            self.suspects.contains_key(agent) || self.targets.is_silent(*agent)
+        });
         let mut seen: HashSet<Ipv4Addr> = lookup.asked_agents.iter().copied().collect();
         let mut next = order;
         next.retain(|agent| seen.insert(*agent));
@@ -59,21 +67,41 @@
         self.last_lookup_id = self.last_lookup_id.wrapping_add(1).max(1);
         let header =
             HopHeader::new(services[0], self.own_address).with_lookup_id(self.last_lookup_id);
-        let hops = next
-            .chunks(CHAIN_AGENTS)
+        let alone = match lookup.round {
+            LookupRound::First | LookupRound::Others => 0,
+            LookupRound::Wide => next.len().min(WIDE_ROUND_AGENTS),
+        };
+        let (single, chained) = next.split_at(alone);
+        let chains = || single.chunks(1).chain(chained.chunks(CHAIN_AGENTS));
+        let hops = chains()
             .map(|chain| (chain[0], header.with_candidates(chain[1..].iter().copied())))
             .collect();
         lookup.lookup_id = self.last_lookup_id;
-        lookup.awaited_agents = next
-            .chunks(CHAIN_AGENTS)
-            .filter_map(|chain| chain.last().copied())
-            .collect();
+        lookup.awaited_agents = chains().filter_map(|chain| chain.last().copied()).collect();
         lookup.asked_agents.extend(&next);
         lookup.sent_at = now;
         self.lookups.insert(flow, lookup);
         hops
     }
 
+    /// Starts a wide round for each lookup that has not ended in time.
+    pub(crate) fn expire_lookups(&mut self, now: ClockMillis) -> Vec<WideLookup> {
+        let mut sent = Vec::new();
+        while let Some((flow, lookup)) = self.lookups.take_due(now) {
+            let Some(choice) = self.table.choose(flow.listener, flow.stable_hash(), now) else {
+                continue;
+            };
+            let packet = lookup.packet.clone();
+            let lookup = OwnerLookup {
+                round: LookupRound::Wide,
+                ..lookup
+            };
+            let hops = self.send_lookup(lookup, &choice.owner_services, None, now);
+            sent.push(WideLookup { flow, packet, hops });
+        }
+        sent
+    }
+
     /// Starts the next round after every chain of a round reported that it does not
     /// hold the flow. Once no target that may hold the flow has it, the flow is
     /// reset, or its packet parked while a target may be missing.
@@ -90,6 +118,10 @@
             return ReportAction::Nothing;
         };
         let (packet, reset) = (lookup.packet.clone(), lookup.reset);
+        let lookup = OwnerLookup {
+            round: LookupRound::Others,
+            ..lookup
+        };
         let hops = self.send_lookup(lookup, &choice.owner_services, None, now);
         if !hops.is_empty() {
             return ReportAction::Forward { packet, hops };
--- a/src/flow/flow_verdict.rs
+++ b/src/flow/flow_verdict.rs
@@ -16,6 +16,8 @@
     },
     /// Answer it with a reset: the flow can't be served.
     Reset(FlowReset, RefusalCause),
+    /// It is an opening that waits for its turn on this VM's link.
+    Wait,
     /// Hold it until routes and targets are known, then decide again.
     Park(RefusalCause),
 }
@@ -29,6 +31,10 @@
     NoTarget,
     /// Routes or targets are not known yet or may be outdated.
     NotReady,
+    /// Which target holds the flow is being looked up.
+    OwnerUnknown,
+    /// This VM's link can't carry the flow's request in time.
+    LinkFull,
     /// The incarnation of the target that held the flow has ended.
     TargetGone,
 }
--- a/src/flow/known_targets.rs
+++ b/src/flow/known_targets.rs
@@ -19,6 +19,8 @@
     pub(crate) id: Option<IncarnationId>,
     /// Whether it has ended and holds no flows.
     pub(crate) ended: bool,
+    /// Whether it or its agent has not answered for a while.
+    pub(crate) silent: bool,
 }
 
 /// All targets that a balancer knows.
@@ -40,6 +42,13 @@
             && current.is_some_and(|current| current.ended && current.id == incarnation)
     }
 
+    /// Returns whether an agent or its target has not answered for a while.
+    pub(crate) fn is_silent(&self, agent: Ipv4Addr) -> bool {
+        self.incarnations
+            .get(&agent)
+            .is_some_and(|incarnation| incarnation.silent)
+    }
+
     /// Returns whether an agent's target has restarted since it was reported as
     /// `incarnation`. A flow reported then may be on either incarnation, since the
     /// agent may not have known the newer one yet.
--- a/src/flow/owner_lookup.rs
+++ b/src/flow/owner_lookup.rs
@@ -1,13 +1,39 @@
-use std::{collections::HashMap, net::Ipv4Addr};
+use std::{
+    collections::{HashMap, VecDeque},
+    net::Ipv4Addr,
+};
 
-use super::{FlowKey, FlowReset};
+use super::{FlowKey, FlowPacket, FlowReset, HopHeader};
 use crate::clock::{ClockMillis, SpanMillis};
 
 /// Maximum number of concurrent lookups; further ones are not recorded.
 const MAX_LOOKUPS: usize = 4_096;
 /// How long a lookup waits for the last agent's report; the caller retransmits
 /// its packet after 200 ms, which starts a new lookup.
-const LOOKUP_TIMEOUT_MILLIS: SpanMillis = SpanMillis::new(500);
+const LOOKUP_TIMEOUT_MILLIS: SpanMillis = SpanMillis::new(700);
+/// How long after its start a lookup asks all agents at once: nine agents that
+/// answer take some 40 ms, and the caller retransmits after 200 ms.
+const WIDE_AFTER_MILLIS: SpanMillis = SpanMillis::new(100);
+/// How long after a wide round a flow is not looked up again: if no agent held it, its
+/// target does not answer now.
+const WIDE_WAIT_MILLIS: SpanMillis = SpanMillis::new(600);
+/// Maximum number of wide rounds a second; more would fill a thin link while many
+/// targets don't answer.
+const MAX_WIDE_ROUNDS: u32 = 10;
+/// The span over which wide rounds are counted.
+const WIDE_WINDOW_MILLIS: SpanMillis = SpanMillis::new(1_000);
+
+/// How a round of a lookup asks agents.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LookupRound {
+    /// The first ones by ranking, one after the other.
+    First,
+    /// The others, along several chains at once.
+    Others,
+    /// All agents again, each by itself: an agent that does not answer ended an
+    /// earlier chain.
+    Wide,
+}
 
 /// The search for the owner of a flow, with the packet that started it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -16,6 +42,8 @@
     pub(crate) packet: Vec<u8>,
     /// The reset that ends the flow if no target holds it.
     pub(crate) reset: FlowReset,
+    /// The current round.
+    pub(crate) round: LookupRound,
     /// The agents of all rounds so far.
     pub(crate) asked_agents: Vec<Ipv4Addr>,
     /// The last agent of each chain of the current round; it reports if no agent of
@@ -23,22 +51,84 @@
     pub(crate) awaited_agents: Vec<Ipv4Addr>,
     /// Identifies the current round.
     pub(crate) lookup_id: u32,
+    /// When the first packet since the owner is unknown was sent.
+    pub(crate) started_at: ClockMillis,
     /// When the current round was sent.
     pub(crate) sent_at: ClockMillis,
 }
 
+impl OwnerLookup {
+    /// Creates a lookup that has asked no agent yet, for a flow that is being looked
+    /// up since `started_at`.
+    pub(super) fn new(bytes: &[u8], packet: &FlowPacket, started_at: ClockMillis) -> Self {
+        Self {
+            packet: bytes.to_vec(),
+            reset: FlowReset::answering(packet),
+            round: LookupRound::First,
+            asked_agents: Vec::new(),
+            awaited_agents: Vec::new(),
+            lookup_id: 0,
+            started_at,
+            sent_at: started_at,
+        }
+    }
+
+    /// Returns whether all agents were asked just now, so that asking them again for
+    /// the flow's next packet would only add load.
+    pub(super) fn is_wide_pending(&self, now: ClockMillis) -> bool {
+        self.round == LookupRound::Wide && now.since(self.sent_at) < WIDE_WAIT_MILLIS
+    }
+
+    /// Returns since when the flow's owner is searched for, for a lookup of its next
+    /// packet.
+    pub(super) fn start_for_next(&self, now: ClockMillis) -> ClockMillis {
+        match self.round {
+            LookupRound::First | LookupRound::Others => self.started_at,
+            LookupRound::Wide => now,
+        }
+    }
+
+    fn wide_at(&self) -> ClockMillis {
+        self.started_at.after(WIDE_AFTER_MILLIS)
+    }
+}
+
+/// A lookup whose packet goes to all agents at once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct WideLookup {
+    pub(crate) flow: FlowKey,
+    /// The packet as the caller sent it.
+    pub(crate) packet: Vec<u8>,
+    /// The first agent of each chain, with the frame's header.
+    pub(crate) hops: Vec<(Ipv4Addr, HopHeader)>,
+}
+
 /// Owner lookups in progress, by flow.
 #[derive(Debug, Default)]
 pub(crate) struct PendingLookups {
     lookups: HashMap<FlowKey, OwnerLookup>,
+    /// Flows in the order in which their lookups started.
+    started: VecDeque<(ClockMillis, FlowKey)>,
+    /// When the current window of wide rounds began, and their number in it.
+    wide_window: (ClockMillis, u32),
 }
 
 impl PendingLookups {
     /// Adds or updates a lookup.
     pub(crate) fn insert(&mut self, flow: FlowKey, lookup: OwnerLookup) {
-        if self.lookups.len() < MAX_LOOKUPS || self.lookups.contains_key(&flow) {
-            self.lookups.insert(flow, lookup);
+        let known_start = self.lookups.get(&flow).map(|known| known.started_at);
+        if self.lookups.len() >= MAX_LOOKUPS && known_start.is_none() {
+            return;
         }
+        if lookup.round == LookupRound::First && known_start != Some(lookup.started_at) {
+            self.started.push_back((lookup.started_at, flow));
+        }
+        self.lookups.insert(flow, lookup);
+    }
+
+    /// Returns the lookup of a flow.
+    pub(crate) fn get(&self, flow: FlowKey) -> Option<&OwnerLookup> {
+        self.lookups.get(&flow)
     }
 
     /// Records that no agent of the chain that ends at `agent` holds the flow.
@@ -72,6 +162,37 @@
         self.lookups.remove(&flow);
     }
 
+    /// Removes and returns the next lookup that has not ended in the time after which
+    /// all agents are asked at once.
+    pub(crate) fn take_due(&mut self, now: ClockMillis) -> Option<(FlowKey, OwnerLookup)> {
+        while let Some((started_at, flow)) = self.started.front().copied() {
+            if started_at.after(WIDE_AFTER_MILLIS) > now {
+                return None;
+            }
+            if now.since(self.wide_window.0) >= WIDE_WINDOW_MILLIS {
+                self.wide_window = (now, 0);
+            }
+            self.started.pop_front();
+            let is_due =
+                |lookup: &OwnerLookup| lookup.round != LookupRound::Wide && lookup.wide_at() <= now;
+            if self.lookups.get(&flow).is_some_and(is_due) && self.wide_window.1 < MAX_WIDE_ROUNDS {
+                self.wide_window.1 += 1;
+                return self.lookups.remove(&flow).map(|lookup| (flow, lookup));
+            }
+        }
+        None
+    }
+
+    /// Returns when a lookup may next be due; it may end before.
+    pub(crate) fn next_due(&self) -> Option<ClockMillis> {
+        if self.lookups.is_empty() {
+            return None;
+        }
+        self.started
+            .front()
+            .map(|(started_at, _)| started_at.after(WIDE_AFTER_MILLIS))
+    }
+
     /// Drops the lookups whose last agent did not report in time.
     pub(crate) fn sweep(&mut self, now: ClockMillis) {
         self.lookups
--- a/src/flow/pending_openings.rs
+++ b/src/flow/pending_openings.rs
@@ -24,8 +24,11 @@
 #[derive(Debug)]
 pub(crate) struct PendingOpenings {
     openings: HashMap<FlowKey, PendingOpening>,
-    deadlines: VecDeque<(ClockMillis, FlowKey)>,
+    /// The openings in the order in which they were sent.
+    sent: VecDeque<(ClockMillis, FlowKey)>,
     timeout: SpanMillis,
+    /// Openings sent before this time are due, since later ones were answered.
+    overtaken_until: ClockMillis,
 }
 
 impl PendingOpenings {
@@ -33,11 +36,23 @@
     pub(crate) fn new(timeout: SpanMillis) -> Self {
         Self {
             openings: HashMap::new(),
-            deadlines: VecDeque::new(),
+            sent: VecDeque::new(),
             timeout,
+            overtaken_until: ClockMillis::ORIGIN,
         }
     }
 
+    /// Changes the timeout, also of the openings that are pending.
+    pub(crate) fn set_timeout(&mut self, timeout: SpanMillis) {
+        self.timeout = timeout;
+    }
+
+    /// Records that an opening sent at `sent_at` was answered: those sent more than
+    /// `margin` earlier are due, whatever the timeout is.
+    pub(crate) fn note_answered(&mut self, sent_at: ClockMillis, margin: SpanMillis) {
+        self.overtaken_until = self.overtaken_until.max(sent_at.before(margin));
+    }
+
     /// Adds an opening; a retransmission of a pending one changes nothing.
     ///
     /// Returns whether it was added.
@@ -45,8 +60,7 @@
         if self.openings.len() >= MAX_OPENINGS || self.openings.contains_key(&opening.flow) {
             return false;
         }
-        self.deadlines
-            .push_back((opening.sent_at.after(self.timeout), opening.flow));
+        self.sent.push_back((opening.sent_at, opening.flow));
         self.openings.insert(opening.flow, opening);
         true
     }
@@ -69,12 +83,12 @@
 
     /// Removes and returns the next opening whose timeout has passed.
     pub(crate) fn take_due(&mut self, now: ClockMillis) -> Option<PendingOpening> {
-        while let Some((at, flow)) = self.deadlines.front().copied() {
-            if at > now {
+        while let Some((sent_at, flow)) = self.sent.front().copied() {
+            if self.due_at(sent_at) > now {
                 return None;
             }
-            self.deadlines.pop_front();
-            let is_due = |opening: &PendingOpening| opening.sent_at.after(self.timeout) <= now;
+            self.sent.pop_front();
+            let is_due = |opening: &PendingOpening| self.due_at(opening.sent_at) <= now;
             if self.openings.get(&flow).is_some_and(is_due) {
                 return self.openings.remove(&flow);
             }
@@ -82,11 +96,19 @@
         None
     }
 
+    fn due_at(&self, sent_at: ClockMillis) -> ClockMillis {
+        if sent_at < self.overtaken_until {
+            sent_at
+        } else {
+            sent_at.after(self.timeout)
+        }
+    }
+
     /// Returns when the next opening may be due; it may be answered before.
     pub(crate) fn next_due(&self) -> Option<ClockMillis> {
         if self.openings.is_empty() {
             return None;
         }
-        self.deadlines.front().map(|(at, _)| *at)
+        self.sent.front().map(|(sent_at, _)| self.due_at(*sent_at))
     }
 }
--- a/src/flow/request_progress.rs
+++ b/src/flow/request_progress.rs
@@ -2,7 +2,7 @@
 
 /// The most data that a packet carries, in bytes; a sender fills every packet of a
 /// request but the last.
-const FULL_PACKET_BYTES: u16 = 1_200;
+pub(super) const FULL_PACKET_BYTES: u16 = 1_200;
 
 /// How much of a flow's latest request has arrived at the target.
 ///
--- a/src/flow/tests/agent_steps.rs
+++ b/src/flow/tests/agent_steps.rs
@@ -274,3 +274,36 @@
     let step = flows.handle_target_packet(&bounced(flow(1), PacketFlags::ACKNOWLEDGE, tag), START);
     assert!(matches!(step.action, AgentAction::Reset(_)));
 }
+
+/// A balancer that forgot the owner of a flow would otherwise look it up for each of
+/// its packets.
+#[test]
+fn a_held_flow_is_reported_again_to_a_balancer_that_looks_it_up() {
+    let mut flows = flows();
+    establish(&mut flows, 1);
+    let data = from_caller(flow(1), PacketFlags::ACKNOWLEDGE);
+    let lookup = header(&[2]).with_lookup_id(7);
+    delivered_tag(flows.handle_frame(lookup, &data, &[1], START).action);
+    let acknowledgement = from_target(flow(1), PacketFlags::ACKNOWLEDGE);
+    let step = flows.handle_target_packet(&acknowledgement, START);
+    let kind = step.report.map(|(_, report)| report.kind);
+    assert_eq!(kind, Some(ReportKind::Held));
+    assert_eq!(
+        flows.handle_target_packet(&acknowledgement, START).report,
+        None
+    );
+}
+
+#[test]
+fn a_copy_of_an_opening_is_reported_again() {
+    let mut flows = flows();
+    let opening = from_caller(flow(1), PacketFlags::OPEN);
+    let accepted = from_target(flow(1), PacketFlags::OPEN.with(PacketFlags::ACKNOWLEDGE));
+    for _ in 0..2 {
+        let step = flows.handle_frame(header(&[2]), &opening, &[1], START);
+        delivered_tag(step.action);
+        let report = flows.handle_target_packet(&accepted, START).report;
+        let kind = report.map(|(_, report)| report.kind);
+        assert_eq!(kind, Some(ReportKind::Held));
+    }
+}
--- a/src/flow/tests/mod.rs
+++ b/src/flow/tests/mod.rs
@@ -3,14 +3,17 @@
 mod agent_steps;
 mod balancer_startup;
 mod balancer_verdicts;
+mod broken_chains;
 mod frames;
 mod full_target;
 mod large_service;
 mod opening_burst;
 mod overload;
 mod ranking;
+mod repeated_openings;
 mod request_ids;
 mod target_incarnations;
+mod thin_link;
 mod uploads;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/src/flow/tests/target_incarnations.rs
+++ b/src/flow/tests/target_incarnations.rs
@@ -37,6 +37,7 @@
     let mut flows = balancer_with_incarnation(TargetIncarnation {
         id: Some(INCARNATION),
         ended: true,
+        silent: false,
     });
     let data = from_caller(flow(1), PacketFlags::ACKNOWLEDGE);
     let verdict = flows.handle_packet(&data, &[1], START);
@@ -53,6 +54,7 @@
     let mut flows = balancer_with_incarnation(TargetIncarnation {
         id: Some(INCARNATION),
         ended: true,
+        silent: false,
     });
     send_opening(&mut flows, 1, START);
     let data = from_caller(flow(1), PacketFlags::ACKNOWLEDGE);
@@ -67,6 +69,7 @@
     let mut flows = balancer_with_incarnation(TargetIncarnation {
         id: Some(IncarnationId::new(4)),
         ended: false,
+        silent: false,
     });
     let (asked, others) = send_data(&mut flows, 1);
     assert_eq!(asked, agent(2));
@@ -83,6 +86,7 @@
     let same = TargetIncarnation {
         id: Some(INCARNATION),
         ended: false,
+        silent: false,
     };
     targets.incarnations.insert(agent(2), same);
     flows.set_targets(targets);
