--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -6,16 +6,23 @@
 //! removes none, until the replica has heard from every running agent.
 
 mod directory_update;
+mod service_weights;
+mod set_aside_change;
 mod target_attributes;
 mod target_directory;
 mod target_record;
 mod target_view;
+mod target_weight;
+mod target_weight_info;
+mod weight_table;
 
 pub(crate) use directory_update::{DirectoryPosition, DirectoryUpdate};
+pub(crate) use set_aside_change::SetAsideChange;
 pub(crate) use target_attributes::{AttributeEntry, TargetAttributes};
 pub(crate) use target_directory::{ANNOUNCE_MILLIS, TargetDirectory};
 pub(crate) use target_record::{TargetRecord, TargetStatus};
 pub(crate) use target_view::TargetView;
+pub(crate) use target_weight_info::TargetWeightInfo;
 
 #[cfg(test)]
 mod tests;
--- a/src/directory/target_record.rs
+++ b/src/directory/target_record.rs
@@ -46,15 +46,14 @@
     /// Returns whether another record of the same agent differs only in its run or
     /// sequence number.
     pub(crate) fn has_same_state(&self, other: &Self) -> bool {
-        let state = |record: &Self| {
-            (
-                record.service,
-                record.incarnation,
-                record.status,
-                record.attributes,
-            )
-        };
-        state(self) == state(other)
+        self.has_same_status(other) && self.attributes == other.attributes
+    }
+
+    /// Returns whether another record of the same agent differs only in its
+    /// attributes, and in its run or sequence number.
+    pub(crate) fn has_same_status(&self, other: &Self) -> bool {
+        let status = |record: &Self| (record.service, record.incarnation, record.status);
+        status(self) == status(other)
     }
 
     /// Returns this announcement with what `old`, the agent's last one, tells of the
--- a/src/directory/target_view.rs
+++ b/src/directory/target_view.rs
@@ -3,15 +3,20 @@
     net::Ipv4Addr,
 };
 
-use super::{DirectoryUpdate, TargetRecord, TargetStatus};
+use super::{
+    DirectoryUpdate, SetAsideChange, TargetRecord, TargetStatus, TargetWeightInfo,
+    weight_table::WeightTable,
+};
 use crate::{
+    clock::ClockMillis,
     flow::{KnownTargets, RankedTarget, ServiceTargets, TargetIncarnation, TargetRanking},
     listener::ServiceTag,
 };
 
-/// Weight of a target that has just started, relative to a warm one: cold targets
-/// run at about half their speed.
-const WARMING_WEIGHT: f64 = 0.5;
+/// Weight of every target in the ranking of owner lookups, whatever its weight for
+/// new flows. Flows were opened under weights that this balancer may not know any
+/// more; equal weights are the closest to all of them, and all balancers have them.
+const LOOKUP_WEIGHT: f64 = 1.0;
 
 /// The targets that a balancer knows from the directory that it watches.
 #[derive(Debug, Default)]
@@ -20,6 +25,9 @@
     /// The agents in the watched directory.
     listed: BTreeSet<Ipv4Addr>,
     complete: bool,
+    weights: WeightTable,
+    /// Whether the known targets changed since they were last taken.
+    outdated: bool,
 }
 
 impl TargetView {
@@ -33,7 +41,8 @@
         self.records.values()
     }
 
-    /// Applies an update of a directory; returns the records that changed.
+    /// Applies an update of a directory; returns the records that changed in more
+    /// than their attributes.
     ///
     /// Records that an unsettled directory does not list are kept, and so are those
     /// that are newer than what the directory lists.
@@ -44,9 +53,15 @@
         self.listed
             .extend(update.records.iter().map(|record| record.agent));
         let settles = update.settled && (update.full || !self.complete);
+        self.outdated |= self.complete != update.settled;
         self.complete = update.settled;
         if settles {
+            let count_before = self.records.len();
             self.records.retain(|agent, _| self.listed.contains(agent));
+            if self.records.len() < count_before {
+                self.outdated = true;
+                self.weights.mark_outdated();
+            }
         }
         let mut changed = Vec::new();
         for record in update.records {
@@ -55,6 +70,10 @@
                 continue;
             }
             if !old.is_some_and(|old| old.has_same_state(&record)) {
+                self.weights.mark_outdated();
+            }
+            if !old.is_some_and(|old| old.has_same_status(&record)) {
+                self.outdated = true;
                 changed.push(record);
             }
             self.records.insert(record.agent, record);
@@ -62,6 +81,61 @@
         changed
     }
 
+    /// Returns when `update_weights` is to be called; `None` if the weights are
+    /// current.
+    pub(crate) fn weights_due_at(&self) -> Option<ClockMillis> {
+        self.weights.due_at()
+    }
+
+    /// Computes the weights of the accepting targets if they are outdated and due;
+    /// returns the targets that were set aside or taken back.
+    pub(crate) fn update_weights(&mut self, now: ClockMillis) -> Vec<SetAsideChange> {
+        if self.weights.due_at().is_none_or(|due_at| due_at > now) {
+            return Vec::new();
+        }
+        let before = self.set_aside();
+        self.outdated |= self.weights.update(self.records.values(), now);
+        let after = self.set_aside();
+        let changed = before.symmetric_difference(&after);
+        changed
+            .filter_map(|agent| self.records.get(agent))
+            .map(|record| SetAsideChange {
+                agent: record.agent,
+                service: record.service,
+                failures: record.attributes.failures,
+                set_aside: after.contains(&record.agent),
+            })
+            .collect()
+    }
+
+    /// Returns the accepting targets that are set aside.
+    pub(crate) fn set_aside(&self) -> BTreeSet<Ipv4Addr> {
+        self.weight_infos()
+            .filter(|info| info.set_aside)
+            .map(|info| info.agent)
+            .collect()
+    }
+
+    /// Returns the weights in force of the accepting targets.
+    pub(crate) fn weight_infos(&self) -> impl Iterator<Item = TargetWeightInfo> {
+        self.records.values().filter_map(|record| {
+            let weight = self.weights.weight(record)?;
+            Some(TargetWeightInfo {
+                agent: record.agent,
+                service: record.service,
+                weight,
+                set_aside: self.weights.is_set_aside(record.agent),
+                speed: record.attributes.speed,
+                failures: record.attributes.failures,
+            })
+        })
+    }
+
+    /// Returns the known targets if they changed since the last call.
+    pub(crate) fn take_known_targets(&mut self) -> Option<KnownTargets> {
+        std::mem::take(&mut self.outdated).then(|| self.known_targets())
+    }
+
     /// Returns the known targets in the form that the balancer's decisions use.
     pub(crate) fn known_targets(&self) -> KnownTargets {
         KnownTargets {
@@ -76,18 +150,16 @@
         let mut accepting: HashMap<ServiceTag, Vec<RankedTarget>> = HashMap::new();
         let mut possible_owners: HashMap<ServiceTag, Vec<RankedTarget>> = HashMap::new();
         for record in self.records.values() {
-            let weight = match record.status {
-                TargetStatus::Warming => Some(WARMING_WEIGHT),
-                TargetStatus::Serving => Some(1.0),
-                TargetStatus::Leaving | TargetStatus::Silent | TargetStatus::Ended => None,
-            };
             let agent = record.agent;
-            if let Some(weight) = weight {
+            if let Some(weight) = self.weights.weight(record) {
                 let ranked = RankedTarget { agent, weight };
                 accepting.entry(record.service).or_default().push(ranked);
             }
             if record.status != TargetStatus::Ended {
-                let ranked = RankedTarget { agent, weight: 1.0 };
+                let ranked = RankedTarget {
+                    agent,
+                    weight: LOOKUP_WEIGHT,
+                };
                 possible_owners
                     .entry(record.service)
                     .or_default()
--- a/src/directory/tests.rs
+++ b/src/directory/tests/mod.rs
@@ -1,5 +1,11 @@
 //! Tests of the directory of targets.
 
+mod lookup_ranking;
+mod target_weights;
+mod weight_pace;
+mod weight_steps;
+mod weighted_service;
+
 use std::{collections::BTreeSet, net::Ipv4Addr};
 
 use rstest::rstest;
--- a/src/fleet/entry_maintenance.rs
+++ b/src/fleet/entry_maintenance.rs
@@ -29,6 +29,7 @@
             self.counters.resent += 1;
             self.forward(&packet, to, header);
         }
+        self.update_targets(now);
         if now >= self.maintenance_at {
             self.run_maintenance(now);
             let pause = if self.is_control_fresh(now) {
@@ -40,6 +41,23 @@
         }
     }
 
+    /// Updates the weights of the targets if they are due, and passes what changed
+    /// to the flow decisions.
+    pub(super) fn update_targets(&mut self, now: ClockMillis) {
+        for change in self.view.update_weights(now) {
+            let (agent, failures) = (change.agent, change.failures);
+            if change.set_aside && self.log_limiter.allows(FleetEvent::TargetSetAside, now) {
+                log_event!(warn, FleetEvent::TargetSetAside, %agent, service = %change.service, failures);
+            }
+            if !change.set_aside && self.log_limiter.allows(FleetEvent::TargetTakenBack, now) {
+                log_event!(info, FleetEvent::TargetTakenBack, %agent, service = %change.service, failures);
+            }
+        }
+        if let Some(targets) = self.view.take_known_targets() {
+            self.flows.set_targets(targets);
+        }
+    }
+
     /// Runs expiry, discovery, readiness and metrics.
     pub(super) fn run_maintenance(&mut self, now: ClockMillis) {
         if let Some(directory) = &self.directory {
@@ -84,6 +102,10 @@
         publish_gauge("cyclamen_entry_flows", self.flows.cached_owners());
         publish_gauge("cyclamen_entry_targets", self.view.len());
         publish_gauge("cyclamen_entry_suspects", self.flows.suspects());
+        publish_gauge(
+            "cyclamen_entry_targets_set_aside",
+            self.view.set_aside().len(),
+        );
         if let Some(at) = self.control_heard_at {
             histogram!("cyclamen_entry_control_age_ms").record(now.since(at).millis_float());
         }
@@ -103,6 +125,7 @@
                 "leader": self.group.leader(),
                 "leaving": self.stopping,
                 "targets": self.view.records().collect::<Vec<_>>(),
+                "weights": self.view.weight_infos().collect::<Vec<_>>(),
                 "flows": self.flows.cached_owners(),
                 "suspects": self.flows.suspects(),
                 "packets": self.counters,
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -226,10 +226,11 @@
     /// Returns when the next timed work is due.
     fn next_work_at(&self) -> Instant {
         let now = self.clock.now();
-        let next = self
-            .flows
-            .next_due()
-            .map_or(self.maintenance_at, |due| due.min(self.maintenance_at));
+        let due = [self.flows.next_due(), self.view.weights_due_at()];
+        let next = due
+            .into_iter()
+            .flatten()
+            .fold(self.maintenance_at, ClockMillis::min);
         Instant::now() + next.since(now).duration().max(Duration::from_millis(1))
     }
 
@@ -333,7 +334,7 @@
                     log_event!(info, FleetEvent::TargetChanged, agent = %record.agent, service = %record.service, standing = ?record.status);
                 }
             }
-            self.flows.set_targets(self.view.known_targets());
+            self.update_targets(now);
         }
         self.update_ready();
         if learned || self.flows.can_reset_flows() != could_reset {
--- a/src/fleet/fleet_event.rs
+++ b/src/fleet/fleet_event.rs
@@ -40,6 +40,8 @@
         WaitEnded = 6044 => "wait of an opening ended",
         AgentsUnread = 6040 => "file of running processes not read; the directory waits longer for agents",
         AgentsUnwritten = 6041 => "file of running processes not written",
+        TargetSetAside = 6060 => "target set aside: too many of its requests fail",
+        TargetTakenBack = 6061 => "target taken back: its failures have ended or others are worse",
         LinesOmitted = 6090 => "log lines omitted",
         DatagramTooLong = 6092 => "datagram too long to send",
         DatagramRefused = 6091 => "datagram refused",
