--- a/src/directory/target_view.rs
+++ b/src/directory/target_view.rs
@@ -90,15 +90,16 @@
     /// Computes the weights of the accepting targets if they are outdated and due;
     /// returns the targets that were set aside or taken back.
     pub(crate) fn update_weights(&mut self, now: ClockMillis) -> Vec<SetAsideChange> {
-        if self.weights.due_at().is_none_or(|due_at| due_at > now) {
+        if !self.weights.is_due(now) {
             return Vec::new();
         }
-        let before = self.set_aside();
+        let before = self.weights.set_aside().clone();
         self.outdated |= self.weights.update(self.records.values(), now);
-        let after = self.set_aside();
-        let changed = before.symmetric_difference(&after);
+        let after = self.weights.set_aside();
+        let changed = before.symmetric_difference(after);
         changed
             .filter_map(|agent| self.records.get(agent))
+            .filter(|record| self.weights.weight(record).is_some())
             .map(|record| SetAsideChange {
                 agent: record.agent,
                 service: record.service,
@@ -109,11 +110,12 @@
     }
 
     /// Returns the accepting targets that are set aside.
-    pub(crate) fn set_aside(&self) -> BTreeSet<Ipv4Addr> {
-        self.weight_infos()
-            .filter(|info| info.set_aside)
-            .map(|info| info.agent)
-            .collect()
+    pub(crate) fn set_aside(&self) -> impl Iterator<Item = Ipv4Addr> {
+        let agents = self.weights.set_aside().iter().copied();
+        agents.filter(|agent| {
+            let record = self.records.get(agent);
+            record.is_some_and(|record| self.weights.weight(record).is_some())
+        })
     }
 
     /// Returns the weights in force of the accepting targets.
@@ -124,7 +126,7 @@
                 agent: record.agent,
                 service: record.service,
                 weight,
-                set_aside: self.weights.is_set_aside(record.agent),
+                set_aside: self.weights.set_aside().contains(&record.agent),
                 speed: record.attributes.speed,
                 failures: record.attributes.failures,
             })
--- a/src/directory/tests/weighted_service.rs
+++ b/src/directory/tests/weighted_service.rs
@@ -80,7 +80,7 @@
 
     /// Returns the numbers of the targets that are set aside.
     pub(super) fn set_aside(&self) -> Vec<u8> {
-        let agents = self.view.set_aside().into_iter();
+        let agents = self.view.set_aside();
         agents.map(|agent| agent.octets()[3]).collect()
     }
 
--- a/src/directory/weight_table.rs
+++ b/src/directory/weight_table.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::Ipv4Addr,
 };
 
@@ -18,6 +18,8 @@
 pub(super) struct WeightTable {
     /// The weights of the targets that are not weighted by their status.
     in_force: HashMap<Ipv4Addr, TargetWeight>,
+    /// The targets among them that are set aside.
+    set_aside: BTreeSet<Ipv4Addr>,
     /// Whether records changed since the last computation.
     outdated: bool,
     /// When weights may be computed again.
@@ -41,21 +43,24 @@
         weight.copied().unwrap_or_default().of(record)
     }
 
-    /// Returns whether a target is set aside.
-    pub(super) fn is_set_aside(&self, agent: Ipv4Addr) -> bool {
-        self.in_force.get(&agent) == Some(&TargetWeight::SetAside)
+    /// Returns the targets that are set aside. One that stopped accepting flows is
+    /// among them until the next computation.
+    pub(super) fn set_aside(&self) -> &BTreeSet<Ipv4Addr> {
+        &self.set_aside
     }
 
-    /// Computes the weights of the accepting targets among `records`, if they are
-    /// outdated and may be computed now; returns whether any weight changed.
+    /// Returns whether outdated weights may be computed now.
+    pub(super) fn is_due(&self, now: ClockMillis) -> bool {
+        self.due_at().is_some_and(|due_at| due_at <= now)
+    }
+
+    /// Computes the weights of the accepting targets among `records`; returns whether
+    /// any weight changed.
     pub(super) fn update<'a>(
         &mut self,
         records: impl Iterator<Item = &'a TargetRecord>,
         now: ClockMillis,
     ) -> bool {
-        if self.due_at().is_none_or(|due_at| due_at > now) {
-            return false;
-        }
         self.outdated = false;
         self.due_at = now.after(WEIGHT_INTERVAL_MILLIS);
         let mut accepting: BTreeMap<ServiceTag, Vec<&TargetRecord>> = BTreeMap::new();
@@ -70,6 +75,12 @@
             .collect();
         let changed = next != self.in_force;
         self.in_force = next;
+        self.set_aside = self
+            .in_force
+            .iter()
+            .filter(|(_, weight)| **weight == TargetWeight::SetAside)
+            .map(|(agent, _)| *agent)
+            .collect();
         changed
     }
 }
--- a/src/fleet/entry_maintenance.rs
+++ b/src/fleet/entry_maintenance.rs
@@ -104,7 +104,7 @@
         publish_gauge("cyclamen_entry_suspects", self.flows.suspects());
         publish_gauge(
             "cyclamen_entry_targets_set_aside",
-            self.view.set_aside().len(),
+            self.view.set_aside().count(),
         );
         if let Some(at) = self.control_heard_at {
             histogram!("cyclamen_entry_control_age_ms").record(now.since(at).millis_float());
