--- a/src/directory/tests.rs
+++ b/src/directory/tests/mod.rs
@@ -1,5 +1,12 @@
 //! Tests of the directory of targets.
 
+mod lookup_ranking;
+mod published_figures;
+mod target_weights;
+mod weight_pace;
+mod weight_steps;
+mod weighted_service;
+
 use std::{collections::BTreeSet, net::Ipv4Addr};
 
 use rstest::rstest;
