--- a/src/directory/directory_update.rs
+++ b/src/directory/directory_update.rs
@@ -1,6 +1,8 @@
+use std::{collections::HashMap, net::Ipv4Addr};
+
 use serde::{Deserialize, Serialize};
 
-use super::TargetRecord;
+use super::{EvacuatedDomains, EvacuationUpdate, MaskedTarget, TargetRecord, TargetStatus};
 
 /// The position up to which a watcher has followed the directory of one replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -24,4 +26,36 @@
     pub(crate) settled: bool,
     /// The new or changed records.
     pub(crate) records: Vec<TargetRecord>,
+    /// The evacuated domains. They follow the update in messages, where older builds
+    /// ignore them.
+    #[serde(skip)]
+    pub(crate) evacuation: EvacuationUpdate,
+}
+
+impl DirectoryUpdate {
+    /// Shows the records of evacuated domains that accept flows as leaving.
+    pub(super) fn mask(&mut self, evacuated: &EvacuatedDomains) {
+        self.evacuation.evacuated = evacuated.clone();
+        for record in &mut self.records {
+            if evacuated.masks(record) {
+                self.evacuation.masked.push(MaskedTarget {
+                    agent: record.agent,
+                    status: record.status,
+                });
+                record.status = TargetStatus::Leaving;
+            }
+        }
+    }
+
+    /// Restores the announced status of the masked records.
+    pub(super) fn unmask(&mut self) {
+        let masked = self.evacuation.masked.drain(..);
+        let announced: HashMap<Ipv4Addr, TargetStatus> =
+            masked.map(|target| (target.agent, target.status)).collect();
+        for record in &mut self.records {
+            if let Some(status) = announced.get(&record.agent) {
+                record.status = *status;
+            }
+        }
+    }
 }
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -6,12 +6,14 @@
 //! removes none, until the replica has heard from every running agent.
 
 mod directory_update;
+mod evacuated_domains;
 mod target_attributes;
 mod target_directory;
 mod target_record;
 mod target_view;
 
 pub(crate) use directory_update::{DirectoryPosition, DirectoryUpdate};
+pub(crate) use evacuated_domains::{EvacuatedDomains, EvacuationUpdate, MaskedTarget};
 pub(crate) use target_attributes::{AttributeEntry, TargetAttributes};
 pub(crate) use target_directory::{ANNOUNCE_MILLIS, TargetDirectory};
 pub(crate) use target_record::{TargetRecord, TargetStatus};
--- a/src/directory/target_directory.rs
+++ b/src/directory/target_directory.rs
@@ -3,8 +3,14 @@
     net::Ipv4Addr,
 };
 
-use super::{DirectoryPosition, DirectoryUpdate, TargetRecord, TargetStatus};
-use crate::clock::{ClockMillis, SpanMillis};
+use super::{
+    DirectoryPosition, DirectoryUpdate, EvacuatedDomains, EvacuationUpdate, TargetRecord,
+    TargetStatus,
+};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    listener::EvacuationSet,
+};
 
 /// How often an agent announces its target.
 pub(crate) const ANNOUNCE_MILLIS: SpanMillis = SpanMillis::new(500);
@@ -72,6 +78,8 @@
     knows_previous_agents: bool,
     /// Whether a revision told watchers that the directory has settled.
     settled_published: bool,
+    /// The domains whose targets are shown as leaving.
+    evacuated: EvacuatedDomains,
 }
 
 impl TargetDirectory {
@@ -86,6 +94,7 @@
             expected: BTreeSet::new(),
             knows_previous_agents: false,
             settled_published: false,
+            evacuated: EvacuatedDomains::default(),
         }
     }
 
@@ -104,6 +113,24 @@
         running.map(|entry| entry.record.agent).collect()
     }
 
+    /// Sets the evacuated domains; returns whether that changed the directory.
+    ///
+    /// A change starts a new revision, in which watchers get the records that are
+    /// masked or unmasked by it.
+    pub(crate) fn set_evacuations(&mut self, set: &EvacuationSet) -> bool {
+        if set.revision() == self.evacuated.revision {
+            return false;
+        }
+        let previous = std::mem::replace(&mut self.evacuated, EvacuatedDomains::of(set));
+        self.revision += 1;
+        for entry in self.entries.values_mut() {
+            if previous.masks(&entry.record) != self.evacuated.masks(&entry.record) {
+                entry.revision = self.revision;
+            }
+        }
+        true
+    }
+
     /// Returns whether every running agent has announced its target.
     pub(crate) fn is_settled(&self, now: ClockMillis) -> bool {
         let heard_all = self.knows_previous_agents && self.expected.is_empty();
@@ -210,12 +237,15 @@
             .filter(|entry| !is_delta || entry.revision > seen)
             .map(|entry| entry.record)
             .collect();
-        DirectoryUpdate {
+        let mut update = DirectoryUpdate {
             position: self.position(),
             full: !is_delta,
             settled: self.is_settled(now),
             records,
-        }
+            evacuation: EvacuationUpdate::default(),
+        };
+        update.mask(&self.evacuated);
+        update
     }
 
     fn set(
--- a/src/directory/target_record.rs
+++ b/src/directory/target_record.rs
@@ -20,6 +20,16 @@
     Ended,
 }
 
+impl TargetStatus {
+    /// Returns whether a target with this status accepts new flows.
+    pub(crate) fn accepts_flows(self) -> bool {
+        match self {
+            Self::Warming | Self::Serving => true,
+            Self::Leaving | Self::Silent | Self::Ended => false,
+        }
+    }
+}
+
 /// An agent's announcement of its target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct TargetRecord {
--- a/src/directory/target_view.rs
+++ b/src/directory/target_view.rs
@@ -3,7 +3,7 @@
     net::Ipv4Addr,
 };
 
-use super::{DirectoryUpdate, TargetRecord, TargetStatus};
+use super::{DirectoryUpdate, EvacuatedDomains, TargetRecord, TargetStatus};
 use crate::{
     flow::{KnownTargets, RankedTarget, ServiceTargets, TargetIncarnation, TargetRanking},
     listener::ServiceTag,
@@ -20,6 +20,7 @@
     /// The agents in the watched directory.
     listed: BTreeSet<Ipv4Addr>,
     complete: bool,
+    evacuated: EvacuatedDomains,
 }
 
 impl TargetView {
@@ -33,11 +34,21 @@
         self.records.values()
     }
 
+    /// Returns the evacuated domains.
+    pub(crate) fn evacuated(&self) -> &EvacuatedDomains {
+        &self.evacuated
+    }
+
     /// Applies an update of a directory; returns the records that changed.
     ///
     /// Records that an unsettled directory does not list are kept, and so are those
-    /// that are newer than what the directory lists.
-    pub(crate) fn apply_update(&mut self, update: DirectoryUpdate) -> Vec<TargetRecord> {
+    /// that are newer than what the directory lists. The evacuated domains with the
+    /// highest revision are in force: a replica may be behind the one watched before.
+    pub(crate) fn apply_update(&mut self, mut update: DirectoryUpdate) -> Vec<TargetRecord> {
+        update.unmask();
+        if update.evacuation.evacuated.revision > self.evacuated.revision {
+            self.evacuated = update.evacuation.evacuated;
+        }
         if update.full {
             self.listed.clear();
         }
@@ -68,6 +79,10 @@
             services: self.services(),
             incarnations: self.records.values().map(incarnation_of).collect(),
             complete: self.complete,
+            any_evacuated: self
+                .records
+                .values()
+                .any(|record| self.evacuated.masks(record)),
         }
     }
 
@@ -77,6 +92,7 @@
         let mut possible_owners: HashMap<ServiceTag, Vec<RankedTarget>> = HashMap::new();
         for record in self.records.values() {
             let weight = match record.status {
+                _ if self.evacuated.masks(record) => None,
                 TargetStatus::Warming => Some(WARMING_WEIGHT),
                 TargetStatus::Serving => Some(1.0),
                 TargetStatus::Leaving | TargetStatus::Silent | TargetStatus::Ended => None,
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the directory of targets.
 
+mod evacuations;
+
 use std::{collections::BTreeSet, net::Ipv4Addr};
 
 use rstest::rstest;
--- /dev/null
+++ b/src/fleet/agent_policy.rs
@@ -0,0 +1,60 @@
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    directory::TargetRecord,
+    listener::{ColdLimit, ListenerStore},
+};
+
+/// What a replica tells an agent in answer to its announcement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub(super) struct AgentPolicy {
+    /// The agent's run, as it announced it.
+    pub(super) agent_run: u64,
+    /// The revision of the evacuated domains at the replica.
+    pub(super) evacuation_revision: u64,
+    /// Whether the agent's domain is evacuated.
+    pub(super) evacuated: bool,
+    /// The version of the manifest at the replica.
+    pub(super) manifest_version: u64,
+    /// The cold limit that the manifest states for the agent's service.
+    pub(super) cold_limit: Option<ColdLimit>,
+}
+
+impl AgentPolicy {
+    /// Returns the policy for the agent that announced `record`.
+    pub(super) fn for_agent(record: &TargetRecord, store: &ListenerStore) -> Self {
+        let set = store.evacuations();
+        let manifest = store.current();
+        let manifest = manifest.as_ref().map(|stored| &stored.manifest);
+        Self {
+            agent_run: record.agent_run,
+            evacuation_revision: set.revision(),
+            evacuated: record
+                .attributes
+                .domain
+                .is_some_and(|domain| set.contains(domain)),
+            manifest_version: manifest.map_or(0, |manifest| manifest.version),
+            cold_limit: manifest.and_then(|manifest| manifest.cold_limit(record.service)),
+        }
+    }
+
+    /// Takes over what is newer in `received`, of which the evacuation and the cold
+    /// limit have revisions of their own; returns whether that changed anything.
+    ///
+    /// Replicas may be behind each other, and datagrams may be late.
+    pub(super) fn merge(&mut self, received: &Self) -> bool {
+        let before = *self;
+        if received.agent_run != self.agent_run {
+            return false;
+        }
+        if received.evacuation_revision > self.evacuation_revision {
+            self.evacuation_revision = received.evacuation_revision;
+            self.evacuated = received.evacuated;
+        }
+        if received.manifest_version > self.manifest_version {
+            self.manifest_version = received.manifest_version;
+            self.cold_limit = received.cold_limit;
+        }
+        *self != before
+    }
+}
--- a/src/fleet/entry_handle.rs
+++ b/src/fleet/entry_handle.rs
@@ -10,7 +10,7 @@
 use crate::{
     control::api::CallRefusal,
     event::log_event,
-    listener::{ListenerManifest, StoredManifest},
+    listener::{EvacuationOrder, ListenerManifest, StoredManifest},
 };
 
 /// Why a manifest was not acknowledged.
@@ -23,6 +23,20 @@
     Unavailable,
 }
 
+/// Why an order about a failure domain was not acknowledged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EvacuationRefusal {
+    /// The settings name no such failure domain.
+    UnknownDomain,
+    /// As many domains are evacuated as the replicated set holds.
+    LimitReached,
+    /// The call has to go to another VM.
+    Redirect(SocketAddrV4),
+    /// It can't be committed now, or its outcome is unknown; the same order may be
+    /// sent again.
+    Unavailable,
+}
+
 /// Why a read of the manifest was refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadRefusal {
@@ -41,6 +55,8 @@
     group: GroupView,
     operator_port: u16,
     ready: Arc<AtomicBool>,
+    /// The names of all failure domains.
+    domains: Arc<[String]>,
 }
 
 impl EntryHandle {
@@ -49,12 +65,14 @@
         group: GroupView,
         operator_port: u16,
         ready: Arc<AtomicBool>,
+        domains: Vec<String>,
     ) -> Self {
         Self {
             replica,
             group,
             operator_port,
             ready,
+            domains: domains.into(),
         }
     }
 
@@ -93,6 +111,53 @@
         result
     }
 
+    /// Evacuates a failure domain: its targets get no new flows, and keep those that
+    /// are open. On success the order is synced on a majority of replicas; repeated
+    /// orders succeed again.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when this VM can't commit it, see [`EvacuationRefusal`].
+    pub async fn evacuate(&self, domain: &str) -> Result<(), EvacuationRefusal> {
+        self.order(EvacuationOrder::Evacuate(domain.to_owned()))
+            .await
+    }
+
+    /// Withdraws the evacuation of a failure domain, whose targets then get new flows
+    /// again.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when this VM can't commit it, see [`EvacuationRefusal`].
+    pub async fn readmit(&self, domain: &str) -> Result<(), EvacuationRefusal> {
+        self.order(EvacuationOrder::Readmit(domain.to_owned()))
+            .await
+    }
+
+    async fn order(&self, order: EvacuationOrder) -> Result<(), EvacuationRefusal> {
+        let result = if self.domains.iter().any(|known| known == order.domain()) {
+            self.commit_order(&order).await
+        } else {
+            Err(EvacuationRefusal::UnknownDomain)
+        };
+        log_event!(info, FleetEvent::OrderAnswered, ?order, ?result);
+        result
+    }
+
+    async fn commit_order(&self, order: &EvacuationOrder) -> Result<(), EvacuationRefusal> {
+        let Some(replica) = &self.replica else {
+            return Err(self
+                .any_member()
+                .map_or(EvacuationRefusal::Unavailable, EvacuationRefusal::Redirect));
+        };
+        match replica.order(order).await {
+            Ok(true) => Ok(()),
+            Ok(false) => Err(EvacuationRefusal::LimitReached),
+            Err(refusal) => Err(Self::redirect(&refusal)
+                .map_or(EvacuationRefusal::Unavailable, EvacuationRefusal::Redirect)),
+        }
+    }
+
     /// Returns the document of the newest committed manifest.
     ///
     /// # Errors
--- a/src/fleet/entry_maintenance.rs
+++ b/src/fleet/entry_maintenance.rs
@@ -16,7 +16,7 @@
     fleet_datagram::FleetDatagram,
     inspect_server::{InspectRequest, Inspection},
 };
-use crate::{clock::ClockMillis, event::log_event};
+use crate::{clock::ClockMillis, event::log_event, key::DomainTag};
 
 impl EntryNode {
     /// Runs the timed work that is due.
@@ -84,6 +84,10 @@
         publish_gauge("cyclamen_entry_flows", self.flows.cached_owners());
         publish_gauge("cyclamen_entry_targets", self.view.len());
         publish_gauge("cyclamen_entry_suspects", self.flows.suspects());
+        publish_gauge(
+            "cyclamen_entry_evacuated_domains",
+            self.view.evacuated().domains.len(),
+        );
         if let Some(at) = self.control_heard_at {
             histogram!("cyclamen_entry_control_age_ms").record(now.since(at).millis_float());
         }
@@ -102,6 +106,8 @@
                 "members": self.group.members(),
                 "leader": self.group.leader(),
                 "leaving": self.stopping,
+                "evacuated_domains": self.evacuated_domains(),
+                "evacuations_revision": self.view.evacuated().revision,
                 "targets": self.view.records().collect::<Vec<_>>(),
                 "flows": self.flows.cached_owners(),
                 "suspects": self.flows.suspects(),
@@ -118,6 +124,19 @@
         let _ = inspection.reply_to.send(reply);
     }
 
+    /// Returns the names of the evacuated domains; a domain that the settings do not
+    /// name is shown by its tag.
+    pub(super) fn evacuated_domains(&self) -> Vec<String> {
+        let tags = self.view.evacuated().domains.iter();
+        tags.map(|tag| {
+            let mut names = self.settings.domains.iter();
+            names
+                .find(|name| DomainTag::of(name) == *tag)
+                .map_or_else(|| tag.to_string(), Clone::clone)
+        })
+        .collect()
+    }
+
     /// Returns whether a caught-up replica answered within
     /// `MAX_CONTROL_AGE_MILLIS`.
     pub(super) fn is_control_fresh(&self, now: ClockMillis) -> bool {
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -13,6 +13,7 @@
 
 use super::{
     EntryHandle, FleetError, FleetEvent, FleetSettings, SettingsSource,
+    agent_policy::AgentPolicy,
     entry_sockets::{FleetSocket, open_socket},
     fleet_counters::EntryCounters,
     fleet_datagram::{FleetDatagram, MAX_DATAGRAM_BYTES},
@@ -128,6 +129,7 @@
             group.clone(),
             operator_port,
             Arc::clone(&ready),
+            settings.domains.clone(),
         );
         let table = ListenerTable::new(settings.max_flow_age);
         let node = Self {
@@ -255,7 +257,13 @@
                     directory.update(|directory| directory.announce(*record, now));
                 }
                 self.send_members(from);
+                if let Some(replica) = &self.replica {
+                    let policy = AgentPolicy::for_agent(record, replica.store());
+                    self.fleet_socket.send(from, &FleetDatagram::Policy(policy));
+                }
             }
+            // Only agents get policies.
+            FleetDatagram::Policy(_) => {}
             FleetDatagram::Locate => {
                 self.restart_notifier.note_heard(from);
                 if let Some(directory) = &self.directory {
@@ -327,12 +335,17 @@
             learned = true;
         }
         if let Some(targets) = reply.targets {
+            let evacuations_before = self.view.evacuated().revision;
             for record in self.view.apply_update(targets) {
                 learned = true;
                 if self.log_limiter.allows(FleetEvent::TargetChanged, now) {
                     log_event!(info, FleetEvent::TargetChanged, agent = %record.agent, service = %record.service, standing = ?record.status);
                 }
             }
+            let revision = self.view.evacuated().revision;
+            if revision != evacuations_before {
+                log_event!(info, FleetEvent::EvacuationsInForce, revision, domains = ?self.evacuated_domains());
+            }
             self.flows.set_targets(self.view.known_targets());
         }
         self.update_ready();
--- a/src/fleet/fleet_datagram.rs
+++ b/src/fleet/fleet_datagram.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::agent_policy::AgentPolicy;
 use crate::{directory::TargetRecord, flow::FlowReport};
 
 /// The largest datagram between processes, in bytes.
@@ -28,6 +29,9 @@
         /// The members of the control group.
         members: Vec<Ipv4Addr>,
     },
+    /// A replica tells an agent what is in force for its target, in answer to its
+    /// announcement.
+    Policy(AgentPolicy),
 }
 
 impl FleetDatagram {
--- a/src/fleet/fleet_settings.rs
+++ b/src/fleet/fleet_settings.rs
@@ -40,6 +40,8 @@
     pub address: Ipv4Addr,
     /// The failure domain.
     pub domain: String,
+    /// The names of all failure domains, which operators may evacuate.
+    pub domains: Vec<String>,
     /// The ports for traffic between processes.
     pub ports: FleetPorts,
     /// The VMs to contact for discovery; the port is the one for operators.
--- a/src/fleet/local_replica.rs
+++ b/src/fleet/local_replica.rs
@@ -16,7 +16,7 @@
         },
     },
     event::log_event,
-    listener::{ListenerStore, StoredManifest},
+    listener::{EvacuationOrder, ListenerStore, StoredManifest},
     secret::{DeploymentSecret, SecretEpoch, SecretStore},
 };
 
@@ -119,6 +119,21 @@
         handle.propose(command).await.map(|_| ())
     }
 
+    /// Commits an order about a failure domain; returns whether it is in force, which
+    /// it is not if too many domains are evacuated. It is proposed even if it changes
+    /// nothing here, since this replica may be behind.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when it was not accepted, or when its outcome is unknown.
+    pub(super) async fn order(&self, order: &EvacuationOrder) -> Result<bool, CallRefusal> {
+        let handle = self.handle().ok_or(CallRefusal::NoQuorum)?;
+        // If the order can't be encoded, nothing was proposed.
+        let command = order.encode().map_err(|_| CallRefusal::NoQuorum)?;
+        let outcome = handle.propose(command).await?;
+        Ok(!ListenerStore::is_refused_outcome(&outcome))
+    }
+
     /// Confirms with a majority that the routes applied here are the newest.
     ///
     /// # Errors
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! sockets, clocks and tasks; `flow`, `directory`, `listener` and `control` make
 //! the decisions.
 
+mod agent_policy;
 mod entry_handle;
 mod entry_maintenance;
 mod entry_node;
@@ -32,7 +33,7 @@
 mod watch_frame;
 mod watch_server;
 
-pub use entry_handle::{ApplyRefusal, EntryHandle, ReadRefusal};
+pub use entry_handle::{ApplyRefusal, EntryHandle, EvacuationRefusal, ReadRefusal};
 pub use entry_node::EntryNode;
 pub use fleet_error::FleetError;
 pub use fleet_settings::{FleetPorts, FleetSettings, SideSettings};
--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -1,5 +1,5 @@
 use std::{
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4},
     sync::Arc,
     time::Duration,
 };
@@ -14,6 +14,7 @@
 
 use super::{
     FleetError, FleetEvent, SettingsSource, SideHandle, SideSettings,
+    agent_policy::AgentPolicy,
     entry_node::wait_for_signal,
     entry_sockets::{FleetSocket, open_socket},
     fleet_counters::SideCounters,
@@ -68,6 +69,7 @@
     pub(super) tracker: TargetTracker,
     pub(super) agent_run: u64,
     pub(super) sequence: u64,
+    pub(super) policy: AgentPolicy,
     pub(super) announced: Option<(TargetStatus, Option<IncarnationId>)>,
     pub(super) repeats_left: u32,
     pub(super) announce_at: ClockMillis,
@@ -94,6 +96,7 @@
         let now = clock.now();
         let fleet = &settings.fleet;
         let service = ServiceTag::of(&settings.service);
+        let agent_run = rand::random();
         let (sender, commands) = mpsc::channel(QUEUE_CAPACITY);
         let node = Self {
             service,
@@ -107,8 +110,12 @@
             group_heard_at: now,
             flows: AgentFlows::new(fleet.address, service, rand::random(), fleet.max_flow_age),
             tracker: TargetTracker::new(settings.heartbeat, now),
-            agent_run: rand::random(),
+            agent_run,
             sequence: 0,
+            policy: AgentPolicy {
+                agent_run,
+                ..AgentPolicy::default()
+            },
             announced: None,
             repeats_left: 0,
             announce_at: now,
@@ -212,6 +219,9 @@
                 "standing": self.announced.map(|(status, _)| status),
                 "suspect": self.flows.is_suspect(),
                 "silence_ms": self.flows.silence(now),
+                "evacuated_domains": Vec::from_iter(self.evacuated_domain()),
+                "evacuations_revision": self.policy.evacuation_revision,
+                "cold_limit": self.policy.cold_limit,
                 "members": self.group.members(),
                 "flows": self.flows.tracked_flows(),
                 "busy": self.flows.in_flight(),
@@ -239,12 +249,31 @@
                         self.announce_to(&[*replica.ip()]);
                     }
                 }
+                Some(FleetDatagram::Policy(policy)) => self.note_policy(&policy, from),
                 // Agents get no other datagrams.
                 Some(_) | None => {}
             }
         }
     }
 
+    /// Applies a policy of a replica; one of any other process is ignored.
+    fn note_policy(&mut self, policy: &AgentPolicy, from: SocketAddr) {
+        let is_replica = |contact: &Ipv4Addr| from.ip() == IpAddr::V4(*contact);
+        if !self.group.contacts().iter().any(is_replica) || !self.policy.merge(policy) {
+            return;
+        }
+        log_event!(info, FleetEvent::PolicyInForce, %from, policy = ?self.policy);
+        self.flows.set_evacuated(self.policy.evacuated);
+        // Openings that wait are refused if the domain is evacuated.
+        self.admit_waiting(self.clock.now());
+    }
+
+    /// Returns the name of this agent's domain if it is evacuated.
+    fn evacuated_domain(&self) -> Option<&str> {
+        let fleet = &self.settings.fleet;
+        self.policy.evacuated.then_some(fleet.domain.as_str())
+    }
+
     fn note_members(&mut self, members: &[Ipv4Addr]) {
         self.group_heard_at = self.clock.now();
         if self.group.update_members(members.to_vec(), None) {
--- a/src/fleet/side_target.rs
+++ b/src/fleet/side_target.rs
@@ -115,6 +115,7 @@
         publish_gauge("cyclamen_side_flows", self.flows.tracked_flows());
         publish_gauge("cyclamen_side_busy", self.flows.in_flight());
         publish_gauge("cyclamen_side_waiting", self.flows.waiting());
+        publish_gauge("cyclamen_side_evacuated", self.policy.evacuated.into());
         publish_gauge("cyclamen_side_suspect", self.flows.is_suspect().into());
     }
 
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the target tracker, the known balancers and the restart notifier.
 
 mod datagrams;
+mod evacuations;
 
 use std::net::Ipv4Addr;
 
--- a/src/fleet/watch_frame.rs
+++ b/src/fleet/watch_frame.rs
@@ -55,19 +55,26 @@
     write_payload(stream, &payload, limit).await
 }
 
-/// Writes a reply, followed by the attributes of its records, which builds without
-/// them ignore.
+/// Writes a reply, followed by the attributes of its records and the evacuated domains,
+/// which builds without them ignore.
 pub(super) async fn write_reply(
     stream: &mut TcpStream,
     reply: &WatchReply,
     limit: Duration,
 ) -> io::Result<()> {
-    let mut payload = postcard::to_stdvec(reply).map_err(io::Error::other)?;
+    let payload = encode_reply(reply).map_err(io::Error::other)?;
+    write_payload(stream, &payload, limit).await
+}
+
+/// Encodes a reply for `write_reply`.
+pub(super) fn encode_reply(reply: &WatchReply) -> Result<Vec<u8>, postcard::Error> {
+    let mut payload = postcard::to_stdvec(reply)?;
     if let Some(targets) = &reply.targets {
         let entries = AttributeEntry::list(&targets.records);
-        payload.extend(postcard::to_stdvec(&entries).map_err(io::Error::other)?);
+        payload.extend(postcard::to_stdvec(&entries)?);
+        payload.extend(postcard::to_stdvec(&targets.evacuation)?);
     }
-    write_payload(stream, &payload, limit).await
+    Ok(payload)
 }
 
 async fn write_payload(stream: &mut TcpStream, payload: &[u8], limit: Duration) -> io::Result<()> {
@@ -87,16 +94,24 @@
     postcard::from_bytes(&payload).map_err(io::Error::other)
 }
 
-/// Reads a reply with the attributes of its records; fails after `limit`.
+/// Reads a reply with the attributes of its records and the evacuated domains; fails
+/// after `limit`.
 pub(super) async fn read_reply(stream: &mut TcpStream, limit: Duration) -> io::Result<WatchReply> {
     let payload = read_payload(stream, limit).await?;
-    let (mut reply, rest): (WatchReply, &[u8]) =
-        postcard::take_from_bytes(&payload).map_err(io::Error::other)?;
+    decode_reply(&payload).map_err(io::Error::other)
+}
+
+/// Decodes a reply; what an older build does not send is unknown.
+pub(super) fn decode_reply(payload: &[u8]) -> Result<WatchReply, postcard::Error> {
+    let (mut reply, rest): (WatchReply, &[u8]) = postcard::take_from_bytes(payload)?;
     if let Some(targets) = &mut reply.targets
         && !rest.is_empty()
     {
-        let entries: Vec<AttributeEntry> = postcard::from_bytes(rest).map_err(io::Error::other)?;
+        let (entries, rest): (Vec<AttributeEntry>, &[u8]) = postcard::take_from_bytes(rest)?;
         AttributeEntry::apply(&entries, &mut targets.records);
+        if !rest.is_empty() {
+            targets.evacuation = postcard::from_bytes(rest)?;
+        }
     }
     Ok(reply)
 }
--- a/src/fleet/watch_server.rs
+++ b/src/fleet/watch_server.rs
@@ -146,16 +146,20 @@
     async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut routes = self.replica.store().subscribe();
+        let mut evacuations = self.replica.store().subscribe_evacuations();
         let mut changes = self.directory.changes.subscribe();
         loop {
             let poll: WatchPoll = read_frame(&mut stream, FRAME_TIMEOUT_MILLIS.duration()).await?;
             self.directory.note_balancer(poll.watcher, self.clock.now());
             routes.mark_unchanged();
+            evacuations.mark_unchanged();
             changes.mark_unchanged();
+            self.apply_evacuations();
             if !self.has_changes(&poll) {
                 let _ = timeout(LONG_POLL_MILLIS.duration(), async {
                     tokio::select! {
                         _ = routes.changed() => {}
+                        _ = evacuations.changed() => {}
                         _ = changes.changed() => {}
                     }
                 })
@@ -170,6 +174,14 @@
         }
     }
 
+    /// Brings the directory up to date with the evacuated domains that this replica
+    /// has applied.
+    fn apply_evacuations(&self) {
+        let set = self.replica.store().evacuations();
+        self.directory
+            .update(|directory| directory.set_evacuations(&set));
+    }
+
     fn has_changes(&self, poll: &WatchPoll) -> bool {
         self.replica.store().revision().count() > poll.routes_version
             || self
@@ -179,6 +191,7 @@
     }
 
     fn reply(&self, poll: &WatchPoll) -> WatchReply {
+        self.apply_evacuations();
         let now = self.clock.now();
         let stored = self.replica.store().current();
         let routes = stored
--- a/src/flow/agent_flows.rs
+++ b/src/flow/agent_flows.rs
@@ -29,6 +29,8 @@
     pub(super) own_address: Ipv4Addr,
     pub(super) service: ServiceTag,
     pub(super) lifecycle: TargetLifecycle,
+    /// Whether the target's failure domain is evacuated.
+    pub(super) evacuated: bool,
     pub(super) incarnation: Option<IncarnationId>,
     pub(super) health: TargetHealth,
     pub(super) tracked: HashMap<FlowKey, TrackedFlow>,
@@ -54,6 +56,7 @@
             own_address,
             service,
             lifecycle: TargetLifecycle::Unproved,
+            evacuated: false,
             incarnation: None,
             health: TargetHealth::default(),
             tracked: HashMap::new(),
@@ -98,6 +101,12 @@
             .collect()
     }
 
+    /// Sets whether the target's failure domain is evacuated: no new flow is then
+    /// delivered to it, whatever else holds.
+    pub(crate) fn set_evacuated(&mut self, evacuated: bool) {
+        self.evacuated = evacuated;
+    }
+
     /// Returns whether the target is suspected of not answering.
     pub(crate) fn is_suspect(&self) -> bool {
         self.health.is_suspect()
--- a/src/flow/agent_openings.rs
+++ b/src/flow/agent_openings.rs
@@ -18,6 +18,9 @@
     ) -> AgentStep {
         let flow = packet.caller_flow();
         let retransmitted = self.tracked.contains_key(&flow) || self.openings.contains(flow);
+        if self.evacuated && !retransmitted {
+            return self.pass_on(header, packet);
+        }
         let accepts = match self.lifecycle {
             TargetLifecycle::Unproved | TargetLifecycle::Serving => {
                 retransmitted || !self.health.is_suspect() || header.candidates().is_empty()
@@ -72,10 +75,11 @@
     /// Removes the next opening that need not wait any longer from the queue: it
     /// is refused if it can't be served in time, or delivered to a free slot.
     pub(crate) fn dequeue_opening(&mut self, now: ClockMillis) -> Option<DequeuedOpening> {
-        let accepts = matches!(
+        let serving = matches!(
             self.lifecycle,
             TargetLifecycle::Unproved | TargetLifecycle::Serving
         );
+        let accepts = serving && !self.evacuated;
         let unservable = self
             .evicted
             .pop()
--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -96,14 +96,13 @@
         self.was_ever_current |= current;
     }
 
-    /// Returns whether routes are in force and any target accepts new flows.
+    /// Returns whether routes are in force and any target accepts new flows, or would
+    /// if its domain were not evacuated: openings are then refused, which no other
+    /// balancer would do better.
     pub(crate) fn is_ready(&self) -> bool {
+        let mut services = self.targets.services.values();
         self.table.version() > 0
-            && self
-                .targets
-                .services
-                .values()
-                .any(|targets| targets.accepting.len() > 0)
+            && (self.targets.any_evacuated || services.any(|targets| targets.accepting.len() > 0))
     }
 
     /// Returns whether a flow that no known target holds may be reset.
--- a/src/flow/known_targets.rs
+++ b/src/flow/known_targets.rs
@@ -30,6 +30,8 @@
     pub(crate) incarnations: HashMap<Ipv4Addr, TargetIncarnation>,
     /// Whether every running target is included.
     pub(crate) complete: bool,
+    /// Whether a target gets no new flows only because its domain is evacuated.
+    pub(crate) any_evacuated: bool,
 }
 
 impl KnownTargets {
--- a/src/flow/tests/balancer_verdicts.rs
+++ b/src/flow/tests/balancer_verdicts.rs
@@ -23,6 +23,7 @@
 
 pub(super) fn manifest(version: u64, routes: Vec<ListenerRoute>) -> ListenerManifest {
     ListenerManifest {
+        cold_limits: Vec::new(),
         version,
         routes,
         idle: SpanMillis::new(15_000),
@@ -54,6 +55,7 @@
 /// Returns complete knowledge of the targets.
 pub(super) fn known_targets(services: HashMap<ServiceTag, ServiceTargets>) -> KnownTargets {
     KnownTargets {
+        any_evacuated: false,
         services,
         incarnations: HashMap::new(),
         complete: true,
--- a/src/flow/tests/mod.rs
+++ b/src/flow/tests/mod.rs
@@ -3,6 +3,7 @@
 mod agent_steps;
 mod balancer_startup;
 mod balancer_verdicts;
+mod evacuation;
 mod frames;
 mod full_target;
 mod large_service;
--- a/src/key/domain_tag.rs
+++ b/src/key/domain_tag.rs
@@ -13,3 +13,9 @@
         Self(xxh3_64(name.as_bytes()))
     }
 }
+
+impl std::fmt::Display for DomainTag {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
--- a/src/listener/listener_manifest.rs
+++ b/src/listener/listener_manifest.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ListenerError, RouteUrgency, ServiceTag};
+use super::{ColdLimit, ListenerError, RouteUrgency, ServiceColdLimit, ServiceTag};
 use crate::clock::SpanMillis;
 
 /// The share of a route's new flows that a service gets.
@@ -34,9 +34,20 @@
     pub routes: Vec<ListenerRoute>,
     /// The time without a packet after which a flow may be dropped.
     pub idle: SpanMillis,
+    /// The cold limits of the services that state one. Encoded manifests do not
+    /// include them, so that older builds can read those.
+    #[serde(skip)]
+    pub cold_limits: Vec<ServiceColdLimit>,
 }
 
 impl ListenerManifest {
+    /// Returns the cold limit of a service, if it states one.
+    pub(crate) fn cold_limit(&self, service: ServiceTag) -> Option<ColdLimit> {
+        let mut limits = self.cold_limits.iter();
+        let stated = limits.find(|stated| stated.service == service);
+        stated.map(|stated| stated.limit)
+    }
+
     /// Checks that no two routes share an address and that each has a service with
     /// a weight above zero.
     ///
--- a/src/listener/listener_store.rs
+++ b/src/listener/listener_store.rs
@@ -1,56 +1,45 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use super::ListenerManifest;
+use super::{EvacuationOrder, EvacuationSet, OrderEffect, ServiceColdLimit, StoredManifest};
 use crate::{
     control::{ControlEvent, StateError},
     event::log_event,
     key::FeedRevision,
 };
 
-/// A manifest and the document that it was parsed from.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct StoredManifest {
-    /// The routes.
-    pub(crate) manifest: ListenerManifest,
-    /// The operator's document, returned when it is read back.
-    pub(crate) document: Vec<u8>,
-}
-
-impl StoredManifest {
-    /// Encodes the manifest as a command for the replicated log.
-    ///
-    /// # Errors
-    ///
-    /// Fails when it can't be encoded.
-    pub(crate) fn encode(&self) -> Result<Vec<u8>, StateError> {
-        postcard::to_stdvec(self).map_err(StateError::Command)
-    }
-}
+/// The outcome of an order that exceeds the bounds of the set; that of all other
+/// commands is empty.
+const REFUSED_OUTCOME: [u8; 1] = [1];
 
 /// Replicated state of a deployment that only has listener routes: the manifest
-/// with the highest version.
+/// with the highest version, and the evacuated failure domains.
 #[derive(Debug, Clone)]
 pub(crate) struct ListenerStore {
     stored: Arc<Mutex<Option<Arc<StoredManifest>>>>,
     changes: watch::Sender<Option<Arc<StoredManifest>>>,
+    evacuations: watch::Sender<Arc<EvacuationSet>>,
 }
 
 impl ListenerStore {
-    /// Creates a store without a manifest.
+    /// Creates a store without a manifest or evacuated domains.
     pub(crate) fn new() -> Self {
         Self {
             stored: Arc::default(),
             changes: watch::Sender::new(None),
+            evacuations: watch::Sender::new(Arc::default()),
         }
     }
 
     /// Applies one committed command; a manifest whose version is not higher than
-    /// the current one changes nothing. Returns an empty outcome.
+    /// the current one changes nothing. Returns the outcome, see
+    /// `is_refused_outcome`.
     pub(crate) fn apply(&self, command: &[u8]) -> Vec<u8> {
-        match postcard::from_bytes::<StoredManifest>(command) {
+        if EvacuationOrder::is_order(command) {
+            return self.apply_order(command);
+        }
+        match StoredManifest::decode(command) {
             Ok(stored) => self.replace_if_newer(stored),
             // All replicas ignore it, so they stay consistent.
             Err(error) => log_event!(error, ControlEvent::CommandUnread, %error),
@@ -58,6 +47,38 @@
         Vec::new()
     }
 
+    fn apply_order(&self, command: &[u8]) -> Vec<u8> {
+        let order = match EvacuationOrder::decode(command) {
+            Ok(order) => order,
+            Err(error) => {
+                log_event!(error, ControlEvent::CommandUnread, %error);
+                return Vec::new();
+            }
+        };
+        let mut set = EvacuationSet::clone(&self.evacuations());
+        match set.apply(order) {
+            OrderEffect::Changed => {
+                log_event!(info, ControlEvent::EvacuationsChanged, revision = set.revision(), domains = ?set.domains());
+                self.evacuations.send_replace(Arc::new(set));
+            }
+            OrderEffect::Unchanged => {}
+            OrderEffect::Refused => {
+                log_event!(
+                    error,
+                    ControlEvent::OrderRefused,
+                    evacuated = set.domains().len()
+                );
+                return REFUSED_OUTCOME.to_vec();
+            }
+        }
+        Vec::new()
+    }
+
+    /// Returns whether an outcome tells that the command was refused.
+    pub(crate) fn is_refused_outcome(outcome: &[u8]) -> bool {
+        outcome == REFUSED_OUTCOME
+    }
+
     fn replace_if_newer(&self, stored: StoredManifest) {
         let mut current = self.lock();
         let newer = current
@@ -69,26 +90,48 @@
         }
     }
 
-    /// Encodes the state as a snapshot.
+    /// Encodes the state as a snapshot: the manifest, then the evacuated domains, then
+    /// the manifest's cold limits. Older builds read the manifest and ignore the rest.
     ///
     /// # Errors
     ///
     /// Fails when it can't be encoded.
     pub(crate) fn snapshot(&self) -> Result<Vec<u8>, StateError> {
-        postcard::to_stdvec(&self.lock().as_deref()).map_err(StateError::Snapshot)
+        let current = self.current();
+        let limits: &[ServiceColdLimit] = current
+            .as_ref()
+            .map_or(&[], |stored| &stored.manifest.cold_limits);
+        let mut bytes = postcard::to_stdvec(&current.as_deref()).map_err(StateError::Snapshot)?;
+        let evacuations = self.evacuations();
+        let rest = (evacuations.as_ref(), limits);
+        bytes.extend(postcard::to_stdvec(&rest).map_err(StateError::Snapshot)?);
+        Ok(bytes)
     }
 
-    /// Replaces the state by that of a snapshot.
+    /// Replaces the state by that of a snapshot. One that ends after the manifest has
+    /// no evacuated domains; one that ends after those has no cold limits.
     ///
     /// # Errors
     ///
     /// Fails when the bytes can't be decoded; the state then stays unchanged.
     pub(crate) fn restore(&self, bytes: &[u8]) -> Result<(), StateError> {
-        let state: Option<StoredManifest> =
-            postcard::from_bytes(bytes).map_err(StateError::Snapshot)?;
+        let (mut state, rest): (Option<StoredManifest>, &[u8]) =
+            postcard::take_from_bytes(bytes).map_err(StateError::Snapshot)?;
+        let (evacuations, rest): (EvacuationSet, &[u8]) = if rest.is_empty() {
+            Default::default()
+        } else {
+            postcard::take_from_bytes(rest).map_err(StateError::Snapshot)?
+        };
+        if let Some(state) = &mut state
+            && !rest.is_empty()
+        {
+            state.manifest.cold_limits =
+                postcard::from_bytes(rest).map_err(StateError::Snapshot)?;
+        }
         let mut current = self.lock();
         *current = state.map(Arc::new);
         self.changes.send_replace(current.clone());
+        self.evacuations.send_replace(Arc::new(evacuations));
         Ok(())
     }
 
@@ -97,6 +140,11 @@
         self.lock().clone()
     }
 
+    /// Returns the evacuated failure domains.
+    pub(crate) fn evacuations(&self) -> Arc<EvacuationSet> {
+        self.evacuations.borrow().clone()
+    }
+
     /// Returns the version in force as a revision, zero without a manifest.
     pub(crate) fn revision(&self) -> FeedRevision {
         let version = self
@@ -111,6 +159,11 @@
         self.changes.subscribe()
     }
 
+    /// Returns a receiver that is notified of each change of the evacuated domains.
+    pub(crate) fn subscribe_evacuations(&self) -> watch::Receiver<Arc<EvacuationSet>> {
+        self.evacuations.subscribe()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Option<Arc<StoredManifest>>> {
         self.stored.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/listener/tests/mod.rs
+++ b/src/listener/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of the listener routes.
 
+mod evacuations;
+
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use proptest::prelude::*;
@@ -31,6 +33,7 @@
 
 fn manifest(version: u64, routes: Vec<ListenerRoute>) -> ListenerManifest {
     ListenerManifest {
+        cold_limits: Vec::new(),
         version,
         routes,
         idle: SpanMillis::new(15_000),
