--- a/src/fleet/agent_policy.rs
+++ b/src/fleet/agent_policy.rs
@@ -8,7 +8,7 @@
 /// What a replica tells an agent in answer to its announcement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub(super) struct AgentPolicy {
-    /// The agent's run, as it announced it.
+    /// The agent's run, as it announced it; an agent ignores a policy for another run.
     pub(super) agent_run: u64,
     /// The revision of the evacuated domains at the replica.
     pub(super) evacuation_revision: u64,
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -259,7 +259,8 @@
                 self.send_members(from);
                 if let Some(replica) = &self.replica {
                     let policy = AgentPolicy::for_agent(record, replica.store());
-                    self.fleet_socket.send(from, &FleetDatagram::Policy(policy));
+                    self.fleet_socket
+                        .send(record.agent, &FleetDatagram::Policy(policy));
                 }
             }
             // Only agents get policies.
--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -1,5 +1,5 @@
 use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     sync::Arc,
     time::Duration,
 };
@@ -256,10 +256,10 @@
         }
     }
 
-    /// Applies a policy of a replica; one of any other process is ignored.
+    /// Applies a policy of a replica. Only replicas know the number of this run, so that
+    /// stray datagrams have no effect.
     fn note_policy(&mut self, policy: &AgentPolicy, from: SocketAddr) {
-        let is_replica = |contact: &Ipv4Addr| from.ip() == IpAddr::V4(*contact);
-        if !self.group.contacts().iter().any(is_replica) || !self.policy.merge(policy) {
+        if !self.policy.merge(policy) {
             return;
         }
         log_event!(info, FleetEvent::PolicyInForce, %from, policy = ?self.policy);
--- a/src/listener/listener_store.rs
+++ b/src/listener/listener_store.rs
@@ -128,10 +128,11 @@
             state.manifest.cold_limits =
                 postcard::from_bytes(rest).map_err(StateError::Snapshot)?;
         }
+        // Nobody must see the routes without the evacuated domains.
+        self.evacuations.send_replace(Arc::new(evacuations));
         let mut current = self.lock();
         *current = state.map(Arc::new);
         self.changes.send_replace(current.clone());
-        self.evacuations.send_replace(Arc::new(evacuations));
         Ok(())
     }
 
