--- a/src/fleet/tests/evacuations.rs
+++ b/src/fleet/tests/evacuations.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    clock::ClockMillis,
+    clock::{ClockMillis, SpanMillis},
     directory::{
         DirectoryPosition, DirectoryUpdate, TargetAttributes, TargetDirectory, TargetRecord,
         TargetStatus,
@@ -90,7 +90,7 @@
         manifest: ListenerManifest {
             version: 7,
             routes: Vec::new(),
-            idle: crate::clock::SpanMillis::new(15_000),
+            idle: SpanMillis::new(15_000),
             cold_limits: vec![ServiceColdLimit {
                 service: record().service,
                 limit: ColdLimit { per_second: 12 },
@@ -189,6 +189,22 @@
     }
 }
 
+/// A node may spend at most 3 KB a second on control. Five replicas answer two
+/// announcements a second, each in a datagram with 28 bytes of headers.
+#[test]
+fn policies_take_a_small_part_of_the_control_budget() {
+    let policy = AgentPolicy {
+        agent_run: u64::MAX,
+        evacuation_revision: 10_000,
+        evacuated: true,
+        manifest_version: 1_000_000,
+        cold_limit: Some(ColdLimit { per_second: 1_000 }),
+    };
+    let bytes = FleetDatagram::Policy(policy).encode().expect("encodable");
+    assert_eq!(bytes.len(), 20);
+    assert!(5 * 2 * (bytes.len() + 28) < 500);
+}
+
 /// Returns the reply of a replica to a watcher that knows nothing.
 fn reply(store: &ListenerStore) -> WatchReply {
     let mut directory = TargetDirectory::new(7, START);
