--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -6,6 +6,7 @@
 //! removes none, until the replica has heard from every running agent.
 
 mod directory_update;
+mod evacuated_domains;
 mod service_weights;
 mod set_aside_change;
 mod target_attributes;
@@ -17,6 +18,7 @@
 mod weight_table;
 
 pub(crate) use directory_update::{DirectoryPosition, DirectoryUpdate};
+pub(crate) use evacuated_domains::{EvacuatedDomains, EvacuationUpdate, MaskedTarget};
 pub(crate) use set_aside_change::SetAsideChange;
 pub(crate) use target_attributes::{AttributeEntry, TargetAttributes};
 pub(crate) use target_directory::{ANNOUNCE_MILLIS, TargetDirectory};
--- a/src/directory/target_view.rs
+++ b/src/directory/target_view.rs
@@ -4,8 +4,8 @@
 };
 
 use super::{
-    DirectoryUpdate, SetAsideChange, TargetRecord, TargetStatus, TargetWeightInfo,
-    weight_table::WeightTable,
+    DirectoryUpdate, EvacuatedDomains, SetAsideChange, TargetRecord, TargetStatus,
+    TargetWeightInfo, weight_table::WeightTable,
 };
 use crate::{
     clock::ClockMillis,
@@ -28,6 +28,7 @@
     weights: WeightTable,
     /// Whether the known targets changed since they were last taken.
     outdated: bool,
+    evacuated: EvacuatedDomains,
 }
 
 impl TargetView {
@@ -41,12 +42,24 @@
         self.records.values()
     }
 
+    /// Returns the evacuated domains.
+    pub(crate) fn evacuated(&self) -> &EvacuatedDomains {
+        &self.evacuated
+    }
+
     /// Applies an update of a directory; returns the records that changed in more
     /// than their attributes.
     ///
     /// Records that an unsettled directory does not list are kept, and so are those
-    /// that are newer than what the directory lists.
-    pub(crate) fn apply_update(&mut self, update: DirectoryUpdate) -> Vec<TargetRecord> {
+    /// that are newer than what the directory lists. The evacuated domains with the
+    /// highest revision are in force: a replica may be behind the one watched before.
+    pub(crate) fn apply_update(&mut self, mut update: DirectoryUpdate) -> Vec<TargetRecord> {
+        update.unmask();
+        if update.evacuation.evacuated.revision > self.evacuated.revision {
+            self.evacuated = update.evacuation.evacuated;
+            self.outdated = true;
+            self.weights.mark_outdated();
+        }
         if update.full {
             self.listed.clear();
         }
@@ -94,7 +107,9 @@
             return Vec::new();
         }
         let before = self.weights.set_aside().clone();
-        self.outdated |= self.weights.update(self.records.values(), now);
+        let records = self.records.values();
+        let accepting = records.filter(|record| !self.evacuated.masks(record));
+        self.outdated |= self.weights.update(accepting, now);
         let after = self.weights.set_aside();
         let changed = before.symmetric_difference(after);
         changed
@@ -144,6 +159,10 @@
             services: self.services(),
             incarnations: self.records.values().map(incarnation_of).collect(),
             complete: self.complete,
+            any_evacuated: self
+                .records
+                .values()
+                .any(|record| self.evacuated.masks(record)),
         }
     }
 
@@ -153,7 +172,8 @@
         let mut possible_owners: HashMap<ServiceTag, Vec<RankedTarget>> = HashMap::new();
         for record in self.records.values() {
             let agent = record.agent;
-            if let Some(weight) = self.weights.weight(record) {
+            let weight = self.weights.weight(record);
+            if let Some(weight) = weight.filter(|_| !self.evacuated.masks(record)) {
                 let ranked = RankedTarget { agent, weight };
                 accepting.entry(record.service).or_default().push(ranked);
             }
--- a/src/directory/tests/mod.rs
+++ b/src/directory/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the directory of targets.
 
+mod evacuations;
 mod lookup_ranking;
 mod published_figures;
 mod target_weights;
--- a/src/directory/tests/weight_pace.rs
+++ b/src/directory/tests/weight_pace.rs
@@ -6,8 +6,8 @@
 use crate::{
     clock::SpanMillis,
     directory::{
-        DirectoryPosition, DirectoryUpdate, TargetAttributes, TargetRecord, TargetStatus,
-        TargetView,
+        DirectoryPosition, DirectoryUpdate, EvacuationUpdate, TargetAttributes, TargetRecord,
+        TargetStatus, TargetView,
     },
     key::IncarnationId,
     listener::ServiceTag,
@@ -32,6 +32,7 @@
 
 fn changes(records: &[TargetRecord]) -> DirectoryUpdate {
     DirectoryUpdate {
+        evacuation: EvacuationUpdate::default(),
         position: DirectoryPosition::default(),
         full: false,
         settled: true,
--- a/src/directory/tests/weighted_service.rs
+++ b/src/directory/tests/weighted_service.rs
@@ -5,7 +5,8 @@
 use crate::{
     clock::{ClockMillis, SpanMillis},
     directory::{
-        DirectoryPosition, DirectoryUpdate, SetAsideChange, TargetRecord, TargetStatus, TargetView,
+        DirectoryPosition, DirectoryUpdate, EvacuationUpdate, SetAsideChange, TargetRecord,
+        TargetStatus, TargetView,
     },
     flow::ServiceTargets,
     listener::ServiceTag,
@@ -65,6 +66,7 @@
             record.sequence += 1;
         }
         self.view.apply_update(DirectoryUpdate {
+            evacuation: EvacuationUpdate::default(),
             position: DirectoryPosition::default(),
             full: true,
             settled: true,
--- a/src/flow/tests/mod.rs
+++ b/src/flow/tests/mod.rs
@@ -4,6 +4,7 @@
 mod balancer_startup;
 mod balancer_verdicts;
 mod broken_chains;
+mod evacuation;
 mod frames;
 mod full_target;
 mod large_service;
