--- a/src/fleet/fleet_counters.rs
+++ b/src/fleet/fleet_counters.rs
@@ -1,6 +1,8 @@
 use metrics::{counter, gauge};
 use serde::Serialize;
 
+use crate::flow::{HeldOpenings, TargetFigures};
+
 /// The counters of a balancer since its start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
 pub(super) struct EntryCounters {
@@ -93,6 +95,20 @@
     }
 }
 
+/// Exports what an agent has measured of its target, and for how many openings that
+/// mattered.
+pub(super) fn publish_figures(figures: TargetFigures, held: HeldOpenings, failed: u64) {
+    gauge!("cyclamen_side_speed_tenths").set(f64::from(figures.speed));
+    gauge!("cyclamen_side_failures_permille").set(f64::from(figures.failures));
+    publish_gauge(
+        "cyclamen_side_pace_window",
+        figures.pace_window.unwrap_or_default(),
+    );
+    counter!("cyclamen_side_held_total", "cause" => "pace").absolute(held.by_pace);
+    counter!("cyclamen_side_held_total", "cause" => "cold_limit").absolute(held.by_cold_limit);
+    counter!("cyclamen_side_failed_requests_total").absolute(failed);
+}
+
 /// Exports a gauge.
 #[allow(clippy::cast_precision_loss, reason = "counts far below 2^52")]
 pub(super) fn publish_gauge(name: &'static str, value: usize) {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! sockets, clocks and tasks; `flow`, `directory`, `listener` and `control` make
 //! the decisions.
 
+mod announced_figures;
 mod entry_handle;
 mod entry_maintenance;
 mod entry_node;
--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -14,6 +14,7 @@
 
 use super::{
     FleetError, FleetEvent, SettingsSource, SideHandle, SideSettings,
+    announced_figures::AnnouncedFigures,
     entry_node::wait_for_signal,
     entry_sockets::{FleetSocket, open_socket},
     fleet_counters::SideCounters,
@@ -69,6 +70,9 @@
     pub(super) agent_run: u64,
     pub(super) sequence: u64,
     pub(super) announced: Option<(TargetStatus, Option<IncarnationId>)>,
+    pub(super) figures: AnnouncedFigures,
+    /// Whether the pace of the target was being found when last logged.
+    pub(super) finds_pace: bool,
     pub(super) repeats_left: u32,
     pub(super) announce_at: ClockMillis,
     pub(super) probe_at: ClockMillis,
@@ -110,6 +114,8 @@
             agent_run: rand::random(),
             sequence: 0,
             announced: None,
+            figures: AnnouncedFigures::new(now),
+            finds_pace: false,
             repeats_left: 0,
             announce_at: now,
             probe_at: now,
@@ -197,10 +203,12 @@
         if now >= self.announce_at {
             self.announce(now);
         }
+        self.announce_figures(now);
     }
 
-    fn answer_inspection(&self, inspection: Inspection) {
+    fn answer_inspection(&mut self, inspection: Inspection) {
         let now = self.clock.now();
+        let figures = self.flows.figures(now);
         let reply = match inspection.request {
             InspectRequest::Dump => json!({
                 "role": "side",
@@ -216,6 +224,9 @@
                 "flows": self.flows.tracked_flows(),
                 "busy": self.flows.in_flight(),
                 "waiting": self.flows.waiting(),
+                "speed_tenths": figures.speed,
+                "failures_permille": figures.failures,
+                "pace_window": figures.pace_window,
                 "packets": self.counters,
             }),
             InspectRequest::Flow(flow) => json!({
--- a/src/fleet/side_packets.rs
+++ b/src/fleet/side_packets.rs
@@ -67,7 +67,9 @@
                 Err(_) => break,
             }
         }
-        self.admit_waiting(self.clock.now());
+        let now = self.clock.now();
+        self.admit_waiting(now);
+        self.announce_figures(now);
     }
 
     /// Handles a packet that the target has sent or bounced.
--- a/src/fleet/side_target.rs
+++ b/src/fleet/side_target.rs
@@ -6,7 +6,7 @@
 
 use super::{
     FleetEvent, SideNode,
-    fleet_counters::publish_gauge,
+    fleet_counters::{publish_figures, publish_gauge},
     fleet_datagram::FleetDatagram,
     side_handle::SideCommand,
     side_node::{
@@ -41,8 +41,10 @@
             let answer = self.codec.encode_reset(&reset);
             self.send_to_caller(reset.flow, &answer);
         }
+        self.flows.set_warming(self.tracker.is_warming(now));
         let suspect = self.flows.is_suspect();
         let silent = self.tracker.is_silent(self.flows.silence(now), now);
+        self.flows.set_silent(silent);
         if (suspect || silent) && now >= self.probe_at {
             self.probe_target(now);
         }
@@ -94,8 +96,10 @@
     pub(super) fn announce(&mut self, now: ClockMillis) {
         let status = self.refresh_status(now);
         let announced = Some((status, self.tracker.incarnation()));
+        let measured = self.flows.figures(now);
         if self.announced != announced {
             self.announced = announced;
+            self.figures.replace(measured, now);
             self.repeats_left = CHANGE_REPEATS;
             log_event!(info, FleetEvent::TargetChanged, agent = %self.settings.fleet.address, service = %self.service, standing = ?status);
         }
@@ -116,6 +120,41 @@
         publish_gauge("cyclamen_side_busy", self.flows.in_flight());
         publish_gauge("cyclamen_side_waiting", self.flows.waiting());
         publish_gauge("cyclamen_side_suspect", self.flows.is_suspect().into());
+        let (held, failed) = (self.flows.held_openings(), self.flows.failed_requests());
+        publish_figures(measured, held, failed);
+    }
+
+    /// Announces the measured figures of the target if they have changed enough, and
+    /// logs when its pace begins to be found and is found.
+    pub(super) fn announce_figures(&mut self, now: ClockMillis) {
+        let measured = self.flows.figures(now);
+        let finds_pace = measured.pace_window.is_some();
+        if self.finds_pace != finds_pace {
+            self.finds_pace = finds_pace;
+            let held = self.flows.held_openings();
+            match measured.pace_window {
+                Some(window) => log_event!(info, FleetEvent::PaceBegun, window),
+                None => {
+                    log_event!(
+                        info,
+                        FleetEvent::PaceFound,
+                        held = held.by_pace,
+                        held_by_limit = held.by_cold_limit
+                    );
+                }
+            }
+        }
+        if self.figures.update(measured, now) {
+            log_event!(
+                info,
+                FleetEvent::FiguresChanged,
+                speed_tenths = self.figures.speed(),
+                failures_permille = self.figures.failures()
+            );
+            // While no member is known, the next announcement carries the figures.
+            let members = self.group.members();
+            self.announce_to(&members);
+        }
     }
 
     /// Sends what was announced last, with a new sequence number.
@@ -133,7 +172,8 @@
             status,
             attributes: TargetAttributes {
                 domain: Some(DomainTag::of(&self.settings.fleet.domain)),
-                ..TargetAttributes::default()
+                speed: self.figures.speed(),
+                failures: self.figures.failures(),
             },
         };
         for replica in replicas {
--- a/src/fleet/target_tracker.rs
+++ b/src/fleet/target_tracker.rs
@@ -72,6 +72,11 @@
         NoticeVerdict::Taken
     }
 
+    /// Returns whether the target says that it is still slow after its start.
+    pub(crate) fn is_warming(&self, now: ClockMillis) -> bool {
+        now < self.warm_up_until
+    }
+
     /// Notes that the target called `id` has ended.
     pub(crate) fn note_ended(&mut self, id: &str) -> NoticeVerdict {
         match &self.latest_notice {
@@ -164,7 +169,7 @@
             TargetLifecycle::Ended | TargetLifecycle::Lost => TargetStatus::Ended,
             TargetLifecycle::Leaving => TargetStatus::Leaving,
             TargetLifecycle::Unproved | TargetLifecycle::Serving if suspect => TargetStatus::Silent,
-            TargetLifecycle::Unproved | TargetLifecycle::Serving if now < self.warm_up_until => {
+            TargetLifecycle::Unproved | TargetLifecycle::Serving if self.is_warming(now) => {
                 TargetStatus::Warming
             }
             TargetLifecycle::Unproved | TargetLifecycle::Serving => TargetStatus::Serving,
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the target tracker, the known balancers and the restart notifier.
 
+mod announced_figures;
 mod datagrams;
 
 use std::net::Ipv4Addr;
--- a/src/flow/agent_flows.rs
+++ b/src/flow/agent_flows.rs
@@ -3,12 +3,14 @@
 use super::{
     AgentAction, AgentFlowInfo, AgentStep, FlowKey, FlowPacket, FlowReport, FlowReset, HopHeader,
     PacketFlags, ReportKind, TargetLifecycle,
+    agent_pace::HeldOpenings,
+    cold_limiter::ColdLimiter,
     delivery_ring::DeliveryRing,
     opening_queue::OpeningQueue,
     pending_openings::{PendingOpening, PendingOpenings},
     request_progress::RequestProgress,
     target_health::TargetHealth,
-    target_load::TargetLoad,
+    target_load::{MAX_ANSWER_MILLIS, TargetLoad},
     tracked_flow::TrackedFlow,
 };
 use crate::{
@@ -34,6 +36,10 @@
     pub(super) tracked: HashMap<FlowKey, TrackedFlow>,
     pub(super) openings: PendingOpenings,
     pub(super) load: TargetLoad,
+    pub(super) cold_limiter: ColdLimiter,
+    pub(super) held: HeldOpenings,
+    /// Whether the target has been silent for long.
+    pub(super) silent: bool,
     pub(super) queue: OpeningQueue,
     /// Openings evicted from the queue, to be refused.
     pub(super) evicted: Vec<PendingOpening>,
@@ -59,6 +65,9 @@
             tracked: HashMap::new(),
             openings: PendingOpenings::new(ANSWER_TIMEOUT_MILLIS),
             load: TargetLoad::default(),
+            cold_limiter: ColdLimiter::default(),
+            held: HeldOpenings::default(),
+            silent: false,
             queue: OpeningQueue::default(),
             evicted: Vec::new(),
             ring: DeliveryRing::new(first_tag),
@@ -80,13 +89,21 @@
         cutoff: ClockMillis,
     ) -> Vec<FlowReset> {
         let restarted = self.incarnation.is_some() && self.incarnation != incarnation;
-        let ended = matches!(lifecycle, TargetLifecycle::Ended | TargetLifecycle::Lost);
+        let has_ended =
+            |lifecycle| matches!(lifecycle, TargetLifecycle::Ended | TargetLifecycle::Lost);
+        let ended = has_ended(lifecycle);
+        let came_back = has_ended(self.lifecycle) && !ended;
         self.lifecycle = lifecycle;
         self.incarnation = incarnation;
+        if restarted || ended {
+            self.load.clear();
+        }
+        if restarted || came_back {
+            self.load.begin_pace();
+        }
         if !restarted && !ended {
             return Vec::new();
         }
-        self.load.clear();
         let gone = self
             .tracked
             .extract_if(|_, tracked| tracked.first_seen_at < cutoff);
@@ -140,7 +157,7 @@
 
     /// Records an announcement of the target; returns whether it was suspected.
     pub(crate) fn record_announcement(&mut self, now: ClockMillis) -> bool {
-        self.health.record_activity(now)
+        self.record_activity(now)
     }
 
     /// Handles a packet from a caller.
@@ -177,7 +194,11 @@
         if let Some(tracked) = self.tracked.get_mut(&flow) {
             tracked.acknowledged = packet.acknowledged;
             let change = tracked.request.record_data(packet);
-            self.load.apply_change(flow, change, now);
+            self.load
+                .apply_change(flow, change, tracked.answer_timeout, now);
+        }
+        if packet.flags.has(PacketFlags::RESET) {
+            self.load.record_given_up(flow, now);
         }
         let tag = self.ring.insert(header);
         AgentStep::without_report(AgentAction::Deliver { tag })
@@ -189,24 +210,26 @@
         packet: &FlowPacket,
         now: ClockMillis,
     ) -> AgentStep {
-        self.health.record_activity(now);
+        self.record_activity(now);
         if packet.flags.has(PacketFlags::BOUNCED) {
             return self.handle_bounce(packet);
         }
         let flow = packet.target_flow();
         if packet.flags.has(PacketFlags::RESET) {
             self.tracked.remove(&flow);
-            self.load.cancel(flow);
+            let opening = self.openings.contains(flow);
+            self.load.record_reset(flow, opening, now);
             return AgentStep::without_report(AgentAction::Return);
         }
         let is_answer = packet.data_bytes > 0 || packet.flags.has(PacketFlags::FINISH);
         if is_answer {
             self.load.finish(flow, now);
         }
-        let opening = self.openings.remove(flow);
-        let balancer = opening.map(|opening| opening.header.balancer);
-        if let Some(balancer) = balancer {
-            self.track(flow, balancer, now);
+        if let Some(PendingOpening { header, .. }) = self.openings.remove(flow) {
+            self.track(flow, header.balancer, now);
+            if let Some(tracked) = self.tracked.get_mut(&flow) {
+                tracked.answer_timeout = header.urgency.timeout.min(MAX_ANSWER_MILLIS);
+            }
         }
         let mut report = None;
         if let Some(tracked) = self.tracked.get_mut(&flow) {
@@ -214,7 +237,8 @@
             tracked.established |= !packet.flags.has(PacketFlags::OPEN);
             let change = tracked.request.record_acknowledged(packet.acknowledged);
             if !is_answer {
-                self.load.apply_change(flow, change, now);
+                self.load
+                    .apply_change(flow, change, tracked.answer_timeout, now);
             }
             if !tracked.reported {
                 tracked.reported = true;
@@ -267,6 +291,7 @@
             established: false,
             acknowledged: 0,
             request: RequestProgress::default(),
+            answer_timeout: MAX_ANSWER_MILLIS,
             first_seen_at: now,
             last_packet_at: now,
         });
--- a/src/flow/agent_openings.rs
+++ b/src/flow/agent_openings.rs
@@ -35,7 +35,7 @@
             first_sent_at: now.before(header.age),
             sent_at: now,
         };
-        if retransmitted || self.load.has_capacity(now) {
+        if retransmitted || self.admits_opening(now) {
             return AgentStep::without_report(self.deliver_opening(opening, now));
         }
         if self.queue.contains(flow) {
@@ -45,7 +45,7 @@
             return self.pass_on(header, packet);
         }
         let step = self.waiting_step(&opening);
-        let capacity = self.load.capacity_within(header.urgency.timeout);
+        let capacity = self.queue_capacity(header.urgency.timeout);
         self.evicted.extend(self.queue.push(opening, capacity, now));
         step
     }
@@ -64,6 +64,9 @@
         let tag = self.ring.insert(opening.header);
         if !self.tracked.contains_key(&opening.flow) {
             self.load.reserve(opening.flow, now);
+            if !self.openings.contains(opening.flow) {
+                self.cold_limiter.record(now);
+            }
         }
         self.openings.insert(opening);
         AgentAction::Deliver { tag }
@@ -84,7 +87,7 @@
         if let Some(opening) = unservable {
             return Some(self.refuse_queued(opening, now));
         }
-        if self.queue.len() == 0 || !self.load.has_capacity(now) {
+        if self.queue.len() == 0 || !self.can_deliver(now) {
             return None;
         }
         let mut opening = self.queue.take_next(now)?;
@@ -145,8 +148,9 @@
     /// Returns when an opening may next time out or leave the queue.
     pub(crate) fn next_due(&self) -> Option<ClockMillis> {
         let queued = self.queue.next_expiry().map(|expiry| {
-            let freed = self.load.next_expiry();
-            freed.map_or(expiry, |freed| freed.min(expiry))
+            let freed = self.load.next_expiry().into_iter();
+            let freed = freed.chain(self.cold_limiter.next_allowed());
+            freed.fold(expiry, ClockMillis::min)
         });
         let due = self.openings.next_due().into_iter().chain(queued);
         due.min()
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -9,10 +9,13 @@
 
 mod agent_flows;
 mod agent_openings;
+mod agent_pace;
 mod agent_step;
 mod balancer_flows;
 mod balancer_lookups;
+mod cold_limiter;
 mod delivery_ring;
+mod failure_meter;
 mod flow_info;
 mod flow_key;
 mod flow_packet;
@@ -23,11 +26,15 @@
 mod opening_queue;
 mod owner_cache;
 mod owner_lookup;
+mod pace_window;
 mod packet_codec;
 mod parked_packets;
 mod pending_openings;
 mod request_id;
 mod request_progress;
+mod running_mean;
+mod service_meter;
+mod target_figures;
 mod target_health;
 mod target_load;
 mod target_ranking;
@@ -38,6 +45,7 @@
 pub use packet_codec::{PacketCodec, PacketError};
 
 pub(crate) use agent_flows::AgentFlows;
+pub(crate) use agent_pace::HeldOpenings;
 pub(crate) use agent_step::{AgentAction, AgentStep, DequeuedOpening, TargetLifecycle};
 pub(crate) use balancer_flows::BalancerFlows;
 pub(crate) use flow_info::{AgentFlowInfo, BalancerFlowInfo, FlowOwnerInfo};
@@ -46,6 +54,7 @@
 pub(crate) use hop_frame::{HopFrame, HopHeader};
 pub(crate) use known_targets::{KnownTargets, ServiceTargets, TargetIncarnation};
 pub(crate) use request_id::request_id;
+pub(crate) use target_figures::TargetFigures;
 pub(crate) use target_ranking::{RankedTarget, TargetRanking};
 
 #[cfg(test)]
--- /dev/null
+++ b/src/flow/service_meter.rs
@@ -0,0 +1,92 @@
+use super::running_mean::RunningMean;
+
+/// The number of answers that the mean service time covers: with service times
+/// that vary by a third it is right within 5%, and a target of 25 answers a second
+/// that turns five times slower shows it within a second.
+const MEAN_ANSWERS: u64 = 32;
+/// The number of answers before which the service time counts as unknown.
+const MIN_ANSWERS: u64 = 8;
+/// Service times are kept in microseconds, so that a mean of few milliseconds has
+/// no rounding error.
+const MICROS_PER_MILLI: u64 = 1_000;
+/// Tenths of an answer a second at one answer a microsecond.
+const TENTHS_PER_MICRO: u64 = 10_000_000;
+
+/// Measures how fast a target answers: the time in which its slots were busy,
+/// divided by its answers.
+///
+/// Time that requests spend in the target's own queue is not busy time of a slot,
+/// so the figure holds under queueing too.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ServiceMeter {
+    mean: RunningMean,
+    /// Busy time of slots since the last answer, in slot milliseconds.
+    busy_millis: u64,
+    /// The mean when the target began to fail, while it fails.
+    mean_before_failing: Option<RunningMean>,
+}
+
+impl Default for ServiceMeter {
+    fn default() -> Self {
+        Self {
+            mean: RunningMean::new(MEAN_ANSWERS),
+            busy_millis: 0,
+            mean_before_failing: None,
+        }
+    }
+}
+
+impl ServiceMeter {
+    /// Records that slots were busy for `slot_millis` in total.
+    pub(super) fn add_busy(&mut self, slot_millis: u64) {
+        self.busy_millis = self.busy_millis.saturating_add(slot_millis);
+    }
+
+    /// Records an answer. Returns the busy time since the one before it, in
+    /// microseconds; its mean over some answers is their mean service time.
+    pub(super) fn record_answer(&mut self) -> u64 {
+        let micros = std::mem::take(&mut self.busy_millis).saturating_mul(MICROS_PER_MILLI);
+        self.mean.record(micros);
+        micros
+    }
+
+    /// Drops the busy time since the last answer, since the target was silent for a
+    /// part of it.
+    pub(super) fn skip_busy(&mut self) {
+        self.busy_millis = 0;
+    }
+
+    /// Sets whether the target fails many requests. A target may answer faster
+    /// while it fails others, so from then on its speed can fall but not rise, and
+    /// a rise is forgotten afterwards.
+    pub(super) fn set_failing(&mut self, failing: bool) {
+        match (self.mean_before_failing, failing) {
+            (None, true) => self.mean_before_failing = Some(self.mean),
+            (Some(before), false) => {
+                if self.mean.after(MIN_ANSWERS) < before.after(MIN_ANSWERS)
+                    || before.after(MIN_ANSWERS).is_none()
+                {
+                    self.mean = before;
+                }
+                self.mean_before_failing = None;
+            }
+            (None, false) | (Some(_), true) => {}
+        }
+    }
+
+    /// Returns how many requests the target answers in a second with all of its
+    /// `slots` busy, in tenths; zero until that is known.
+    pub(super) fn speed(&self, slots: u32) -> u32 {
+        let Some(mut mean) = self.mean.after(MIN_ANSWERS) else {
+            return 0;
+        };
+        if let Some(before) = self.mean_before_failing {
+            let Some(before) = before.after(MIN_ANSWERS) else {
+                return 0;
+            };
+            mean = mean.max(before);
+        }
+        let speed = u64::from(slots) * TENTHS_PER_MICRO / mean;
+        u32::try_from(speed).unwrap_or(u32::MAX)
+    }
+}
--- a/src/flow/target_load.rs
+++ b/src/flow/target_load.rs
@@ -1,6 +1,12 @@
 use std::collections::HashMap;
 
-use super::{FlowKey, request_progress::RequestChange};
+use super::{
+    FlowKey, TargetFigures,
+    failure_meter::{FailureMeter, RequestOutcome},
+    pace_window::PaceWindow,
+    request_progress::RequestChange,
+    service_meter::ServiceMeter,
+};
 use crate::clock::{ClockMillis, SpanMillis};
 
 /// How long a new flow reserves capacity for its first request: a few round
@@ -15,6 +21,16 @@
 /// Each answer has a weight of `1 / AVERAGE_DIVISOR` in the moving average, which
 /// covers a few answers of each slot.
 const AVERAGE_DIVISOR: u64 = 8;
+/// The time after which a request counts as failed, unless its route's timeout is
+/// shorter: callers wait for an answer for a few seconds at most.
+pub(super) const MAX_ANSWER_MILLIS: SpanMillis = SpanMillis::new(2_000);
+/// How long a request counts as busy time of a slot, and towards the pace window.
+/// Latency goals are below a second, so a request that takes longer is a matter of
+/// the failure rate; it must not make the others look slow.
+const MAX_BUSY_MILLIS: SpanMillis = SpanMillis::new(1_000);
+/// The failure rate from which the measured speed may fall but not rise, in
+/// thousandths: three of 32 requests may fail by chance.
+const FAILING_PERMILLE: u16 = 100;
 
 /// A request at the target, or capacity reserved for one.
 #[derive(Debug, Clone, Copy)]
@@ -23,6 +39,10 @@
     started_at: Option<ClockMillis>,
     /// When it stops counting without an answer.
     expires_at: ClockMillis,
+    /// The time after which it counts as failed.
+    answer_timeout: SpanMillis,
+    /// Whether its outcome has been recorded.
+    judged: bool,
 }
 
 /// Requests in flight at a target, counted by its agent from the packets it sees.
@@ -41,6 +61,14 @@
     /// Moving average of the time from delivery to answer, in units of
     /// `1 / AVERAGE_DIVISOR` ms; zero before the first answer.
     scaled_average: u64,
+    meter: ServiceMeter,
+    failures: FailureMeter,
+    pace: PaceWindow,
+    /// The time until which busy slots and overdue requests have been recorded.
+    observed_at: ClockMillis,
+    /// When the target last started or recovered. The time that earlier requests take
+    /// tells how long the target was silent, or they are lost.
+    recovered_at: ClockMillis,
 }
 
 impl TargetLoad {
@@ -54,12 +82,21 @@
         let request = InFlightRequest {
             started_at: None,
             expires_at: now.after(RESERVATION_MILLIS),
+            answer_timeout: MAX_ANSWER_MILLIS,
+            judged: false,
         };
         self.in_flight.insert(flow, request);
     }
 
-    /// Records what has arrived of a flow's request.
-    pub(super) fn apply_change(&mut self, flow: FlowKey, change: RequestChange, now: ClockMillis) {
+    /// Records what has arrived of a flow's request, which counts as failed without
+    /// an answer within `answer_timeout`.
+    pub(super) fn apply_change(
+        &mut self,
+        flow: FlowKey,
+        change: RequestChange,
+        answer_timeout: SpanMillis,
+        now: ClockMillis,
+    ) {
         match change {
             RequestChange::Nothing => {}
             RequestChange::Receiving => {
@@ -67,30 +104,42 @@
                 self.receiving
                     .insert(flow, now.after(REQUEST_EXPIRY_MILLIS));
             }
-            RequestChange::Complete => self.start(flow, now),
+            RequestChange::Complete => self.start(flow, answer_timeout, now),
         }
     }
 
     /// Records that a request was delivered to the target in full.
-    fn start(&mut self, flow: FlowKey, now: ClockMillis) {
+    fn start(&mut self, flow: FlowKey, answer_timeout: SpanMillis, now: ClockMillis) {
+        self.observe(now);
         self.receiving.remove(&flow);
         let request = InFlightRequest {
             started_at: Some(now),
             expires_at: now.after(REQUEST_EXPIRY_MILLIS),
+            answer_timeout,
+            judged: false,
         };
         self.in_flight.insert(flow, request);
     }
 
     /// Records the answer to a flow's request.
     pub(crate) fn finish(&mut self, flow: FlowKey, now: ClockMillis) {
+        self.observe(now);
         self.receiving.remove(&flow);
-        let Some(started_at) = self
-            .in_flight
-            .remove(&flow)
-            .and_then(|request| request.started_at)
-        else {
+        let Some(request) = self.in_flight.remove(&flow) else {
             return;
         };
+        let Some(started_at) = request.started_at else {
+            return;
+        };
+        if !request.judged {
+            self.record_outcome(RequestOutcome::Answered, now);
+        }
+        if started_at > self.recovered_at
+            && let Some(limit) = self.max_in_flight()
+        {
+            let micros = self.meter.record_answer();
+            self.pace.record_answer(micros, limit);
+        }
         let elapsed = now.since(started_at).millis();
         self.scaled_average = match self.scaled_average {
             0 => elapsed * AVERAGE_DIVISOR,
@@ -98,16 +147,115 @@
         };
     }
 
-    /// Removes a flow's request after a bounce, a timeout or a reset.
+    /// Removes a flow's request after a bounce or a timeout.
     pub(crate) fn cancel(&mut self, flow: FlowKey) {
         self.receiving.remove(&flow);
         self.in_flight.remove(&flow);
     }
 
-    /// Removes all requests after the target ended or restarted.
+    /// Removes a flow's request after a reset by the target, which counts as a
+    /// failure if the target had got a request or `opening`, and not if the caller
+    /// had given the request up.
+    pub(super) fn record_reset(&mut self, flow: FlowKey, opening: bool, now: ClockMillis) {
+        self.observe(now);
+        let was_receiving = self.receiving.remove(&flow).is_some();
+        let request = self.in_flight.remove(&flow);
+        let was_open = request.is_some_and(|request| request.started_at.is_some());
+        let judged = request.is_some_and(|request| request.judged);
+        if !judged && (was_open || was_receiving || opening) {
+            self.record_outcome(RequestOutcome::Failed, now);
+        }
+    }
+
+    /// Records that the caller has given up a flow. Its request counts as failed if
+    /// the target had at least half of the time for an answer: the caller's timeout
+    /// started earlier than that of its agent.
+    pub(super) fn record_given_up(&mut self, flow: FlowKey, now: ClockMillis) {
+        let Some(request) = self.in_flight.get_mut(&flow) else {
+            return;
+        };
+        let Some(started_at) = request.started_at.filter(|_| !request.judged) else {
+            return;
+        };
+        request.judged = true;
+        if now.since(started_at).saturating_mul(2) >= request.answer_timeout {
+            self.record_outcome(RequestOutcome::Failed, now);
+        }
+    }
+
+    /// Removes all requests and figures after the target ended or restarted.
     pub(crate) fn clear(&mut self) {
         self.in_flight.clear();
         self.receiving.clear();
+        self.meter = ServiceMeter::default();
+        self.failures.clear();
+        self.pace.forget_best();
+    }
+
+    /// Starts to find the pace of the target, which has just started or recovered.
+    pub(super) fn begin_pace(&mut self) {
+        self.meter.skip_busy();
+        self.recovered_at = self.observed_at;
+        if let Some(slots) = self.slots {
+            self.pace.begin(slots);
+        }
+    }
+
+    /// Sets whether the target says that it is cold.
+    pub(super) fn set_warming(&mut self, warming: bool) {
+        if let (Some(slots), Some(limit)) = (self.slots, self.max_in_flight()) {
+            self.pace.set_warming(warming, slots, limit);
+        }
+    }
+
+    /// Returns what has been measured of the target.
+    pub(super) fn figures(&mut self, now: ClockMillis) -> TargetFigures {
+        self.observe(now);
+        TargetFigures {
+            speed: self.slots.map_or(0, |slots| self.meter.speed(slots)),
+            failures: self.failures.permille(now),
+            pace_window: self.slots.and_then(|_| self.pace.window()),
+        }
+    }
+
+    /// Returns the number of requests that the target failed since the agent started.
+    pub(super) fn failed(&self) -> u64 {
+        self.failures.failed()
+    }
+
+    fn record_outcome(&mut self, outcome: RequestOutcome, now: ClockMillis) {
+        self.failures.record(outcome, now);
+        let failing = self.failures.permille(now) >= FAILING_PERMILLE;
+        self.meter.set_failing(failing);
+    }
+
+    /// Records for how long slots were busy since the last call, and the requests
+    /// that have become overdue.
+    fn observe(&mut self, now: ClockMillis) {
+        let since = self.observed_at;
+        self.observed_at = now.max(since);
+        let mut busy_millis = 0;
+        let mut overdue = 0;
+        for request in self.in_flight.values_mut() {
+            let Some(started_at) = request.started_at else {
+                continue;
+            };
+            if started_at > self.recovered_at {
+                let busy_until = now.min(started_at.after(MAX_BUSY_MILLIS));
+                busy_millis += busy_until.since(started_at.max(since)).millis();
+            }
+            if !request.judged && now.since(started_at) > request.answer_timeout {
+                request.judged = true;
+                overdue += 1;
+            }
+        }
+        if let Some(slots) = self.slots {
+            let slot_millis = now.since(since).saturating_mul(slots.into()).millis();
+            self.meter.add_busy(busy_millis.min(slot_millis));
+        }
+        for _ in 0..overdue {
+            self.record_outcome(RequestOutcome::Failed, now);
+        }
     }
 
     /// Returns the number of requests in flight, with reservations.
@@ -123,13 +271,39 @@
         let Some(limit) = self.max_in_flight() else {
             return true;
         };
-        if self.in_flight.len() >= limit {
+        let window = self.pace.window().map(|window| window.min(limit));
+        if self.in_flight.len() >= window.unwrap_or(limit) {
+            self.observe(now);
             self.in_flight.retain(|_, request| request.expires_at > now);
         }
         if self.receiving.len() >= MAX_RECEIVING {
             self.receiving.retain(|_, expires_at| *expires_at > now);
         }
-        self.in_flight.len() < limit && self.receiving.len() < MAX_RECEIVING
+        let below_limit = match window {
+            Some(window) => self.recently_started(now) < window,
+            None => self.in_flight.len() < limit,
+        };
+        below_limit && self.receiving.len() < MAX_RECEIVING
+    }
+
+    /// Returns the number of requests in flight, with reservations, that count
+    /// towards the window. Requests from before the recovery and those that have been
+    /// at the target for longer than `MAX_BUSY_MILLIS` do not: the target may have
+    /// lost them, and would get no others until they expire.
+    fn recently_started(&self, now: ClockMillis) -> usize {
+        let requests = self.in_flight.values();
+        let counts =
+            |started_at| started_at > self.recovered_at && now.since(started_at) < MAX_BUSY_MILLIS;
+        requests
+            .filter(|request| request.started_at.is_none_or(counts))
+            .count()
+    }
+
+    /// Returns whether another request is held back by the pace of the target alone.
+    pub(super) fn is_paced(&mut self, now: ClockMillis) -> bool {
+        let limit = self.max_in_flight();
+        let below_limit = limit.is_some_and(|limit| self.in_flight.len() < limit);
+        below_limit && self.receiving.len() < MAX_RECEIVING && !self.has_capacity(now)
     }
 
     /// Returns when the next unanswered request or reservation expires.
--- a/src/flow/tests/mod.rs
+++ b/src/flow/tests/mod.rs
@@ -3,6 +3,7 @@
 mod agent_steps;
 mod balancer_startup;
 mod balancer_verdicts;
+mod cold_limit;
 mod frames;
 mod full_target;
 mod large_service;
@@ -10,7 +11,10 @@
 mod overload;
 mod ranking;
 mod request_ids;
+mod target_figures;
 mod target_incarnations;
+mod target_model;
+mod target_pace;
 mod uploads;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/src/flow/tracked_flow.rs
+++ b/src/flow/tracked_flow.rs
@@ -1,7 +1,7 @@
 use std::net::Ipv4Addr;
 
 use super::request_progress::RequestProgress;
-use crate::clock::ClockMillis;
+use crate::clock::{ClockMillis, SpanMillis};
 
 /// State of a flow at an agent.
 #[derive(Debug, Clone, Copy)]
@@ -17,6 +17,8 @@
     pub(super) acknowledged: u32,
     /// How much of the caller's latest request has arrived.
     pub(super) request: RequestProgress,
+    /// The time after which a request of the flow counts as failed.
+    pub(super) answer_timeout: SpanMillis,
     pub(super) first_seen_at: ClockMillis,
     pub(super) last_packet_at: ClockMillis,
 }
