--- a/src/flow/agent_pace.rs
+++ b/src/flow/agent_pace.rs
@@ -1,6 +1,6 @@
 //! The pace of a target that is cold or has recovered, and what is measured of it.
 
-use super::{AgentFlows, TargetFigures};
+use super::{AgentFlows, TargetFigures, TargetLifecycle};
 use crate::clock::{ClockMillis, SpanMillis};
 
 /// Openings that an agent passed on or queued although its target had capacity,
@@ -14,10 +14,12 @@
 }
 
 impl AgentFlows {
-    /// Sets whether the target says that it is cold.
+    /// Sets whether the target says that it is cold. One that has not announced
+    /// itself may be cold, so the stated limit is in force for it.
     pub(crate) fn set_warming(&mut self, warming: bool) {
         self.load.set_warming(warming);
-        self.cold_limiter.set_warming(warming);
+        let is_unproved = self.lifecycle == TargetLifecycle::Unproved;
+        self.cold_limiter.set_cold(warming || is_unproved);
     }
 
     /// Sets whether the target has been silent for long, in packets and
--- a/src/flow/service_meter.rs
+++ b/src/flow/service_meter.rs
@@ -1,4 +1,5 @@
 use super::running_mean::RunningMean;
+use crate::clock::SpanMillis;
 
 /// The number of answers that the mean service time covers: with service times
 /// that vary by a third it is right within 5%, and a target of 25 answers a second
@@ -9,6 +10,16 @@
 /// Service times are kept in microseconds, so that a mean of few milliseconds has
 /// no rounding error.
 const MICROS_PER_MILLI: u64 = 1_000;
+/// How long a request counts as busy time of a slot while the service time is
+/// unknown. Latency goals are below a second, so a request that takes longer is a
+/// matter of the failure rate.
+const MAX_BUSY_MILLIS: SpanMillis = SpanMillis::new(1_000);
+/// The least time for which a request counts.
+const MIN_BUSY_MILLIS: SpanMillis = SpanMillis::new(100);
+/// A request counts for this many mean service times at most, so that one without an
+/// answer does not make the others look slow: a target that turns five times slower
+/// is still measured in full, and raises the mean.
+const MAX_BUSY_MEANS: u64 = 8;
 /// Tenths of an answer a second at one answer a microsecond.
 const TENTHS_PER_MICRO: u64 = 10_000_000;
 
@@ -50,6 +61,15 @@
         micros
     }
 
+    /// Returns how long a request counts as busy time of a slot.
+    pub(super) fn max_busy(&self) -> SpanMillis {
+        let mean = self.mean.after(MIN_ANSWERS);
+        let max_busy = mean.map(|mean| SpanMillis::new(mean * MAX_BUSY_MEANS / MICROS_PER_MILLI));
+        max_busy.map_or(MAX_BUSY_MILLIS, |max_busy| {
+            max_busy.clamp(MIN_BUSY_MILLIS, MAX_BUSY_MILLIS)
+        })
+    }
+
     /// Drops the busy time since the last answer, since the target was silent for a
     /// part of it.
     pub(super) fn skip_busy(&mut self) {
--- a/src/flow/target_load.rs
+++ b/src/flow/target_load.rs
@@ -24,10 +24,9 @@
 /// The time after which a request counts as failed, unless its route's timeout is
 /// shorter: callers wait for an answer for a few seconds at most.
 pub(super) const MAX_ANSWER_MILLIS: SpanMillis = SpanMillis::new(2_000);
-/// How long a request counts as busy time of a slot, and towards the pace window.
-/// Latency goals are below a second, so a request that takes longer is a matter of
-/// the failure rate; it must not make the others look slow.
-const MAX_BUSY_MILLIS: SpanMillis = SpanMillis::new(1_000);
+/// How long a request counts towards the pace window. Latency goals are below a
+/// second, so a request that takes longer is a matter of the failure rate.
+const MAX_WINDOW_MILLIS: SpanMillis = SpanMillis::new(1_000);
 /// The failure rate from which the measured speed may fall but not rise, in
 /// thousandths: three of 32 requests may fail by chance.
 const FAILING_PERMILLE: u16 = 100;
@@ -234,6 +233,7 @@
     fn observe(&mut self, now: ClockMillis) {
         let since = self.observed_at;
         self.observed_at = now.max(since);
+        let max_busy = self.meter.max_busy();
         let mut busy_millis = 0;
         let mut overdue = 0;
         for request in self.in_flight.values_mut() {
@@ -241,7 +241,7 @@
                 continue;
             };
             if started_at > self.recovered_at {
-                let busy_until = now.min(started_at.after(MAX_BUSY_MILLIS));
+                let busy_until = now.min(started_at.after(max_busy));
                 busy_millis += busy_until.since(started_at.max(since)).millis();
             }
             if !request.judged && now.since(started_at) > request.answer_timeout {
@@ -288,12 +288,13 @@
 
     /// Returns the number of requests in flight, with reservations, that count
     /// towards the window. Requests from before the recovery and those that have been
-    /// at the target for longer than `MAX_BUSY_MILLIS` do not: the target may have
+    /// at the target for longer than `MAX_WINDOW_MILLIS` do not: the target may have
     /// lost them, and would get no others until they expire.
     fn recently_started(&self, now: ClockMillis) -> usize {
         let requests = self.in_flight.values();
-        let counts =
-            |started_at| started_at > self.recovered_at && now.since(started_at) < MAX_BUSY_MILLIS;
+        let counts = |started_at| {
+            started_at > self.recovered_at && now.since(started_at) < MAX_WINDOW_MILLIS
+        };
         requests
             .filter(|request| request.started_at.is_none_or(counts))
             .count()
--- a/src/flow/tests/cold_limit.rs
+++ b/src/flow/tests/cold_limit.rs
@@ -1,10 +1,15 @@
 //! The limit that a service states for cold targets, under a flood of openings.
 
+use proptest::prelude::*;
+
 use super::{
     agent, flow, from_caller,
     target_model::{TIMEOUT_MILLIS, TargetModel, last_candidate},
 };
-use crate::flow::{AgentAction, PacketFlags, ReportKind};
+use crate::{
+    clock::SpanMillis,
+    flow::{AgentAction, PacketFlags, ReportKind, TargetLifecycle},
+};
 
 /// More slots than the stated limit leaves busy, so that only the limit holds
 /// openings back.
@@ -12,8 +17,12 @@
 const SERVICE_MILLIS: u64 = 10;
 const COLD_PER_SECOND: u32 = 20;
 
+/// Returns a target that has just restarted beside an agent that runs for longer.
 fn cold_target() -> TargetModel {
     let mut model = TargetModel::new(SLOTS, SERVICE_MILLIS);
+    model.open(flow(60_000));
+    model.run(1_100);
+    model.delivered_at.clear();
     model.restart_cold();
     model.flows.set_cold_limit(Some(COLD_PER_SECOND));
     model
@@ -57,7 +66,7 @@
     model.run(600);
     assert_eq!(model.open(flow(21)), AgentAction::Wait);
     let due = model.flows.next_due().expect("a timer");
-    assert!(due <= model.now().after(crate::clock::SpanMillis::new(401)));
+    assert!(due <= model.now().after(SpanMillis::new(401)));
     // Clock readings a second apart may be up to a millisecond less apart.
     model.run(400);
     assert_eq!(model.flows.waiting(), 1);
@@ -100,7 +109,7 @@
     // A third of the route's timeout.
     last.run(TIMEOUT_MILLIS / 3 - 1);
     assert_eq!(last.flows.waiting(), 1);
-    let now = last.now().after(crate::clock::SpanMillis::new(1));
+    let now = last.now().after(SpanMillis::new(1));
     let dequeued = last.flows.dequeue_opening(now).expect("a refusal");
     assert_eq!(dequeued.flow, flow(99));
     assert!(matches!(dequeued.step.action, AgentAction::Reset(_)));
@@ -136,3 +145,62 @@
         assert!(most_in_a_second(&model.delivered_at) >= 95);
     }
 }
+
+/// An agent that is killed forgets what it let through: its next run must not let the
+/// whole limit through in the same second.
+#[test]
+fn an_agent_that_restarts_keeps_the_bound_of_a_cold_target() {
+    let mut earlier_run = cold_target();
+    earlier_run.openings_per_second = 400;
+    earlier_run.run(200);
+    let mut model = TargetModel::new(SLOTS, SERVICE_MILLIS);
+    model
+        .flows
+        .set_lifecycle(TargetLifecycle::Unproved, None, model.now());
+    model.flows.set_warming(false);
+    model.flows.set_cold_limit(Some(COLD_PER_SECOND));
+    model.openings_per_second = 400;
+    model.run(800);
+    let bound = COLD_PER_SECOND as usize * 3 / 2;
+    let delivered = earlier_run.delivered_at.len() + model.delivered_at.len();
+    assert!(delivered <= bound, "{delivered} openings in a second");
+    model.run(2_000);
+    assert_eq!(
+        most_in_a_second(&model.delivered_at),
+        COLD_PER_SECOND as usize
+    );
+}
+
+/// The stated limit arrives after the first openings of a target, with the answer to
+/// its announcement.
+#[test]
+fn openings_before_the_limit_is_known_count() {
+    let mut model = cold_target();
+    model.flows.set_cold_limit(None);
+    model.openings_per_second = 50;
+    model.run(300);
+    assert_eq!(model.delivered_at.len(), 15);
+    model.flows.set_cold_limit(Some(COLD_PER_SECOND));
+    model.openings_per_second = 400;
+    model.run(600);
+    assert_eq!(model.delivered_at.len(), COLD_PER_SECOND as usize);
+}
+
+proptest! {
+    /// However openings arrive, and whenever the limit comes into force again.
+    #[test]
+    fn no_second_has_more_openings_than_the_limit(
+        gaps in prop::collection::vec(0_u64..120, 1..300),
+        limit in 1_u32..30,
+    ) {
+        let mut model = TargetModel::new(SLOTS, SERVICE_MILLIS);
+        model.restart_cold();
+        model.flows.set_cold_limit(Some(limit));
+        for gap in gaps {
+            model.run(gap);
+            let flow = model.next_flow();
+            model.open(flow);
+        }
+        prop_assert!(most_in_a_second(&model.delivered_at) <= limit as usize);
+    }
+}
--- a/src/flow/tests/target_figures.rs
+++ b/src/flow/tests/target_figures.rs
@@ -160,6 +160,26 @@
     assert!(speed * 10 >= usual * 8, "{speed} instead of {usual}");
 }
 
+/// A target now and then loses a request, whose caller opens another flow. Counted as
+/// busy until it expires, it would cost the target half of its weight.
+#[test]
+fn a_single_request_without_an_answer_does_not_make_its_target_look_slow() {
+    let mut model = TargetModel::new(SLOTS, SERVICE_MILLIS);
+    model.openings_per_second = HALF_LOAD;
+    model.run(5_000);
+    let usual = model.figures().speed;
+    model.mode = TargetMode::Hanging;
+    let flow = model.next_flow();
+    model.send_request(flow);
+    model.mode = TargetMode::Answering;
+    for _ in 0..4_000 {
+        model.step();
+        let figures = model.figures();
+        assert!(figures.speed * 10 >= usual * 6, "{figures:?}, was {usual}");
+        assert!(figures.failures <= 125, "{figures:?}");
+    }
+}
+
 /// Callers give up at the route's timeout, which starts before the request reaches
 /// the agent.
 #[rstest]
