--- a/src/flow/tests/target_pace.rs
+++ b/src/flow/tests/target_pace.rs
@@ -1,8 +1,12 @@
 //! The pace of a target that has just started or recovered: neither flooded nor left
 //! idle.
 
-use super::target_model::{TargetMode, TargetModel, last_candidate};
-use super::{agent, flow, from_caller};
+use rstest::rstest;
+
+use super::{
+    agent, flow, from_caller,
+    target_model::{TargetMode, TargetModel, last_candidate},
+};
 use crate::{
     clock::{ClockMillis, SpanMillis},
     flow::{AgentAction, AgentFlows, PacketFlags, TargetLifecycle},
@@ -117,17 +121,19 @@
 
 /// A target that hung loses the requests that it had. They must not keep its window
 /// closed until they expire.
-#[test]
-fn requests_that_a_hung_target_lost_do_not_keep_the_window_closed() {
+#[rstest]
+#[case::after_a_short_silence(300)]
+#[case::after_more_than_a_second(1_000)]
+fn requests_that_a_hung_target_lost_do_not_keep_the_window_closed(#[case] silent_millis: u64) {
     let mut model = TargetModel::new(SLOTS, COLD_MILLIS);
     model.mode = TargetMode::Hanging;
-    for port in 1..=5 {
+    for port in 60_001..=60_005 {
         model.open(flow(port));
     }
     model.run(100);
     model.mode = TargetMode::Silent;
-    model.open(flow(6));
-    model.run(1_000);
+    model.open(flow(60_006));
+    model.run(silent_millis);
     assert!(model.flows.is_suspect());
     model.mode = TargetMode::Answering;
     let now = model.now();
