--- a/src/flow/running_mean.rs
+++ b/src/flow/running_mean.rs
@@ -17,6 +17,13 @@
         }
     }
 
+    /// Sets the mean to `value`, with the weight of `values` values.
+    pub(super) const fn with_values(mut self, value: u64, values: u64) -> Self {
+        self.sum = value.saturating_mul(values);
+        self.values = values;
+        self
+    }
+
     /// Records a value.
     pub(super) fn record(&mut self, value: u64) {
         if self.values >= self.max_values {
--- a/src/flow/service_meter.rs
+++ b/src/flow/service_meter.rs
@@ -1,10 +1,19 @@
 use super::running_mean::RunningMean;
 use crate::clock::SpanMillis;
 
-/// The number of answers that the mean service time covers: with service times
-/// that vary by a third it is right within 5%, and a target of 25 answers a second
-/// that turns five times slower shows it within a second.
-const MEAN_ANSWERS: u64 = 32;
+/// The number of answers that the mean service time covers: it is right within 5%
+/// also if service times scatter as much as their mean. Each change of the announced
+/// speed is sent to all balancers, so a steady target must not seem to change.
+const MEAN_ANSWERS: u64 = 256;
+/// The number of answers that show a change of the service time: a target of 25
+/// answers a second that turns five times slower shows it within a second.
+const RECENT_ANSWERS: u64 = 32;
+/// The mean starts anew from the recent answers if their service time differs by more
+/// than this factor, in percent: the speed has changed by a quarter or more.
+const CHANGE_PERCENT: u64 = 133;
+/// The weight of the recent answers when the mean starts anew, in answers: most of them
+/// are from before the change.
+const RESTART_WEIGHT: u64 = 8;
 /// The number of answers before which the service time counts as unknown.
 const MIN_ANSWERS: u64 = 8;
 /// Service times are kept in microseconds, so that a mean of few milliseconds has
@@ -31,6 +40,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ServiceMeter {
     mean: RunningMean,
+    recent: RunningMean,
     /// Busy time of slots since the last answer, in slot milliseconds.
     busy_millis: u64,
     /// The mean when the target began to fail, while it fails.
@@ -41,6 +51,7 @@
     fn default() -> Self {
         Self {
             mean: RunningMean::new(MEAN_ANSWERS),
+            recent: RunningMean::new(RECENT_ANSWERS),
             busy_millis: 0,
             mean_before_failing: None,
         }
@@ -58,6 +69,13 @@
     pub(super) fn record_answer(&mut self) -> u64 {
         let micros = std::mem::take(&mut self.busy_millis).saturating_mul(MICROS_PER_MILLI);
         self.mean.record(micros);
+        self.recent.record(micros);
+        let means = (self.mean.after(MIN_ANSWERS), self.recent.after(MIN_ANSWERS));
+        if let (Some(mean), Some(recent)) = means
+            && mean.max(recent) * 100 > mean.min(recent) * CHANGE_PERCENT
+        {
+            self.mean = RunningMean::new(MEAN_ANSWERS).with_values(recent, RESTART_WEIGHT);
+        }
         micros
     }
 
@@ -87,6 +105,7 @@
                     || before.after(MIN_ANSWERS).is_none()
                 {
                     self.mean = before;
+                    self.recent.clear();
                 }
                 self.mean_before_failing = None;
             }
