--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! the decisions.
 
 mod agent_policy;
+mod announced_figures;
 mod entry_handle;
 mod entry_maintenance;
 mod entry_node;
--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -15,6 +15,7 @@
 use super::{
     FleetError, FleetEvent, SettingsSource, SideHandle, SideSettings,
     agent_policy::AgentPolicy,
+    announced_figures::AnnouncedFigures,
     entry_node::wait_for_signal,
     entry_sockets::{FleetSocket, open_socket},
     fleet_counters::SideCounters,
@@ -71,6 +72,9 @@
     pub(super) sequence: u64,
     pub(super) policy: AgentPolicy,
     pub(super) announced: Option<(TargetStatus, Option<IncarnationId>)>,
+    pub(super) figures: AnnouncedFigures,
+    /// Whether the pace of the target was being found when last logged.
+    pub(super) finds_pace: bool,
     pub(super) repeats_left: u32,
     pub(super) announce_at: ClockMillis,
     pub(super) probe_at: ClockMillis,
@@ -117,6 +121,8 @@
                 ..AgentPolicy::default()
             },
             announced: None,
+            figures: AnnouncedFigures::new(now),
+            finds_pace: false,
             repeats_left: 0,
             announce_at: now,
             probe_at: now,
@@ -204,10 +210,12 @@
         if now >= self.announce_at {
             self.announce(now);
         }
+        self.announce_figures(now);
     }
 
-    fn answer_inspection(&self, inspection: Inspection) {
+    fn answer_inspection(&mut self, inspection: Inspection) {
         let now = self.clock.now();
+        let figures = self.flows.figures(now);
         let reply = match inspection.request {
             InspectRequest::Dump => json!({
                 "role": "side",
@@ -226,6 +234,9 @@
                 "flows": self.flows.tracked_flows(),
                 "busy": self.flows.in_flight(),
                 "waiting": self.flows.waiting(),
+                "speed_tenths": figures.speed,
+                "failures_permille": figures.failures,
+                "pace_window": figures.pace_window,
                 "packets": self.counters,
             }),
             InspectRequest::Flow(flow) => json!({
@@ -264,6 +275,9 @@
         }
         log_event!(info, FleetEvent::PolicyInForce, %from, policy = ?self.policy);
         self.flows.set_evacuated(self.policy.evacuated);
+        let cold_limit = self.policy.cold_limit;
+        self.flows
+            .set_cold_limit(cold_limit.map(|limit| limit.per_second));
         // Openings that wait are refused if the domain is evacuated.
         self.admit_waiting(self.clock.now());
     }
--- a/src/flow/tests/mod.rs
+++ b/src/flow/tests/mod.rs
@@ -4,6 +4,7 @@
 mod balancer_startup;
 mod balancer_verdicts;
 mod broken_chains;
+mod cold_limit;
 mod evacuation;
 mod frames;
 mod full_target;
@@ -13,7 +14,10 @@
 mod ranking;
 mod repeated_openings;
 mod request_ids;
+mod target_figures;
 mod target_incarnations;
+mod target_model;
+mod target_pace;
 mod thin_link;
 mod uploads;
 
