--- a/src/fleet/announced_figures.rs
+++ b/src/fleet/announced_figures.rs
@@ -12,8 +12,9 @@
 const SPEED_TOLERANCE_DIVISOR: u32 = 10;
 /// A speed that differs by more than this part is announced at once.
 const SPEED_URGENT_DIVISOR: u32 = 4;
-/// The step of the announced failure rate, in thousandths.
-const FAILURE_STEP_PERMILLE: u16 = 50;
+/// The number of steps of the announced failure rate, of two requests each among the
+/// 32 that it covers: replicas publish no change by 50 thousandths or less.
+const FAILURE_STEPS: u32 = 16;
 /// The announced failure rate falls if the measured one is lower by this much, in
 /// thousandths.
 const FAILURE_TOLERANCE_PERMILLE: u16 = 100;
@@ -154,7 +155,7 @@
 
 /// Returns the failure rate to announce after `announced`.
 fn next_failures(announced: u16, measured: u16) -> u16 {
-    let step = measured - measured % FAILURE_STEP_PERMILLE;
+    let step = failure_step(measured);
     let falls_enough = measured.saturating_add(FAILURE_TOLERANCE_PERMILLE) <= announced;
     if step > announced || falls_enough || measured == 0 {
         step
@@ -163,6 +164,12 @@
     }
 }
 
+/// Returns the highest step that a failure rate reaches.
+fn failure_step(failures: u16) -> u16 {
+    let steps = u32::from(failures) * FAILURE_STEPS / 1_000;
+    u16::try_from(steps * 1_000 / FAILURE_STEPS).unwrap_or(failures)
+}
+
 fn is_failing(failures: u16) -> bool {
     failures >= FAILURE_LIMIT_PERMILLE
 }
--- a/src/fleet/tests/announced_figures.rs
+++ b/src/fleet/tests/announced_figures.rs
@@ -99,7 +99,24 @@
         assert!(!figures.update(measured(1_000, failures), at(600 + 100 * step)));
     }
     assert!(figures.update(measured(1_000, 140), at(20_000)));
-    assert_eq!(figures.failures(), 100);
+    assert_eq!(figures.failures(), 125);
+}
+
+/// Replicas do not publish a change by 50 thousandths or less. A rate that rises
+/// slowly past the limit must still reach the balancers.
+#[test]
+fn announced_failure_rates_differ_by_more_than_replicas_ignore() {
+    let mut figures = announced(1_000, 0);
+    let mut last = 0;
+    for permille in 0..=1_000 {
+        let now = at(10_000 * u64::from(permille));
+        if figures.update(measured(1_000, permille), now) {
+            assert!(figures.failures() - last > 50, "{last} was announced");
+            last = figures.failures();
+        }
+        assert_eq!(figures.failures() >= 250, permille >= 250, "{permille}");
+    }
+    assert_eq!(last, 1_000);
 }
 
 /// The weight of a cold target follows its speed, which changes quickly.
