--- a/src/flow/agent_flows.rs
+++ b/src/flow/agent_flows.rs
@@ -230,7 +230,8 @@
         let flow = packet.target_flow();
         if packet.flags.has(PacketFlags::RESET) {
             self.tracked.remove(&flow);
-            let opening = self.openings.contains(flow);
+            // The caller has the target's reset, so no other target gets the opening.
+            let opening = self.openings.remove(flow).is_some();
             self.load.record_reset(flow, opening, now);
             return AgentStep::without_report(AgentAction::Return);
         }
--- a/src/flow/tests/agent_steps.rs
+++ b/src/flow/tests/agent_steps.rs
@@ -307,3 +307,15 @@
         assert_eq!(kind, Some(ReportKind::Held));
     }
 }
+
+/// The caller's attempt ends with the reset, so that another target would hold a flow
+/// that nobody uses.
+#[test]
+fn an_opening_that_the_target_resets_goes_to_no_other_agent() {
+    let mut flows = flows();
+    let opening = from_caller(flow(1), PacketFlags::OPEN);
+    let step = flows.handle_frame(header(&[2]), &opening, &[1], START);
+    delivered_tag(step.action);
+    flows.handle_target_packet(&from_target(flow(1), PacketFlags::RESET), START);
+    assert_eq!(flows.expire_openings(LATER), []);
+}
