--- a/src/control/replica/candidate_state.rs
+++ b/src/control/replica/candidate_state.rs
@@ -7,27 +7,37 @@
 pub(crate) enum CoreRole {
     /// Receives the log from the leader, if there is one.
     Follower,
-    /// Requests votes or pre-votes.
+    /// Requests votes, pre-votes or both.
     Candidate(CandidateState),
     /// Appends proposals and replicates the log.
     Leader(Box<LeaderState>),
 }
 
-/// The votes that a candidate has received.
-#[derive(Debug)]
+/// The votes that a candidate has received, by data folder and with its own.
+///
+/// Votes of the current term still count while pre-votes for the next one are
+/// requested: a vote takes as long as the voter's disk, which may be longer than the
+/// pause until the next pre-vote.
+#[derive(Debug, Default)]
 pub(crate) struct CandidateState {
-    /// Whether these are pre-votes.
-    pub(crate) pre_vote: bool,
-    /// The data folders that granted their vote, the candidate's included.
-    pub(crate) votes: BTreeSet<DiskId>,
+    /// Votes in the current term, if this replica is a candidate in it.
+    pub(crate) votes: Option<BTreeSet<DiskId>>,
+    /// Pre-votes for the next term, if they were requested.
+    pub(crate) pre_votes: Option<BTreeSet<DiskId>>,
 }
 
 impl CandidateState {
-    /// Creates a candidate with its own vote.
-    pub(crate) fn new(own: DiskId, pre_vote: bool) -> Self {
+    /// Creates a candidate in the current term with its own vote.
+    pub(crate) fn new(own: DiskId) -> Self {
         Self {
-            pre_vote,
-            votes: BTreeSet::from([own]),
+            votes: Some(BTreeSet::from([own])),
+            pre_votes: None,
         }
     }
+
+    /// Starts to collect pre-votes for the next term.
+    pub(crate) fn with_pre_votes(mut self, own: DiskId) -> Self {
+        self.pre_votes = Some(BTreeSet::from([own]));
+        self
+    }
 }
--- a/src/control/replica/disk_queue.rs
+++ b/src/control/replica/disk_queue.rs
@@ -35,6 +35,7 @@
 #[derive(Debug)]
 struct SyncInFlight {
     token: SyncToken,
+    saves_state: bool,
     last_index: Option<LogIndex>,
     deferred: Vec<DeferredMessage>,
 }
@@ -73,6 +74,12 @@
         self.dirty = true;
     }
 
+    /// Returns whether a term, vote or group is queued or being synced.
+    pub(crate) fn has_unsynced_state(&self) -> bool {
+        let is_being_synced = self.in_flight.as_ref().is_some_and(|sync| sync.saves_state);
+        is_being_synced || self.batch.hard_state.is_some()
+    }
+
     /// Queues the commit index.
     pub(crate) fn save_commit(&mut self, commit: LogIndex) {
         self.batch.commit = Some(commit);
@@ -147,6 +154,7 @@
         let entry_index = batch.entries.last().map(|entry| entry.index);
         self.in_flight = Some(SyncInFlight {
             token,
+            saves_state: batch.hard_state.is_some(),
             last_index: entry_index.or(snapshot_index),
             deferred: std::mem::take(&mut self.deferred),
         });
--- a/src/control/replica/election.rs
+++ b/src/control/replica/election.rs
@@ -1,6 +1,8 @@
 //! Elections with pre-vote, so that a replica that was partitioned away does not
 //! depose a leader that a majority hears from, and with check-quorum.
 
+use std::collections::BTreeSet;
+
 use super::{
     DiskId, EntryBody, LogIndex, MemberId, PeerBody, ReplicaCore, ReplicaReport, TermNumber,
     candidate_state::{CandidateState, CoreRole},
@@ -18,7 +20,12 @@
             return;
         }
         self.schedule_election_retry(now);
-        self.role = CoreRole::Candidate(CandidateState::new(self.hard_state.disk, true));
+        let own = self.hard_state.disk;
+        let candidate = match std::mem::replace(&mut self.role, CoreRole::Follower) {
+            CoreRole::Candidate(candidate) => candidate,
+            CoreRole::Follower | CoreRole::Leader(_) => CandidateState::default(),
+        };
+        self.role = CoreRole::Candidate(candidate.with_pre_votes(own));
         self.request_votes(true, false, self.hard_state.term.next());
         self.count_votes(now);
     }
@@ -28,7 +35,8 @@
         self.hard_state.term = self.hard_state.term.next();
         self.hard_state.voted_for = Some(self.hard_state.disk);
         self.disk.save_hard_state(self.hard_state);
-        self.role = CoreRole::Candidate(CandidateState::new(self.hard_state.disk, false));
+        self.role = CoreRole::Candidate(CandidateState::new(self.hard_state.disk));
+        self.fruitless_elections = self.fruitless_elections.saturating_add(1);
         self.schedule_election_retry(now);
         self.request_votes(false, leadership_transfer, self.hard_state.term);
         self.count_votes(now);
@@ -54,18 +62,15 @@
         let CoreRole::Candidate(candidate) = &self.role else {
             return;
         };
-        let votes = &candidate.votes;
-        if !self
-            .log
-            .members()
-            .has_majority(|disk| votes.contains(&disk))
-        {
-            return;
-        }
-        if candidate.pre_vote {
-            self.start_election(false, now);
-        } else {
+        let is_majority = |votes: &BTreeSet<DiskId>| {
+            let members = self.log.members();
+            members.has_majority(|disk| votes.contains(&disk))
+        };
+        // An election that is won makes the pre-votes for the next one void.
+        if candidate.votes.as_ref().is_some_and(is_majority) {
             self.become_leader(now);
+        } else if candidate.pre_votes.as_ref().is_some_and(is_majority) {
+            self.start_election(false, now);
         }
     }
 
@@ -76,7 +81,7 @@
         leader.update_members(self.log.members(), self.hard_state.disk, last_index, now);
         self.role = CoreRole::Leader(Box::new(leader));
         self.leader = Some(self.member_id());
-        self.last_led_term = term;
+        self.fruitless_elections = 0;
         self.report(ReplicaReport::LeaderElected { term });
         self.append_entry(EntryBody::Empty);
         self.send_heartbeats(now);
@@ -93,6 +98,9 @@
     ) {
         let up_to_date = last >= (self.log.last_term(), self.log.last_index());
         if pre_vote {
+            if self.has_vote_pending_for_other(from.disk) {
+                return;
+            }
             let granted = up_to_date && term > self.hard_state.term;
             self.send_after_sync_in(term, from, PeerBody::VoteResponse { pre_vote, granted });
             return;
@@ -110,6 +118,20 @@
         self.send_after_sync_in(term, from, PeerBody::VoteResponse { pre_vote, granted });
     }
 
+    /// Returns whether this replica has voted for another candidate, or for itself, and
+    /// the vote is not synced yet.
+    ///
+    /// The vote may decide its election, so a pre-vote for the next one is left
+    /// unanswered. With slow disks the next term would otherwise start while the votes
+    /// of this one are being synced, and depose its leader.
+    fn has_vote_pending_for_other(&self, candidate: DiskId) -> bool {
+        let voted_for_other = self
+            .hard_state
+            .voted_for
+            .is_some_and(|disk| disk != candidate);
+        voted_for_other && self.disk.has_unsynced_state()
+    }
+
     /// Returns whether a leader was heard from within the shortest election timeout,
     /// or is this replica. Votes are then granted only for a leadership transfer.
     pub(super) fn has_recent_leader(&self, now: ClockMillis) -> bool {
@@ -134,12 +156,17 @@
         let CoreRole::Candidate(candidate) = &mut self.role else {
             return;
         };
-        let requested_term = if pre_vote { own_term.next() } else { own_term };
-        if candidate.pre_vote != pre_vote || term != requested_term {
-            return;
+        let (votes, requested_term) = if pre_vote {
+            (&mut candidate.pre_votes, own_term.next())
+        } else {
+            (&mut candidate.votes, own_term)
+        };
+        if let Some(votes) = votes
+            && term == requested_term
+        {
+            votes.insert(from);
+            self.count_votes(now);
         }
-        candidate.votes.insert(from);
-        self.count_votes(now);
     }
 
     /// Check-quorum: steps down without contact from a majority for the longest
--- a/src/control/replica/limits.rs
+++ b/src/control/replica/limits.rs
@@ -19,9 +19,9 @@
 pub(crate) const ELECTION_RETRY_MIN_MILLIS: SpanMillis = SpanMillis::new(100);
 /// Longest pause before a candidate that was not elected tries again.
 pub(crate) const ELECTION_RETRY_MAX_MILLIS: SpanMillis = SpanMillis::new(400);
-/// Longest pause before an election after several in a row without a leader.
+/// Longest pause before an election after several fruitless ones.
 pub(crate) const MAX_ELECTION_MILLIS: SpanMillis = SpanMillis::new(20_000);
-/// Elections in a row without a leader before their pauses grow.
+/// Fruitless elections of a replica in a row before its pauses grow.
 pub(crate) const PROMPT_ELECTIONS: u64 = 2;
 /// Most doublings of the pauses.
 pub(crate) const MAX_ELECTION_DOUBLINGS: u64 = 6;
--- a/src/control/replica/message_dispatch.rs
+++ b/src/control/replica/message_dispatch.rs
@@ -154,7 +154,7 @@
         self.role = CoreRole::Follower;
         self.leader = Some(from);
         self.leader_contact_at = now;
-        self.last_led_term = self.hard_state.term;
+        self.fruitless_elections = 0;
         self.reset_election_timer(now);
         true
     }
--- a/src/control/replica/replica_core.rs
+++ b/src/control/replica/replica_core.rs
@@ -67,8 +67,8 @@
     pub(super) leader: Option<MemberId>,
     pub(super) leader_contact_at: ClockMillis,
     pub(super) election_due_at: ClockMillis,
-    /// The newest term in which this replica heard or was a leader.
-    pub(super) last_led_term: TermNumber,
+    /// Elections that this replica started since it last heard or was a leader.
+    pub(super) fruitless_elections: u64,
     pub(super) commit: LogIndex,
     pub(super) applied: LogIndex,
     /// The commit index that is saved in the data folder.
@@ -104,7 +104,7 @@
         let start = log.snapshot_index();
         let mut core = Self {
             peers,
-            last_led_term: hard_state.term,
+            fruitless_elections: 0,
             hard_state,
             disk: DiskQueue::new(log.last_index()),
             log,
@@ -151,7 +151,7 @@
             ReplicaEvent::Proposed { key, payload } => self.propose(key, payload),
             ReplicaEvent::ReadRequested { key } => self.handle_read(key, now),
             ReplicaEvent::LeadershipTransferRequested => self.transfer_leadership(now),
-            ReplicaEvent::Synced { token } => self.finish_sync(token),
+            ReplicaEvent::Synced { token } => self.finish_sync(token, now),
             ReplicaEvent::SnapshotTaken { index, payload } => self.store_snapshot(index, payload),
         }
         self.advance_commit();
@@ -181,20 +181,27 @@
         self.request_admission(now);
         match self.role {
             CoreRole::Leader(_) => self.tick_leader(now),
-            CoreRole::Follower | CoreRole::Candidate(_) if now >= self.election_due_at => {
+            // A term or vote that is being synced may still decide an election.
+            CoreRole::Follower | CoreRole::Candidate(_)
+                if now >= self.election_due_at && !self.disk.has_unsynced_state() =>
+            {
                 self.start_pre_vote(now);
             }
             CoreRole::Follower | CoreRole::Candidate(_) => {}
         }
     }
 
-    fn finish_sync(&mut self, token: SyncToken) {
+    fn finish_sync(&mut self, token: SyncToken, now: ClockMillis) {
+        let had_unsynced_state = self.disk.has_unsynced_state();
         for deferred in self.disk.finish(token) {
             self.actions.push(ReplicaAction::Send {
                 to: deferred.to,
                 message: deferred.message,
             });
         }
+        if had_unsynced_state && !self.disk.has_unsynced_state() {
+            self.postpone_election(now);
+        }
     }
 
     /// Returns the member that this replica is on its data folder.
@@ -223,6 +230,13 @@
         self.set_election_timer(ELECTION_RETRY_MIN_MILLIS, ELECTION_RETRY_MAX_MILLIS, now);
     }
 
+    /// Leaves time for an election that is under way before this replica's next attempt.
+    pub(super) fn postpone_election(&mut self, now: ClockMillis) {
+        let due_at = self.election_due_at;
+        self.schedule_election_retry(now);
+        self.election_due_at = self.election_due_at.max(due_at);
+    }
+
     fn set_election_timer(&mut self, shortest: SpanMillis, longest: SpanMillis, now: ClockMillis) {
         let factor = self.election_backoff();
         let longest = longest.saturating_mul(factor).min(MAX_ELECTION_MILLIS);
@@ -233,16 +247,12 @@
         self.election_due_at = now.after(wait);
     }
 
-    /// Returns the factor by which elections wait longer after several in a row
-    /// without a leader: votes are synced by candidate and voter, and on slow disks
-    /// that takes longer than the usual pause.
+    /// Returns the factor by which elections wait longer after several fruitless ones of
+    /// this replica: messages may take longer than the usual pause.
+    ///
+    /// Terms of others don't count. They may have passed while this replica was stopped.
     fn election_backoff(&self) -> u64 {
-        let leaderless_terms = self
-            .hard_state
-            .term
-            .number()
-            .saturating_sub(self.last_led_term.number());
-        let doublings = leaderless_terms.saturating_sub(PROMPT_ELECTIONS);
+        let doublings = self.fruitless_elections.saturating_sub(PROMPT_ELECTIONS);
         1 << doublings.min(MAX_ELECTION_DOUBLINGS)
     }
 
--- a/src/control/replica/tests/scenarios.rs
+++ b/src/control/replica/tests/scenarios.rs
@@ -308,3 +308,26 @@
 fn a_leader_is_replaced_while_every_sync_takes_four_seconds() {
     replace_leader_on_slow_disks(SpanMillis::new(4_000));
 }
+
+/// Guards against a leader that is elected but loses its majority while followers sync.
+#[test]
+fn a_new_leader_commits_a_change_while_every_sync_takes_four_seconds() {
+    let sync_time = SpanMillis::new(4_000);
+    for seed in 0..20 {
+        let mut simulator = GroupSimulator::new(3, seed);
+        simulator.run(SETTLE_MILLIS);
+        let old_leader = simulator.leader().expect("a group is formed");
+        simulator.crash(old_leader, 0);
+        simulator.run_with_slow_disks(SpanMillis::new(60_000), sync_time);
+        let leader = simulator.leader().expect("a leader is elected");
+        let term = simulator.view(leader).expect("it runs").term;
+        let key = simulator.propose(leader);
+        simulator.run_with_slow_disks(SpanMillis::new(20_000), sync_time);
+        let outcome = simulator.history.outcomes.get(&key);
+        assert!(
+            matches!(outcome, Some(ProposalOutcome::Committed { .. })),
+            "{outcome:?}, seed {seed}"
+        );
+        assert_eq!(simulator.view(leader).expect("it runs").term, term);
+    }
+}
