--- a/src/control/replica/candidate_state.rs
+++ b/src/control/replica/candidate_state.rs
@@ -24,6 +24,8 @@
     pub(crate) votes: Option<BTreeSet<DiskId>>,
     /// Pre-votes for the next term, if they were requested.
     pub(crate) pre_votes: Option<BTreeSet<DiskId>>,
+    /// How often pre-votes for the next term were requested.
+    pub(crate) pre_vote_rounds: u32,
 }
 
 impl CandidateState {
@@ -32,12 +34,14 @@
         Self {
             votes: Some(BTreeSet::from([own])),
             pre_votes: None,
+            pre_vote_rounds: 0,
         }
     }
 
     /// Starts to collect pre-votes for the next term.
     pub(crate) fn with_pre_votes(mut self, own: DiskId) -> Self {
         self.pre_votes = Some(BTreeSet::from([own]));
+        self.pre_vote_rounds = self.pre_vote_rounds.saturating_add(1);
         self
     }
 }
--- a/src/control/replica/election.rs
+++ b/src/control/replica/election.rs
@@ -7,7 +7,7 @@
     DiskId, EntryBody, LogIndex, MemberId, PeerBody, ReplicaCore, ReplicaReport, TermNumber,
     candidate_state::{CandidateState, CoreRole},
     leader_state::LeaderState,
-    limits::{ELECTION_MAX_MILLIS, ELECTION_MIN_MILLIS},
+    limits::{ELECTION_MAX_MILLIS, ELECTION_MIN_MILLIS, YIELDING_ROUND_INTERVAL},
 };
 use crate::clock::ClockMillis;
 
@@ -98,10 +98,15 @@
     ) {
         let up_to_date = last >= (self.log.last_term(), self.log.last_index());
         if pre_vote {
-            if self.has_vote_pending_for_other(from.disk) {
+            if self.has_vote_pending_for_other(from.disk) || self.has_precedence(from.disk, last) {
                 return;
             }
             let granted = up_to_date && term > self.hard_state.term;
+            if granted && matches!(self.role, CoreRole::Follower) {
+                // Two candidates at once would split the votes. A candidate goes on,
+                // since the other one may be unable to win.
+                self.postpone_election(now);
+            }
             self.send_after_sync_in(term, from, PeerBody::VoteResponse { pre_vote, granted });
             return;
         }
@@ -132,6 +137,20 @@
         voted_for_other && self.disk.has_unsynced_state()
     }
 
+    /// Returns whether this replica requests pre-votes itself and goes first.
+    ///
+    /// Candidates that grant each other's pre-votes split the votes, which is likely
+    /// where messages take as long as the pauses between attempts.
+    fn has_precedence(&self, candidate: DiskId, last: (TermNumber, LogIndex)) -> bool {
+        let CoreRole::Candidate(own) = &self.role else {
+            return false;
+        };
+        let requests_pre_votes = own.pre_votes.is_some();
+        let yields = own.pre_vote_rounds.is_multiple_of(YIELDING_ROUND_INTERVAL);
+        let own_last = (self.log.last_term(), self.log.last_index());
+        requests_pre_votes && !yields && (own_last, self.hard_state.disk) > (last, candidate)
+    }
+
     /// Returns whether a leader was heard from within the shortest election timeout,
     /// or is this replica. Votes are then granted only for a leadership transfer.
     pub(super) fn has_recent_leader(&self, now: ClockMillis) -> bool {
--- a/src/control/replica/limits.rs
+++ b/src/control/replica/limits.rs
@@ -25,6 +25,9 @@
 pub(crate) const PROMPT_ELECTIONS: u64 = 2;
 /// Most doublings of the pauses.
 pub(crate) const MAX_ELECTION_DOUBLINGS: u64 = 6;
+/// Every so many rounds of pre-votes a candidate grants the pre-votes of one that ranks
+/// lower, since it may be unable to win itself.
+pub(crate) const YIELDING_ROUND_INTERVAL: u32 = 3;
 /// Time without an acknowledgement after which entries or a snapshot chunk are
 /// sent again.
 pub(crate) const RESEND_MILLIS: SpanMillis = SpanMillis::new(1_000);
--- a/src/control/replica/tests/group_simulator.rs
+++ b/src/control/replica/tests/group_simulator.rs
@@ -19,10 +19,10 @@
 };
 
 /// A message in flight.
-struct Envelope {
-    from: usize,
-    to: usize,
-    message: PeerMessage,
+pub(super) struct Envelope {
+    pub(super) from: usize,
+    pub(super) to: usize,
+    pub(super) message: PeerMessage,
 }
 
 /// A simulated group and the history of its clients' requests.
@@ -204,6 +204,16 @@
         } else {
             self.in_flight.remove(index)
         };
+        self.receive(envelope);
+    }
+
+    /// Takes all messages in flight, in the order in which they were sent.
+    pub(super) fn take_messages(&mut self) -> Vec<Envelope> {
+        std::mem::take(&mut self.in_flight)
+    }
+
+    /// Hands a message to its receiver, unless the link is blocked.
+    pub(super) fn receive(&mut self, envelope: Envelope) {
         if !self.blocked_links.contains(&(envelope.from, envelope.to)) {
             self.handle(envelope.to, ReplicaEvent::MessageReceived(envelope.message));
         }
--- a/src/control/replica/tests/mod.rs
+++ b/src/control/replica/tests/mod.rs
@@ -1,4 +1,5 @@
 mod group_simulator;
+mod group_start;
 mod history_checker;
 mod measures;
 mod open_group;
@@ -6,6 +7,7 @@
 mod scenarios;
 mod single_core;
 mod test_node;
+mod timed_group;
 
 use proptest::{
     prelude::ProptestConfig,
