--- a/src/control/replica/tests/mod.rs
+++ b/src/control/replica/tests/mod.rs
@@ -1,3 +1,4 @@
+mod failover;
 mod group_simulator;
 mod group_start;
 mod history_checker;
