--- /dev/null
+++ b/src/check/tests/mod.rs
@@ -0,0 +1,2 @@
+mod diff;
+mod report;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod agent;
 pub mod balancer;
 pub mod caller;
+pub mod check;
 pub mod cli;
 pub mod clock;
 pub mod control;
--- a/src/listener/mod.rs
+++ b/src/listener/mod.rs
@@ -8,8 +8,11 @@
 mod cold_limit;
 mod evacuation_order;
 mod evacuation_set;
+mod listener_check;
 mod listener_error;
+mod listener_finding;
 mod listener_manifest;
+mod listener_names;
 mod listener_store;
 mod listener_table;
 mod route_urgency;
@@ -17,8 +20,11 @@
 mod stored_manifest;
 
 pub use cold_limit::{ColdLimit, ServiceColdLimit};
+pub use listener_check::ListenerCheck;
 pub use listener_error::ListenerError;
+pub use listener_finding::ListenerFinding;
 pub use listener_manifest::{ListenerManifest, ListenerRoute, ServiceShare};
+pub use listener_names::{ListenerNames, ServiceStatement};
 pub use route_urgency::RouteUrgency;
 pub use service_tag::ServiceTag;
 
--- a/src/listener/tests/mod.rs
+++ b/src/listener/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the listener routes.
 
+mod checking;
 mod evacuations;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/src/program/exit_status.rs
+++ b/src/program/exit_status.rs
@@ -1,6 +1,6 @@
 use std::process::ExitCode;
 
-/// The exit status of a program: codes 0, 1 and 2.
+/// The exit status of a program: codes 0 to 3.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExitStatus {
     /// Success.
@@ -9,6 +9,8 @@
     Failed,
     /// The command line is invalid.
     Usage,
+    /// A check found warnings and no faults.
+    Warned,
 }
 
 impl From<ExitStatus> for ExitCode {
@@ -17,6 +19,7 @@
             ExitStatus::Success => Self::SUCCESS,
             ExitStatus::Failed => Self::from(1),
             ExitStatus::Usage => Self::from(2),
+            ExitStatus::Warned => Self::from(3),
         }
     }
 }
