--- a/src/cli/command/check_command.rs
+++ b/src/cli/command/check_command.rs
@@ -8,11 +8,18 @@
 use serde::Serialize;
 
 use crate::{
+    check::{CheckEntry, CheckReport, DocumentDiff},
     cli::{CliError, OutputFormat, UsageError},
-    manifest::{Manifest, ManifestDigest, ManifestError, ManifestText},
+    manifest::{
+        Manifest, ManifestDigest, ManifestError, ManifestFault, ManifestFinding, ManifestReview,
+        ManifestText,
+    },
     program::ExitStatus,
 };
 
+/// The fields that tell the entries of a manifest's lists apart.
+const IDENTIFIERS: &[&str] = &["name"];
+
 /// The options of `cyclamen check`.
 #[derive(Debug, Options)]
 pub(crate) struct CheckOptions {
@@ -21,51 +28,42 @@
     /// Prints the report as JSON.
     #[options(no_short, help = "write the report as JSON")]
     pub(crate) json: bool,
+    /// The manifest in force.
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "compare with the manifest in force, from FILE"
+    )]
+    in_force: Option<PathBuf>,
     /// The manifest file.
     #[options(free, help = "the manifest file")]
     file: Option<PathBuf>,
 }
 
-/// The result of validating a manifest.
+/// The result of checking a manifest.
 #[derive(Debug, Serialize)]
-struct CheckReport {
-    file: PathBuf,
-    valid: bool,
-    version: Option<u64>,
-    services: Option<usize>,
+struct ManifestReport {
+    #[serde(flatten)]
+    report: CheckReport,
     digest: Option<ManifestDigest>,
     shared_ports: BTreeMap<u16, Vec<String>>,
-    faults: Vec<FaultEntry>,
-}
-
-/// One fault of the manifest, with line and column if the JSON could not be parsed.
-#[derive(Debug, Serialize)]
-struct FaultEntry {
-    place: String,
-    line: Option<usize>,
-    column: Option<usize>,
-    message: String,
 }
 
 impl CheckOptions {
-    /// Validates the manifest without any network access.
+    /// Checks the manifest without any network access.
     pub(crate) fn run(&self) -> Result<ExitStatus, CliError> {
         let path = self
             .file
             .as_ref()
             .ok_or(UsageError::Missing { name: "FILE" })?;
+        let in_force = self.in_force.as_deref().map(load_manifest).transpose()?;
         let report = match load_manifest(path) {
-            Ok(manifest) => CheckReport::valid(path, &manifest),
-            Err(CliError::Manifest { cause, .. }) => CheckReport::invalid(path, cause)?,
+            Ok(manifest) => ManifestReport::valid(path, &manifest, in_force.as_ref())?,
+            Err(CliError::Manifest { cause, .. }) => ManifestReport::invalid(path, cause)?,
             Err(error) => return Err(error),
         };
-        let status = if report.valid {
-            ExitStatus::Success
-        } else {
-            ExitStatus::Failed
-        };
         OutputFormat::from_flag(self.json).print(&report);
-        Ok(status)
+        Ok(report.report.status())
     }
 }
 
@@ -79,22 +77,36 @@
         })
 }
 
-impl CheckReport {
-    fn valid(path: &Path, manifest: &Manifest) -> Self {
+impl ManifestReport {
+    fn valid(
+        path: &Path,
+        manifest: &Manifest,
+        in_force: Option<&Manifest>,
+    ) -> Result<Self, CliError> {
+        let mut review = ManifestReview::new(manifest);
+        let mut report = CheckReport::new(path, manifest.version, manifest.services.len());
+        if let Some(in_force) = in_force {
+            review = review.with_version_in_force(in_force.version);
+            let value = |manifest| {
+                serde_json::to_value(manifest).map_err(|error| CliError::Manifest {
+                    path: path.to_owned(),
+                    cause: ManifestError::Unreadable(error.into()),
+                })
+            };
+            let diff = DocumentDiff::new(IDENTIFIERS);
+            report = report.with_changes(diff.compare(&value(in_force)?, &value(manifest)?));
+        }
+        let findings = review.findings();
         let shared_ports = manifest
             .shared_ports()
             .into_iter()
             .map(|(port, names)| (port, names.into_iter().map(str::to_owned).collect()))
             .collect();
-        Self {
-            file: path.to_owned(),
-            valid: true,
-            version: Some(manifest.version),
-            services: Some(manifest.services.len()),
+        Ok(Self {
+            report: report.with_warnings(findings.iter().map(ManifestFinding::warning).collect()),
             digest: Some(manifest.digest()),
             shared_ports,
-            faults: Vec::new(),
-        }
+        })
     }
 
     /// Reports the faults in the document; fails when it could not be read.
@@ -102,59 +114,30 @@
         let faults = match error {
             ManifestError::Invalid { faults } => faults
                 .into_iter()
-                .map(|fault| FaultEntry {
-                    place: fault.place,
-                    line: None,
-                    column: None,
-                    message: fault.cause.to_string(),
-                })
+                .map(|ManifestFault { place, cause }| CheckEntry::new(place, cause))
                 .collect(),
             ManifestError::Malformed {
                 place,
                 line,
                 column,
                 message,
-            } => vec![FaultEntry {
-                place,
-                line: Some(line),
-                column: Some(column),
-                message,
-            }],
+            } => vec![CheckEntry::new(place, message).with_position(line, column)],
             cause @ (ManifestError::Unreadable(_) | ManifestError::TooLarge) => {
                 let path = path.to_owned();
                 return Err(CliError::Manifest { path, cause });
             }
         };
         Ok(Self {
-            file: path.to_owned(),
-            valid: false,
-            version: None,
-            services: None,
+            report: CheckReport::invalid(path, faults),
             digest: None,
             shared_ports: BTreeMap::new(),
-            faults,
         })
     }
 }
 
-impl fmt::Display for CheckReport {
+impl fmt::Display for ManifestReport {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let file = self.file.display();
-        if let (Some(version), Some(services)) = (self.version, self.services) {
-            writeln!(
-                formatter,
-                "{file}: version {version}, {services} services, valid"
-            )?;
-        } else {
-            writeln!(formatter, "{file}: invalid, {} faults", self.faults.len())?;
-        }
-        for fault in &self.faults {
-            write!(formatter, "  `{}`", fault.place)?;
-            if let (Some(line), Some(column)) = (fault.line, fault.column) {
-                write!(formatter, ", line {line}, column {column}")?;
-            }
-            writeln!(formatter, ": {}", fault.message)?;
-        }
+        self.report.fmt(formatter)?;
         for (port, names) in &self.shared_ports {
             writeln!(
                 formatter,
--- a/src/cli/tests/mod.rs
+++ b/src/cli/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the command line without network access.
 
 mod arguments;
+mod checking;
 mod in_force;
 mod secrets;
 
--- a/src/manifest/tests/mod.rs
+++ b/src/manifest/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod checking;
 mod matching;
+mod reviewing;
 mod text;
 
 use super::{Manifest, ManifestText};
