--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -13,6 +13,7 @@
 mod agent_step;
 mod balancer_flows;
 mod balancer_lookups;
+mod balancer_openings;
 mod cold_limiter;
 mod delivery_ring;
 mod failure_meter;
