--- a/src/flow/tests/evacuation.rs
+++ b/src/flow/tests/evacuation.rs
@@ -127,3 +127,30 @@
     let verdict = balancer.handle_packet(&opening, &[1], START);
     assert!(matches!(verdict, FlowVerdict::Forward { .. }));
 }
+
+/// A balancer whose reports are late sends an opening on to the next agent though the
+/// first one holds the flow. The evacuated last candidate must not reset it: the flow may
+/// be open.
+#[test]
+fn an_opening_sent_on_since_its_report_is_late_is_not_reset_by_the_last_candidate() {
+    let mut balancer = balancer();
+    let services = HashMap::from([(service(), targets(&[1, 2], &[1, 2]))]);
+    balancer.set_targets(known_targets(services));
+    let opening = from_caller(flow(1), PacketFlags::OPEN);
+    let FlowVerdict::Forward { header, .. } = balancer.handle_packet(&opening, &[1], START) else {
+        panic!("the opening is forwarded");
+    };
+    let mut owner = agent_flows();
+    let action = owner.handle_frame(header, &opening, &[1], START).action;
+    assert!(matches!(action, AgentAction::Deliver { .. }));
+    let accepted = PacketFlags::OPEN.with(PacketFlags::ACKNOWLEDGE);
+    owner.handle_target_packet(&from_target(flow(1), accepted), START);
+
+    let due = balancer.next_due().expect("an unreported opening");
+    let resent = balancer.expire_openings(due);
+    let (_, _, _, header) = resent[0];
+    let mut last = agent_flows();
+    last.set_evacuated(true);
+    let action = last.handle_frame(header, &opening, &[1], due).action;
+    assert!(!matches!(action, AgentAction::Reset(_)), "{action}");
+}
