--- a/src/flow/agent_flows.rs
+++ b/src/flow/agent_flows.rs
@@ -317,19 +317,26 @@
     }
 
     /// Passes a packet on to the next candidate. Without one, an opening is
-    /// refused, which is safe since no request has run yet; other packets are
-    /// dropped and reported as not held.
+    /// refused, which is safe since no request has run yet, unless an agent before
+    /// may hold its flow; other packets are dropped and reported as not held.
     pub(super) fn pass_on(&self, header: HopHeader, packet: &FlowPacket) -> AgentStep {
         match header.next_hop() {
             Some((to, header)) => AgentStep::without_report(AgentAction::PassOn { to, header }),
-            None if packet.is_opening() => self.reset_flow(header, packet, ReportKind::Refused),
-            None => AgentStep {
-                action: AgentAction::Drop,
-                report: Some((
-                    header.balancer,
-                    self.report(packet.caller_flow(), header.lookup_id, ReportKind::NotHeld),
-                )),
-            },
+            None if packet.is_opening() && header.may_reset_opening() => {
+                self.reset_flow(header, packet, ReportKind::Refused)
+            }
+            None => {
+                let kind = if packet.is_opening() {
+                    ReportKind::Refused
+                } else {
+                    ReportKind::NotHeld
+                };
+                let report = self.report(packet.caller_flow(), header.lookup_id, kind);
+                AgentStep {
+                    action: AgentAction::Drop,
+                    report: Some((header.balancer, report)),
+                }
+            }
         }
     }
 
--- a/src/flow/agent_openings.rs
+++ b/src/flow/agent_openings.rs
@@ -121,15 +121,20 @@
 
     fn refuse_queued(&self, opening: PendingOpening, now: ClockMillis) -> DequeuedOpening {
         let report = self.report(opening.flow, opening.header.lookup_id, ReportKind::Refused);
+        let action = if opening.header.may_reset_opening() {
+            AgentAction::Reset(FlowReset {
+                flow: opening.flow,
+                sequence: 0,
+            })
+        } else {
+            AgentAction::Drop
+        };
         DequeuedOpening {
             flow: opening.flow,
             packet: opening.packet,
             waited: now.since(opening.sent_at),
             step: AgentStep {
-                action: AgentAction::Reset(FlowReset {
-                    flow: opening.flow,
-                    sequence: 0,
-                }),
+                action,
                 report: Some((opening.header.balancer, report)),
             },
         }
--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer_flows.rs
@@ -8,7 +8,7 @@
     owner_cache::OwnerCache,
     owner_lookup::{OwnerLookup, PendingLookups},
     parked_packets::ParkedPackets,
-    pending_openings::{PendingOpening, PendingOpenings},
+    pending_openings::PendingOpenings,
     report_timer::{MIN_TIMEOUT_MILLIS, ReportTimer},
 };
 use crate::{
--- a/src/flow/balancer_openings.rs
+++ b/src/flow/balancer_openings.rs
@@ -104,7 +104,8 @@
         self.openings.remove(report.flow);
         self.opening_agents.remove(&report.flow);
         let live_owner = self.live_owner(report.flow, now);
-        if live_owner.is_some_and(|owner| owner != report.agent) && report.lookup_id == 0 {
+        let is_of_opening = report.lookup_id == 0 || report.kind == ReportKind::Refused;
+        if live_owner.is_some_and(|owner| owner != report.agent) && is_of_opening {
             // Copies of an opening may reach several targets. The caller keeps to the
             // first one that answered; what the others report changes nothing.
             return ReportAction::Nothing;
@@ -151,6 +152,9 @@
             let Some((to, header)) = opening.header.next_hop() else {
                 continue;
             };
+            // The silent agent may hold the flow by now, so no other one may reset it.
+            self.last_lookup_id = self.last_lookup_id.wrapping_add(1).max(1);
+            let header = header.with_lookup_id(self.last_lookup_id);
             self.owners.assume(opening.flow, to, now);
             resent.push((opening.flow, opening.packet.clone(), to, header));
             opening.header = header;
--- a/src/flow/hop_frame.rs
+++ b/src/flow/hop_frame.rs
@@ -24,7 +24,8 @@
     /// The number of times that the packet was passed on.
     pub(crate) hops: u8,
     /// The round of the owner lookup that the packet belongs to, zero without one.
-    /// Reports repeat it, so that late ones are recognised.
+    /// Reports repeat it, so that late ones are recognised. An opening has a number if
+    /// its balancer sent it on because an earlier agent was silent.
     pub(crate) lookup_id: u32,
     /// The time from the caller first sending the opening to the balancer first
     /// forwarding it.
@@ -50,6 +51,12 @@
         }
     }
 
+    /// Returns whether an opening that no candidate takes may be reset: no agent that
+    /// got it before may hold its flow.
+    pub(crate) fn may_reset_opening(&self) -> bool {
+        self.lookup_id == 0
+    }
+
     /// Sets the round of the owner lookup.
     pub(crate) fn with_lookup_id(mut self, lookup_id: u32) -> Self {
         self.lookup_id = lookup_id;
