--- a/src/flow/service_meter.rs
+++ b/src/flow/service_meter.rs
@@ -95,18 +95,16 @@
     }
 
     /// Sets whether the target fails many requests. A target may answer faster
-    /// while it fails others, so from then on its speed can fall but not rise, and
-    /// a rise is forgotten afterwards.
+    /// while it fails others, so from then on its speed can fall but not rise. What
+    /// was measured meanwhile is forgotten afterwards: one that hung would otherwise
+    /// look slow until it has answered some hundred requests.
     pub(super) fn set_failing(&mut self, failing: bool) {
         match (self.mean_before_failing, failing) {
             (None, true) => self.mean_before_failing = Some(self.mean),
             (Some(before), false) => {
-                if self.mean.after(MIN_ANSWERS) < before.after(MIN_ANSWERS)
-                    || before.after(MIN_ANSWERS).is_none()
-                {
-                    self.mean = before;
-                    self.recent.clear();
-                }
+                self.mean = before;
+                self.recent.clear();
+                self.busy_millis = 0;
                 self.mean_before_failing = None;
             }
             (None, false) | (Some(_), true) => {}
--- a/src/flow/tests/target_figures.rs
+++ b/src/flow/tests/target_figures.rs
@@ -215,3 +215,22 @@
     let figures = model.figures();
     assert_eq!((figures.speed, figures.failures), (0, 0));
 }
+
+/// Soak, few callers: a target that had hung for three seconds looked slow for ten more
+/// and got a sixth of the flows of three, since the mean covers hundreds of answers.
+#[test]
+fn a_target_that_hung_has_its_earlier_speed_once_its_failures_are_over() {
+    let mut model = TargetModel::new(SLOTS, SERVICE_MILLIS);
+    model.openings_per_second = 5;
+    model.run(8_000);
+    let before = model.figures().speed;
+    assert!(before > 0);
+    model.mode = TargetMode::Hanging;
+    model.run(3_000);
+    model.mode = TargetMode::Answering;
+    model.run(6_000);
+    let figures = model.figures();
+    assert!(figures.failures < 125, "{figures:?}");
+    let speed = figures.speed;
+    assert!(speed * 100 >= before * 85, "{speed} after {before}");
+}
