--- a/src/directory/service_weights.rs
+++ b/src/directory/service_weights.rs
@@ -5,6 +5,10 @@
 /// The lowest and highest weight of a target by its speed. A higher bound would
 /// let one wrong figure draw most flows of a small service.
 const WEIGHT_BOUNDS: (f64, f64) = (0.4, 2.0);
+/// A ratio of a target's speed to the median above which the speed is not used: such a
+/// target is more likely to fail its requests at once than to work that fast, and
+/// answers are not read for decisions.
+const MAX_PLAUSIBLE_RATIO: f64 = 3.0;
 /// Ratios of a target's speed to the median that count as the usual speed, so that
 /// the spread of the figures of equal targets moves no flows.
 const DEAD_BAND: (f64, f64) = (0.8, 1.25);
@@ -139,7 +143,7 @@
                 DEAD_BAND
             }
         };
-        let wanted = if is_within(ratio, band) {
+        let wanted = if ratio > MAX_PLAUSIBLE_RATIO || is_within(ratio, band) {
             TargetWeight::MedianSpeed
         } else {
             TargetWeight::BySpeed(ratio.clamp(WEIGHT_BOUNDS.0, WEIGHT_BOUNDS.1))
--- a/src/directory/tests/target_weights.rs
+++ b/src/directory/tests/target_weights.rs
@@ -59,6 +59,18 @@
     }
 }
 
+/// A target that fails every request within a millisecond looks twenty times as fast as
+/// the others; by its speed it would draw twice its share.
+#[test]
+fn a_target_that_answers_implausibly_fast_gets_no_more_than_its_share() {
+    let mut ratios = vec![1.0; 46];
+    ratios[7] = 20.0;
+    let mut service = WeightedService::with_ratios(&ratios);
+    service.announce();
+    let weights = service.weights();
+    assert!(weights.iter().all(|weight| (weight - 1.0).abs() < 0.01));
+}
+
 /// The rankings give each class of speed the share of flows that the weights name.
 #[test]
 fn flows_of_an_uneven_service_spread_by_speed() {
