Agents of ended targets are asked before a flow is reset

One of these targets ran again and held flows that another balancer had opened there; this balancer had not heard of it, and reset the flows as held by no target.

Ruled out: trusting the end of a target for some time only (an announcement may be late by any time while a link is cut); asking ended agents among the others (the VMs of most are gone, and a silent agent ends its chain, so no flow would be reset for a minute).

--- a/src/directory/target_view.rs
+++ b/src/directory/target_view.rs
@@ -168,6 +168,7 @@
 
     /// Returns the rankings of the targets of every service.
     fn services(&self) -> HashMap<ServiceTag, ServiceTargets> {
+        let mut services: HashMap<ServiceTag, ServiceTargets> = HashMap::new();
         let mut accepting: HashMap<ServiceTag, Vec<RankedTarget>> = HashMap::new();
         let mut possible_owners: HashMap<ServiceTag, Vec<RankedTarget>> = HashMap::new();
         for record in self.records.values() {
@@ -177,7 +178,13 @@
                 let ranked = RankedTarget { agent, weight };
                 accepting.entry(record.service).or_default().push(ranked);
             }
-            if record.status != TargetStatus::Ended {
+            if record.status == TargetStatus::Ended {
+                services
+                    .entry(record.service)
+                    .or_default()
+                    .ended
+                    .push(agent);
+            } else {
                 let ranked = RankedTarget {
                     agent,
                     weight: LOOKUP_WEIGHT,
@@ -188,7 +195,6 @@
                     .push(ranked);
             }
         }
-        let mut services: HashMap<ServiceTag, ServiceTargets> = HashMap::new();
         for (service, targets) in accepting {
             services.entry(service).or_default().accepting = TargetRanking::new(targets);
         }
--- a/src/fleet/entry_maintenance.rs
+++ b/src/fleet/entry_maintenance.rs
@@ -39,6 +39,9 @@
                 self.forward(&lookup.packet, to, header);
             }
         }
+        for action in self.flows.expire_ended_rounds(now) {
+            self.apply_report_action(action, now);
+        }
         self.update_targets(now);
         if now >= self.maintenance_at {
             self.run_maintenance(now);
--- a/src/fleet/entry_packets.rs
+++ b/src/fleet/entry_packets.rs
@@ -177,7 +177,13 @@
         if let Some(waited) = self.flows.opening_age(report.flow, now) {
             histogram!("cyclamen_entry_opening_ms").record(waited.millis_float());
         }
-        match self.flows.handle_report(report, now) {
+        let action = self.flows.handle_report(report, now);
+        self.apply_report_action(action, now);
+    }
+
+    /// Sends what a lookup's report, or a missing one, results in.
+    pub(super) fn apply_report_action(&mut self, action: ReportAction, now: ClockMillis) {
+        match action {
             ReportAction::Nothing => {}
             ReportAction::Forward { packet, hops } => {
                 for (to, header) in hops {
--- a/src/flow/balancer_lookups.rs
+++ b/src/flow/balancer_lookups.rs
@@ -25,8 +25,9 @@
 impl BalancerFlows {
     /// Starts a round of a lookup. The first round is one chain of agents, the second
     /// asks all others along several chains at once, a wide one asks all again, most
-    /// of them each by itself. Returns the first agent of each chain and the header that lists the
-    /// others, nothing if all agents were asked.
+    /// of them each by itself, and the last one those whose target has ended. Returns
+    /// the first agent of each chain and the header that lists the others, nothing if
+    /// all agents were asked.
     pub(super) fn send_lookup(
         &mut self,
         mut lookup: OwnerLookup,
@@ -35,34 +36,18 @@
         now: ClockMillis,
     ) -> Vec<(Ipv4Addr, HopHeader)> {
         let flow = lookup.reset.flow;
-        let mut order: Vec<Ipv4Addr> = assumed_owner.into_iter().collect();
-        let mut searched_services = services.to_vec();
-        if !self.was_ever_current {
-            // The flow may have been opened under newer routes than the known ones.
-            searched_services.extend(self.targets.services.keys());
-        }
         if lookup.round == LookupRound::Wide {
             lookup.asked_agents.clear();
         }
-        let is_first_round = lookup.round == LookupRound::First;
-        for service in searched_services {
-            if let Some(targets) = self.targets.services.get(&service) {
-                let limit = if is_first_round {
-                    FIRST_ROUND_AGENTS + self.suspects.len()
-                } else {
-                    targets.possible_owners.len()
-                };
-                order.extend(targets.possible_owners.rank(flow, limit));
-            }
-        }
+        let mut next: Vec<Ipv4Addr> = assumed_owner.into_iter().collect();
+        next.extend(self.agents_of_round(&lookup, services));
+        let mut seen: HashSet<Ipv4Addr> = lookup.asked_agents.iter().copied().collect();
+        next.retain(|agent| seen.insert(*agent));
         // An agent that does not answer ends its chain, so such agents come last.
-        order.sort_by_key(|agent| {
+        next.sort_by_key(|agent| {
             self.suspects.contains_key(agent) || self.targets.is_silent(*agent)
         });
-        let mut seen: HashSet<Ipv4Addr> = lookup.asked_agents.iter().copied().collect();
-        let mut next = order;
-        next.retain(|agent| seen.insert(*agent));
-        if is_first_round {
+        if lookup.round == LookupRound::First {
             next.truncate(FIRST_ROUND_AGENTS);
         }
         if next.is_empty() {
@@ -73,7 +58,7 @@
             HopHeader::new(services[0], self.own_address).with_lookup_id(self.last_lookup_id);
         let alone = match lookup.round {
             LookupRound::First | LookupRound::Others => 0,
-            LookupRound::Wide => next.len().min(WIDE_ROUND_AGENTS),
+            LookupRound::Wide | LookupRound::Ended { .. } => next.len().min(WIDE_ROUND_AGENTS),
         };
         let (single, chained) = next.split_at(alone);
         let chains = || single.chunks(1).chain(chained.chunks(CHAIN_AGENTS));
@@ -88,6 +73,37 @@
         hops
     }
 
+    /// Returns the agents that a round may ask, those first that most likely hold the
+    /// flow.
+    fn agents_of_round(&self, lookup: &OwnerLookup, services: &[ServiceTag]) -> Vec<Ipv4Addr> {
+        let mut searched_services = services.to_vec();
+        if !self.was_ever_current {
+            // The flow may have been opened under newer routes than the known ones.
+            searched_services.extend(self.targets.services.keys());
+        }
+        let targets = searched_services
+            .iter()
+            .filter_map(|service| self.targets.services.get(service));
+        let flow = lookup.reset.flow;
+        match lookup.round {
+            LookupRound::First => {
+                let limit = FIRST_ROUND_AGENTS + self.suspects.len();
+                targets
+                    .flat_map(|targets| targets.possible_owners.rank(flow, limit))
+                    .collect()
+            }
+            LookupRound::Others | LookupRound::Wide => targets
+                .flat_map(|targets| {
+                    let owners = &targets.possible_owners;
+                    owners.rank(flow, owners.len())
+                })
+                .collect(),
+            LookupRound::Ended { .. } => targets
+                .flat_map(|targets| targets.ended.iter().copied())
+                .collect(),
+        }
+    }
+
     /// Starts a wide round for each lookup that has not ended in time.
     pub(crate) fn expire_lookups(&mut self, now: ClockMillis) -> Vec<WideLookup> {
         let mut sent = Vec::new();
@@ -115,6 +131,23 @@
         }
     }
 
+    /// Asks the agents with an ended target again that did not answer; flows of which
+    /// they were asked twice are reset.
+    pub(crate) fn expire_ended_rounds(&mut self, now: ClockMillis) -> Vec<ReportAction> {
+        let mut actions = Vec::new();
+        while let Some(mut lookup) = self.lookups.take_unanswered(now) {
+            if lookup.round == (LookupRound::Ended { repeated: true }) {
+                actions.push(self.end_lookup(&lookup, now));
+                continue;
+            }
+            let silent = std::mem::take(&mut lookup.awaited_agents);
+            lookup.asked_agents.retain(|agent| !silent.contains(agent));
+            lookup.round = LookupRound::Ended { repeated: true };
+            actions.push(self.send_or_end(lookup, now));
+        }
+        actions
+    }
+
     /// Starts the next round after every chain of a round reported that it does not
     /// hold the flow. Once no target that may hold the flow has it, the flow is
     /// reset, or its packet parked while a target may be missing.
@@ -123,26 +156,42 @@
         report: &FlowReport,
         now: ClockMillis,
     ) -> ReportAction {
-        let flow = report.flow;
-        let Some(lookup) = self.lookups.end_chain(flow, report.agent, report.lookup_id) else {
+        let Some(mut lookup) = self
+            .lookups
+            .end_chain(report.flow, report.agent, report.lookup_id)
+        else {
             return ReportAction::Nothing;
         };
+        if !matches!(lookup.round, LookupRound::Ended { .. }) {
+            lookup.round = LookupRound::Others;
+        }
+        self.send_or_end(lookup, now)
+    }
+
+    /// Sends the round of a lookup, or the next one that has agents to ask.
+    fn send_or_end(&mut self, mut lookup: OwnerLookup, now: ClockMillis) -> ReportAction {
+        let flow = lookup.reset.flow;
         let Some(choice) = self.table.choose(flow.listener, flow.stable_hash(), now) else {
             return ReportAction::Nothing;
         };
-        let (packet, reset) = (lookup.packet.clone(), lookup.reset);
-        let lookup = OwnerLookup {
-            round: LookupRound::Others,
-            ..lookup
-        };
-        let hops = self.send_lookup(lookup, &choice.owner_services, None, now);
-        if !hops.is_empty() {
-            return ReportAction::Forward { packet, hops };
+        let mut hops = self.send_lookup(lookup.clone(), &choice.owner_services, None, now);
+        if hops.is_empty() && lookup.round == LookupRound::Others {
+            lookup.round = LookupRound::Ended { repeated: false };
+            hops = self.send_lookup(lookup.clone(), &choice.owner_services, None, now);
+        }
+        if hops.is_empty() {
+            return self.end_lookup(&lookup, now);
         }
+        let packet = lookup.packet;
+        ReportAction::Forward { packet, hops }
+    }
+
+    /// Ends a lookup whose flow no target holds.
+    fn end_lookup(&mut self, lookup: &OwnerLookup, now: ClockMillis) -> ReportAction {
         if self.can_reset_flows() {
-            return ReportAction::Reset(reset);
+            return ReportAction::Reset(lookup.reset);
         }
-        self.parked.park(flow, &packet, now);
+        self.parked.park(lookup.reset.flow, &lookup.packet, now);
         ReportAction::Nothing
     }
 }
--- a/src/flow/known_targets.rs
+++ b/src/flow/known_targets.rs
@@ -10,6 +10,9 @@
     pub(crate) accepting: TargetRanking,
     /// Targets that may hold open flows.
     pub(crate) possible_owners: TargetRanking,
+    /// Agents whose target has ended. It may run again and hold flows that other
+    /// balancers opened, before this balancer hears of it.
+    pub(crate) ended: Vec<Ipv4Addr>,
 }
 
 /// The last known incarnation of the target next to an agent.
--- a/src/flow/owner_lookup.rs
+++ b/src/flow/owner_lookup.rs
@@ -17,6 +17,9 @@
 /// How long after a wide round a flow is not looked up again: if no agent held it, its
 /// target does not answer now.
 const WIDE_WAIT_MILLIS: SpanMillis = SpanMillis::new(600);
+/// How long agents whose target has ended have for an answer, each time that they are
+/// asked. One that runs answers within a few milliseconds, but the VM may be gone.
+const ENDED_ANSWER_MILLIS: SpanMillis = SpanMillis::new(50);
 /// Maximum number of wide rounds a second; more would fill a thin link while many
 /// targets don't answer.
 const MAX_WIDE_ROUNDS: u32 = 5;
@@ -33,6 +36,11 @@
     /// All agents again, each by itself: an agent that does not answer ended an
     /// earlier chain.
     Wide,
+    /// The agents whose target has ended, each by itself: the target may run again.
+    Ended {
+        /// Whether the agents that did not answer were asked a second time.
+        repeated: bool,
+    },
 }
 
 /// The search for the owner of a flow, with the packet that started it.
@@ -83,7 +91,7 @@
     /// packet.
     pub(super) fn start_for_next(&self, now: ClockMillis) -> ClockMillis {
         match self.round {
-            LookupRound::First | LookupRound::Others => self.started_at,
+            LookupRound::First | LookupRound::Others | LookupRound::Ended { .. } => self.started_at,
             LookupRound::Wide => now,
         }
     }
@@ -109,6 +117,9 @@
     lookups: HashMap<FlowKey, OwnerLookup>,
     /// Flows in the order in which their lookups started.
     started: VecDeque<(ClockMillis, FlowKey)>,
+    /// Flows with a round of agents whose target has ended, in the order in which
+    /// these rounds were sent, each with the id of its round.
+    ended_rounds: VecDeque<(ClockMillis, FlowKey, u32)>,
     /// When the current window of wide rounds began, and their number in it.
     wide_window: (ClockMillis, u32),
 }
@@ -123,6 +134,10 @@
         if lookup.round == LookupRound::First && known_start != Some(lookup.started_at) {
             self.started.push_back((lookup.started_at, flow));
         }
+        if matches!(lookup.round, LookupRound::Ended { .. }) {
+            self.ended_rounds
+                .push_back((lookup.sent_at, flow, lookup.lookup_id));
+        }
         self.lookups.insert(flow, lookup);
     }
 
@@ -177,8 +192,10 @@
                 self.wide_window = (now, 0);
             }
             self.started.pop_front();
-            let is_due =
-                |lookup: &OwnerLookup| lookup.round != LookupRound::Wide && lookup.wide_at() <= now;
+            let is_due = |lookup: &OwnerLookup| match lookup.round {
+                LookupRound::First | LookupRound::Others => lookup.wide_at() <= now,
+                LookupRound::Wide | LookupRound::Ended { .. } => false,
+            };
             if self.lookups.get(&flow).is_some_and(is_due)
                 && self.wide_window.1 < MAX_WIDE_ROUNDS
                 && may_widen(flow)
@@ -190,14 +207,32 @@
         None
     }
 
+    /// Removes and returns the next lookup whose agents with an ended target had time
+    /// for an answer and did not all give one.
+    pub(crate) fn take_unanswered(&mut self, now: ClockMillis) -> Option<OwnerLookup> {
+        while let Some((sent_at, flow, lookup_id)) = self.ended_rounds.front().copied() {
+            if sent_at.after(ENDED_ANSWER_MILLIS) > now {
+                return None;
+            }
+            self.ended_rounds.pop_front();
+            let lookup = self.lookups.get(&flow);
+            if lookup.is_some_and(|lookup| lookup.lookup_id == lookup_id) {
+                return self.lookups.remove(&flow);
+            }
+        }
+        None
+    }
+
     /// Returns when a lookup may next be due; it may end before.
     pub(crate) fn next_due(&self) -> Option<ClockMillis> {
         if self.lookups.is_empty() {
             return None;
         }
-        self.started
-            .front()
-            .map(|(started_at, _)| started_at.after(WIDE_AFTER_MILLIS))
+        let wide_rounds = self.started.front();
+        let wide_at = wide_rounds.map(|(started_at, _)| started_at.after(WIDE_AFTER_MILLIS));
+        let ended_rounds = self.ended_rounds.front();
+        let ended_at = ended_rounds.map(|(sent_at, ..)| sent_at.after(ENDED_ANSWER_MILLIS));
+        wide_at.into_iter().chain(ended_at).min()
     }
 
     /// Drops the lookups whose last agent did not report in time.
--- a/src/flow/tests/balancer_verdicts.rs
+++ b/src/flow/tests/balancer_verdicts.rs
@@ -49,6 +49,7 @@
     ServiceTargets {
         accepting: ranking(accepting),
         possible_owners: ranking(possible_owners),
+        ended: Vec::new(),
     }
 }
 
--- a/src/flow/tests/mod.rs
+++ b/src/flow/tests/mod.rs
@@ -14,6 +14,7 @@
 mod ranking;
 mod repeated_openings;
 mod request_ids;
+mod returned_target;
 mod target_figures;
 mod target_incarnations;
 mod target_model;
