The pace of a target does not hold back what no other candidate could take

Hypothesis: after a loss of all power every target is cold, and windows of half of the slots withhold work that nobody else can take.

Ruled out: removing the window; a single target that starts among warm ones is to be paced, which operators asked for.

Change: an opening that all other candidates have passed on is held back by the usual limit and the stated cold limit only.

Test: target_pace::a_cold_target_takes_openings_that_no_other_candidate_could_take; 160 tests of flow pass.

--- a/src/flow/agent_openings.rs
+++ b/src/flow/agent_openings.rs
@@ -43,7 +43,7 @@
             tracked.balancer = header.balancer;
             tracked.reported = false;
         }
-        if retransmitted || self.admits_opening(now) {
+        if retransmitted || self.admits_opening(&header, now) {
             return AgentStep::without_report(self.deliver_opening(opening, now));
         }
         if self.queue.contains(flow) {
@@ -96,7 +96,8 @@
         if let Some(opening) = unservable {
             return Some(self.refuse_queued(opening, now));
         }
-        if self.queue.len() == 0 || !self.can_deliver(now) {
+        let next = self.queue.next_header(now)?;
+        if !self.can_deliver(&next, now) {
             return None;
         }
         let mut opening = self.queue.take_next(now)?;
--- a/src/flow/agent_pace.rs
+++ b/src/flow/agent_pace.rs
@@ -1,6 +1,6 @@
 //! The pace of a target that is cold or has recovered, and what is measured of it.
 
-use super::{AgentFlows, TargetFigures, TargetLifecycle};
+use super::{AgentFlows, HopHeader, TargetFigures, TargetLifecycle};
 use crate::clock::{ClockMillis, SpanMillis};
 
 /// Openings that an agent passed on or queued although its target had capacity,
@@ -62,8 +62,8 @@
 
     /// Returns whether the target may get another opening, and counts it as held
     /// back if a limit for cold or recovered targets forbids it.
-    pub(super) fn admits_opening(&mut self, now: ClockMillis) -> bool {
-        let admits = self.can_deliver(now);
+    pub(super) fn admits_opening(&mut self, header: &HopHeader, now: ClockMillis) -> bool {
+        let admits = self.can_deliver(header, now);
         if !admits {
             let is_cold = !self.cold_limiter.allows(now);
             self.held.by_cold_limit += u64::from(is_cold);
@@ -73,8 +73,18 @@
     }
 
     /// Returns whether the target may get another opening.
-    pub(super) fn can_deliver(&mut self, now: ClockMillis) -> bool {
-        self.cold_limiter.allows(now) && self.load.has_capacity(now)
+    ///
+    /// The pace does not hold back an opening that all its other candidates have passed
+    /// on: after a loss of all power every target is cold, and a slot left idle here is
+    /// work that no other target can take.
+    pub(super) fn can_deliver(&mut self, header: &HopHeader, now: ClockMillis) -> bool {
+        let is_last_resort = header.hops > 0 && header.candidates().is_empty();
+        let has_capacity = if is_last_resort {
+            self.load.has_unpaced_capacity(now)
+        } else {
+            self.load.has_capacity(now)
+        };
+        has_capacity && self.cold_limiter.allows(now)
     }
 
     /// Returns how many openings the target can start within `timeout`, `None` if
--- a/src/flow/opening_queue.rs
+++ b/src/flow/opening_queue.rs
@@ -1,6 +1,6 @@
 use std::cmp::Reverse;
 
-use super::{FlowKey, pending_openings::PendingOpening};
+use super::{FlowKey, HopHeader, pending_openings::PendingOpening};
 use crate::clock::{ClockMillis, SpanMillis};
 
 /// Maximum number of openings queued at an agent.
@@ -57,15 +57,24 @@
         self.openings.len()
     }
 
+    /// Returns the header of the opening that goes next.
+    pub(crate) fn next_header(&self, now: ClockMillis) -> Option<HopHeader> {
+        let index = self.next_index(now)?;
+        Some(self.openings[index].header)
+    }
+
     /// Removes and returns the opening that goes next.
     pub(crate) fn take_next(&mut self, now: ClockMillis) -> Option<PendingOpening> {
-        let openings = self.openings.iter().enumerate();
-        let index = openings
-            .min_by_key(|(_, opening)| priority_key(opening, now))?
-            .0;
+        let index = self.next_index(now)?;
         Some(self.openings.swap_remove(index))
     }
 
+    fn next_index(&self, now: ClockMillis) -> Option<usize> {
+        let openings = self.openings.iter().enumerate();
+        let next = openings.min_by_key(|(_, opening)| priority_key(opening, now));
+        next.map(|(index, _)| index)
+    }
+
     /// Removes and returns an opening that has waited too long.
     pub(crate) fn take_expired(&mut self, now: ClockMillis) -> Option<PendingOpening> {
         let mut openings = self.openings.iter();
--- a/src/flow/target_load.rs
+++ b/src/flow/target_load.rs
@@ -272,18 +272,33 @@
             return true;
         };
         let window = self.pace.window().map(|window| window.min(limit));
-        if self.in_flight.len() >= window.unwrap_or(limit) {
+        self.drop_expired(window.unwrap_or(limit), now);
+        let below_limit = match window {
+            Some(window) => self.recently_started(now) < window,
+            None => self.in_flight.len() < limit,
+        };
+        below_limit && self.receiving.len() < MAX_RECEIVING
+    }
+
+    /// Returns whether the target would start another flow's request soon if its pace
+    /// were found.
+    pub(super) fn has_unpaced_capacity(&mut self, now: ClockMillis) -> bool {
+        let Some(limit) = self.max_in_flight() else {
+            return true;
+        };
+        self.drop_expired(limit, now);
+        self.in_flight.len() < limit && self.receiving.len() < MAX_RECEIVING
+    }
+
+    /// Removes the requests that no longer count, if `limit` of them are in flight.
+    fn drop_expired(&mut self, limit: usize, now: ClockMillis) {
+        if self.in_flight.len() >= limit {
             self.observe(now);
             self.in_flight.retain(|_, request| request.expires_at > now);
         }
         if self.receiving.len() >= MAX_RECEIVING {
             self.receiving.retain(|_, expires_at| *expires_at > now);
         }
-        let below_limit = match window {
-            Some(window) => self.recently_started(now) < window,
-            None => self.in_flight.len() < limit,
-        };
-        below_limit && self.receiving.len() < MAX_RECEIVING
     }
 
     /// Returns the number of requests in flight, with reservations, that count
--- a/src/flow/tests/target_pace.rs
+++ b/src/flow/tests/target_pace.rs
@@ -90,6 +90,36 @@
     assert_eq!((model.answered, model.refused), (3, 0));
 }
 
+/// After a loss of all power every target of a service is cold: an opening that the
+/// other candidates have passed on waited here for a window of half of the slots, while
+/// the other slots were idle.
+#[test]
+fn a_cold_target_takes_openings_that_no_other_candidate_could_take() {
+    let mut model = TargetModel::new(SLOTS, COLD_MILLIS);
+    model.restart_cold();
+    let now = model.now();
+    let passed_on = || {
+        let header = last_candidate().with_candidates([agent(4)]);
+        header.next_hop().expect("a candidate").1
+    };
+    let mut offer = |header, port| {
+        let opening = from_caller(flow(port), PacketFlags::OPEN);
+        let step = model.flows.handle_frame(header, &opening, &[1], now);
+        step.action
+    };
+    let is_delivered = |action: &AgentAction| matches!(action, AgentAction::Deliver { .. });
+    assert!(is_delivered(&offer(last_candidate(), 1)));
+    assert!(is_delivered(&offer(last_candidate(), 2)));
+    // The window holds back what others may still take, or were not asked to take.
+    let with_others = last_candidate().with_candidates([agent(4)]);
+    assert!(matches!(offer(with_others, 3), AgentAction::PassOn { .. }));
+    assert_eq!(offer(last_candidate(), 3), AgentAction::Wait);
+    for port in 4..=7 {
+        assert!(is_delivered(&offer(passed_on(), port)), "port {port}");
+    }
+    assert_eq!(offer(passed_on(), 8), AgentAction::Wait);
+}
+
 /// Makes a target that has run for a while silent until its agent suspects it.
 fn suspected_target() -> TargetModel {
     let mut model = TargetModel::new(SLOTS, COLD_MILLIS);
