--- a/src/fleet/entry_journal.rs
+++ b/src/fleet/entry_journal.rs
@@ -45,8 +45,9 @@
 impl EntryNode {
     /// Records the long flows that an agent tells of.
     pub(super) fn record_long_flows(&mut self, list: &LongFlowList, now: ClockMillis) {
-        if let Some(file) = &mut self.journal_file {
-            file.journal.record(list.clone(), now);
+        if let (Some(file), Some(directory)) = (&mut self.journal_file, &self.directory) {
+            let announced = directory.incarnation_of(list.agent);
+            file.journal.record(list.clone(), announced, now);
         }
     }
 
--- a/src/flow/flow_journal.rs
+++ b/src/flow/flow_journal.rs
@@ -33,8 +33,23 @@
 }
 
 impl FlowJournal {
-    /// Records flows that an agent tells of.
-    pub(crate) fn record(&mut self, list: LongFlowList, now: ClockMillis) {
+    /// Records flows that an agent tells of, whose target was last announced to this
+    /// replica as `announced`.
+    ///
+    /// Flows of another incarnation are ignored until it is announced: the two may come
+    /// in any order, and an earlier announcement must not end the flows of a later one.
+    pub(crate) fn record(
+        &mut self,
+        list: LongFlowList,
+        announced: Option<IncarnationId>,
+        now: ClockMillis,
+    ) {
+        if announced == Some(list.incarnation) {
+            self.insert(list, now);
+        }
+    }
+
+    fn insert(&mut self, list: LongFlowList, now: ClockMillis) {
         let has_room = self.len() + list.flows.len() <= MAX_FLOWS;
         let target = self
             .targets
@@ -80,7 +95,7 @@
     pub(crate) fn restore(&mut self, lists: Vec<LongFlowList>, now: ClockMillis) {
         for list in lists {
             if !self.targets.contains_key(&list.agent) {
-                self.record(list, now);
+                self.insert(list, now);
             }
         }
     }
--- a/src/flow/tests/power_loss.rs
+++ b/src/flow/tests/power_loss.rs
@@ -81,17 +81,30 @@
 #[test]
 fn what_an_agent_tells_replaces_what_the_disk_held_of_it() {
     let mut journal = FlowJournal::default();
-    journal.record(list(agent(1), AFTER, &[5]), START);
+    journal.record(list(agent(1), AFTER, &[5]), Some(AFTER), START);
     journal.restore(vec![list(agent(1), BEFORE, &[1])], START);
     assert_eq!(journal.take_dead(agent(1), Some(AFTER)), []);
     assert_eq!(journal.lists(), [list(agent(1), AFTER, &[5])]);
 }
 
+/// The announcement of the later incarnation was lost, its flows are told, and then an
+/// announcement of the earlier one arrives late.
+#[test]
+fn a_late_announcement_ends_no_flows_of_a_later_incarnation() {
+    let mut journal = FlowJournal::default();
+    journal.record(list(agent(1), BEFORE, &[1]), Some(BEFORE), START);
+    journal.record(list(agent(1), AFTER, &[2]), Some(BEFORE), at(500));
+    assert_eq!(journal.take_dead(agent(1), Some(BEFORE)), []);
+    assert_eq!(ports(&journal.take_dead(agent(1), Some(AFTER))), [1]);
+    journal.record(list(agent(1), AFTER, &[2]), Some(AFTER), at(1_000));
+    assert_eq!(journal.take_dead(agent(1), Some(AFTER)), []);
+}
+
 #[test]
 fn a_flow_that_its_agent_no_longer_tells_of_is_dropped() {
     let mut journal = FlowJournal::default();
-    journal.record(list(agent(1), BEFORE, &[1, 2]), START);
-    journal.record(list(agent(1), BEFORE, &[2]), at(15_000));
+    journal.record(list(agent(1), BEFORE, &[1, 2]), Some(BEFORE), START);
+    journal.record(list(agent(1), BEFORE, &[2]), Some(BEFORE), at(15_000));
     journal.sweep(at(21_000));
     assert_eq!(journal.lists(), [list(agent(1), BEFORE, &[2])]);
 }
@@ -105,7 +118,7 @@
         for flow in &mut list.flows {
             flow.flow.caller.set_ip(Ipv4Addr::new(100, 64, 1, number));
         }
-        journal.record(list, START);
+        journal.record(list, Some(BEFORE), START);
     }
     assert!(journal.len() <= 65_536);
 }
