Requests that a hung target lost hold back no opening that others passed on

Test: requests_that_a_hung_target_lost_hold_back_no_opening_that_others_passed_on; 163 tests of flow pass.

--- a/src/flow/agent_pace.rs
+++ b/src/flow/agent_pace.rs
@@ -79,11 +79,8 @@
     /// work that no other target can take.
     pub(super) fn can_deliver(&mut self, header: &HopHeader, now: ClockMillis) -> bool {
         let is_last_resort = header.hops > 0 && header.candidates().is_empty();
-        let has_capacity = if is_last_resort {
-            self.load.has_unpaced_capacity(now)
-        } else {
-            self.load.has_capacity(now)
-        };
+        let has_capacity =
+            self.load.has_capacity(now) || (is_last_resort && self.load.has_unpaced_capacity(now));
         has_capacity && self.cold_limiter.allows(now)
     }
 
--- a/src/flow/tests/target_pace.rs
+++ b/src/flow/tests/target_pace.rs
@@ -149,6 +149,33 @@
     assert!(model.flows.in_flight() <= LIMIT);
 }
 
+/// The window does not count requests that a target lost while it hung; an opening that
+/// the other candidates passed on may not be worse off than another.
+#[rstest]
+#[case::after_a_short_silence(300)]
+#[case::after_more_than_a_second(1_000)]
+fn requests_that_a_hung_target_lost_hold_back_no_opening_that_others_passed_on(
+    #[case] silent_millis: u64,
+) {
+    let mut model = TargetModel::new(SLOTS, COLD_MILLIS);
+    model.mode = TargetMode::Hanging;
+    for port in 60_001..=60_005 {
+        model.open(flow(port));
+    }
+    model.run(100);
+    model.mode = TargetMode::Silent;
+    model.open(flow(60_006));
+    model.run(silent_millis);
+    model.mode = TargetMode::Answering;
+    let now = model.now();
+    model.flows.record_announcement(now);
+    let header = last_candidate().with_candidates([agent(4)]);
+    let (_, header) = header.next_hop().expect("a candidate");
+    let opening = from_caller(flow(1), PacketFlags::OPEN);
+    let step = model.flows.handle_frame(header, &opening, &[1], now);
+    assert!(matches!(step.action, AgentAction::Deliver { .. }));
+}
+
 /// A target that hung loses the requests that it had. They must not keep its window
 /// closed until they expire.
 #[rstest]
