The test of lost requests has as many of them as the usual limit

Its first form had five of six, passed without the change that it guards, and so showed nothing. With six it fails without that change in both cases (run once) and passes with it.

--- a/src/flow/tests/target_pace.rs
+++ b/src/flow/tests/target_pace.rs
@@ -159,16 +159,17 @@
 ) {
     let mut model = TargetModel::new(SLOTS, COLD_MILLIS);
     model.mode = TargetMode::Hanging;
-    for port in 60_001..=60_005 {
+    for port in 60_001..=60_006 {
         model.open(flow(port));
     }
     model.run(100);
     model.mode = TargetMode::Silent;
-    model.open(flow(60_006));
+    model.flows.set_silent(true);
     model.run(silent_millis);
+    assert_eq!(model.flows.in_flight(), LIMIT);
     model.mode = TargetMode::Answering;
+    model.flows.set_silent(false);
     let now = model.now();
-    model.flows.record_announcement(now);
     let header = last_candidate().with_candidates([agent(4)]);
     let (_, header) = header.next_hop().expect("a candidate");
     let opening = from_caller(flow(1), PacketFlags::OPEN);
