A leaving agent hands connections over; the demo stops its balancer as planned

The only code that sends it is the refusal of the admission gate, for a full target (2,000 connections, never near) or for a leaving one that is the last candidate. Until a balancer hears of the drain it may name the leaving agent last, and the candidates before it pass most connections on while they warm up. The agent now hands such a connection to a peer that serves. The demo dropped its balancer and let the fabric send to the closed socket for 200 ms; a lost first packet costs QUIC's first probe time-out of a second. The program forwards after SIGTERM until nothing comes, so the demo now stops its balancer the same way.

Ruled out: a gate that measures the time of a busy machine (it reads no service times), the fabric and joining balancers (no slow connection is left without them).

--- a/src/agent/endpoint/frame_dispatch.rs
+++ b/src/agent/endpoint/frame_dispatch.rs
@@ -1,6 +1,11 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use super::{FirstPacketVerdict, PeerDatagram, TunnelSocket, tunnel_counters::CounterKind};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    FirstPacketVerdict, PeerDatagram, TunnelSocket, next_candidates::NextCandidates,
+    tunnel_counters::CounterKind,
+};
 use crate::{
     agent::AgentEvent,
     event::log_event,
@@ -140,13 +145,14 @@
         if packet.form == HeaderForm::Short {
             return Some((header, datagram));
         }
-        let next_load = header
-            .chain
+        let candidates = self.next_candidates(packet.destination, header.chain);
+        let next_load = candidates
+            .chain()
             .split_first()
             .and_then(|(next, _)| self.lock_loads().get(&next).copied());
         let verdict = self.gate.decide(
             packet.destination,
-            header.chain,
+            candidates.chain(),
             next_load,
             &self.load_gauge,
             self.clock.now(),
@@ -154,12 +160,21 @@
         match verdict {
             FirstPacketVerdict::Deliver => Some((header, datagram)),
             FirstPacketVerdict::PassOn { next, rest } => {
+                let rest = candidates.after_next(rest);
                 self.pass_on(balancer, &header, next, rest, datagram);
                 None
             }
         }
     }
 
+    /// Returns the candidates after this agent; copies of a first packet, which have
+    /// the same `destination`, get the same successor.
+    fn next_candidates(&self, destination: &[u8], named: TargetChain) -> NextCandidates {
+        let own = self.identity.target;
+        let hash = xxh3_64(destination);
+        NextCandidates::new(named, own, self.phase(), &self.lock_successors(), hash)
+    }
+
     fn pass_on(
         &self,
         balancer: SocketAddrV4,
--- a/src/agent/endpoint/mod.rs
+++ b/src/agent/endpoint/mod.rs
@@ -9,6 +9,7 @@
 mod first_packet_gate;
 mod frame_dispatch;
 mod load_gauge;
+mod next_candidates;
 mod reset_writer;
 mod route_id_generator;
 mod target_identity;
--- a/src/agent/endpoint/tests/mod.rs
+++ b/src/agent/endpoint/tests/mod.rs
@@ -2,4 +2,5 @@
 
 mod answer_path_choice;
 mod duplicated_first_packets;
+mod leaving_agent;
 mod reset_tokens;
--- a/src/agent/endpoint/tunnel_socket.rs
+++ b/src/agent/endpoint/tunnel_socket.rs
@@ -47,6 +47,8 @@
     pub(super) counters: TunnelCounters,
     paths: Mutex<AnswerPaths>,
     peer_loads: Mutex<HashMap<TargetKey, PeerLoad>>,
+    /// Peers that accept connections.
+    successors: Mutex<Vec<TargetKey>>,
     reset_writer: ResetWriter,
     pub(super) inbox: mpsc::Sender<PeerDatagram>,
 }
@@ -72,6 +74,7 @@
             counters: TunnelCounters::default(),
             paths: Mutex::new(AnswerPaths::new()),
             peer_loads: Mutex::new(HashMap::new()),
+            successors: Mutex::new(Vec::new()),
             inbox,
         }
     }
@@ -127,6 +130,17 @@
         self.lock_loads().get(&peer).copied()
     }
 
+    /// Sets the peers that accept connections in place of this agent when it leaves.
+    pub(crate) fn set_successors(&self, peers: Vec<TargetKey>) {
+        *self.lock_successors() = peers;
+    }
+
+    pub(super) fn lock_successors(&self) -> MutexGuard<'_, Vec<TargetKey>> {
+        self.successors
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Removes the load reports of peers that are no longer registered.
     pub(crate) fn retain_peer_loads(&self, is_registered: impl Fn(TargetKey) -> bool) {
         self.lock_loads().retain(|peer, _| is_registered(*peer));
--- a/src/agent/node/agent_node.rs
+++ b/src/agent/node/agent_node.rs
@@ -388,6 +388,12 @@
             self.coordinator.set_service(spec);
             self.socket
                 .retain_peer_loads(|peer| table.target(number, peer).is_some());
+            let own = self.socket.identity().target;
+            let peers = table.targets(number).map(|(_, entry)| *entry);
+            let accepting =
+                peers.filter(|entry| entry.phase != TargetPhase::Leaving && entry.key != own);
+            self.socket
+                .set_successors(accepting.map(|entry| entry.key).collect());
         }
     }
 }
--- a/src/demo/demo_run.rs
+++ b/src/demo/demo_run.rs
@@ -187,12 +187,16 @@
         apply_and_wait(&self.client, manifest, &self.balancers).await
     }
 
-    /// Stops a balancer; the fabric still sends to it for `FABRIC_LAG`.
+    /// Stops a balancer as its program does on SIGTERM: it forwards until the fabric,
+    /// which notices after `FABRIC_LAG`, sends it nothing more.
     async fn stop_balancer(&mut self) {
-        drop(self.balancers.remove(0));
-        tokio::time::sleep(FABRIC_LAG).await;
-        let remaining: Vec<u8> = (1..BALANCERS).collect();
-        self.site.send_to_balancers(&self.fabrics, &remaining);
+        let node = self.balancers.remove(0);
+        let fabric_change = async {
+            tokio::time::sleep(FABRIC_LAG).await;
+            let remaining: Vec<u8> = (1..BALANCERS).collect();
+            self.site.send_to_balancers(&self.fabrics, &remaining);
+        };
+        tokio::join!(node.leave(), fabric_change);
     }
 
     /// Starts a balancer without state and, once it has all routes, sends it datagrams.
--- a/src/route/target_chain.rs
+++ b/src/route/target_chain.rs
@@ -28,6 +28,13 @@
         }
     }
 
+    /// Appends a candidate like [`Self::push`].
+    #[must_use]
+    pub fn with(mut self, target: TargetKey) -> Self {
+        self.push(target);
+        self
+    }
+
     /// Iterates over the candidates, best first.
     pub fn iter(&self) -> impl Iterator<Item = TargetKey> + '_ {
         self.targets.iter().flatten().copied()
