Orders wait for the next leader, which a refused connection brings about

Change: a refused connection of the leader makes a follower drop it and ask for pre-votes within 50 ms; a leader silent for 400 ms gets no callers; calls wait up to 0.8 s for a trusted leader, not at all after 3 s without one; VMs without a replica hear of a change at once. `apply`, drains and evacuations take the same way. Planned stops hand over as before.

Ruled out: a closed connection as the trigger.

--- a/src/control/control_event.rs
+++ b/src/control/control_event.rs
@@ -18,6 +18,7 @@
         LearnerAdded = 1124 => "new data folder joined as a learner: it receives the log and has no vote yet",
         VoterRemoved = 1125 => "replaced data folder removed from the voters",
         RepairDone = 1126 => "new data folder has the whole log and is now a voter",
+        LeaderGone = 1129 => "the leader refuses connections, so its process is gone: asking for votes",
         CommittedConflict = 1128 => "refused a leader's entry that conflicts with a committed one",
         ForeignGroup = 1127 => "dropping messages from a replica of another group",
         ReplicaFailed = 1102 => "replica stopped: its log failed",
--- a/src/control/replica/election.rs
+++ b/src/control/replica/election.rs
@@ -3,13 +3,19 @@
 
 use std::collections::BTreeSet;
 
+use rand::Rng;
+
 use super::{
-    DiskId, EntryBody, LogIndex, MemberId, PeerBody, ReplicaCore, ReplicaReport, TermNumber,
+    DiskId, EntryBody, LogIndex, MemberId, PeerBody, ReplicaCore, ReplicaId, ReplicaReport,
+    TermNumber,
     candidate_state::{CandidateState, CoreRole},
     leader_state::LeaderState,
-    limits::{ELECTION_MAX_MILLIS, ELECTION_MIN_MILLIS, YIELDING_ROUND_INTERVAL},
+    limits::{
+        ELECTION_MAX_MILLIS, ELECTION_MIN_MILLIS, LEADER_DOUBT_MILLIS, LEADER_GONE_PAUSE_MILLIS,
+        YIELDING_ROUND_INTERVAL,
+    },
 };
-use crate::clock::ClockMillis;
+use crate::clock::{ClockMillis, SpanMillis};
 
 impl ReplicaCore {
     /// Starts a pre-vote: asks for support without starting a new term.
@@ -87,6 +93,22 @@
         self.send_heartbeats(now);
     }
 
+    /// Drops a leader whose process is gone, and asks for pre-votes soon.
+    ///
+    /// Only a refused connection shows that. A closed one may have been reset on the
+    /// way, and a silent leader may be paused or cut off.
+    pub(super) fn handle_refused_connection(&mut self, replica: ReplicaId, now: ClockMillis) {
+        let is_leader = self.leader.is_some_and(|leader| leader.replica == replica);
+        if !is_leader || !matches!(self.role, CoreRole::Follower) {
+            return;
+        }
+        self.leader = None;
+        self.report(ReplicaReport::LeaderGone { replica });
+        let pause = self.rng.random_range(0..=LEADER_GONE_PAUSE_MILLIS.millis());
+        let due_at = now.after(SpanMillis::new(pause));
+        self.election_due_at = self.election_due_at.min(due_at);
+    }
+
     /// Answers a vote or pre-vote request; `last` is the candidate's last entry.
     pub(super) fn handle_vote_request(
         &mut self,
@@ -163,6 +185,18 @@
         }
     }
 
+    /// Returns the leader to send callers to: none while it is silent for longer than
+    /// `LEADER_DOUBT_MILLIS`.
+    pub(super) fn trusted_leader(&self, now: ClockMillis) -> Option<MemberId> {
+        match self.role {
+            CoreRole::Leader(_) => Some(self.member_id()),
+            CoreRole::Candidate(_) => None,
+            CoreRole::Follower => self
+                .leader
+                .filter(|_| now.since(self.leader_contact_at) < LEADER_DOUBT_MILLIS),
+        }
+    }
+
     /// Counts a granted vote or pre-vote, unless it is for another election.
     pub(super) fn handle_vote_response(
         &mut self,
--- a/src/control/replica/limits.rs
+++ b/src/control/replica/limits.rs
@@ -10,6 +10,12 @@
 /// Longest election timeout. A leader that has not heard from a majority for
 /// this long steps down.
 pub(crate) const ELECTION_MAX_MILLIS: SpanMillis = SpanMillis::new(1_200);
+/// Silence of the leader from which on callers are not sent to it: two heartbeats are
+/// missing. It stays the leader until the election timeout.
+pub(crate) const LEADER_DOUBT_MILLIS: SpanMillis = SpanMillis::new(400);
+/// Longest pause before a pre-vote after the leader's process was found to be gone.
+/// Random pauses let one of the followers go first.
+pub(crate) const LEADER_GONE_PAUSE_MILLIS: SpanMillis = SpanMillis::new(50);
 /// Shortest election timeout after a start. It may be short because pre-votes
 /// keep a replica that starts alone from deposing a leader.
 pub(crate) const FIRST_ELECTION_MIN_MILLIS: SpanMillis = SpanMillis::new(150);
--- a/src/control/replica/proposals.rs
+++ b/src/control/replica/proposals.rs
@@ -1,5 +1,7 @@
 //! Proposals: bounded admission, and one answer for each.
 
+use crate::clock::ClockMillis;
+
 use super::{
     EntryBody, EntryPayload, PeerBody, ProposalKey, ProposalOutcome, ReadOutcome, ReplicaAction,
     ReplicaCore,
@@ -10,9 +12,9 @@
 
 impl ReplicaCore {
     /// Appends a client's change, or refuses it at once.
-    pub(super) fn propose(&mut self, key: ProposalKey, payload: EntryPayload) {
+    pub(super) fn propose(&mut self, key: ProposalKey, payload: EntryPayload, now: ClockMillis) {
         let bytes = payload.bytes().len();
-        if let Some(outcome) = self.refusal(bytes) {
+        if let Some(outcome) = self.refusal(bytes, now) {
             self.answer_proposal(key, outcome);
             return;
         }
@@ -25,9 +27,9 @@
         }
     }
 
-    fn refusal(&self, bytes: usize) -> Option<ProposalOutcome> {
+    fn refusal(&self, bytes: usize, now: ClockMillis) -> Option<ProposalOutcome> {
         let CoreRole::Leader(leader) = &self.role else {
-            return Some(match self.leader {
+            return Some(match self.trusted_leader(now) {
                 Some(member_id) => ProposalOutcome::NotLeader {
                     leader: member_id.replica,
                 },
--- a/src/control/replica/replica_action.rs
+++ b/src/control/replica/replica_action.rs
@@ -47,6 +47,8 @@
     },
     /// This replica has become leader.
     LeaderElected { term: TermNumber },
+    /// The process of the leader is gone.
+    LeaderGone { replica: ReplicaId },
     /// This replica has stepped down because of a newer term.
     LeaderDeposed {
         /// The term in which it led.
--- a/src/control/replica/replica_core.rs
+++ b/src/control/replica/replica_core.rs
@@ -147,8 +147,9 @@
         match event {
             ReplicaEvent::Tick => self.tick(now),
             ReplicaEvent::MessageReceived(message) => self.receive(message, now),
+            ReplicaEvent::PeerRefused(replica) => self.handle_refused_connection(replica, now),
             ReplicaEvent::PeersDiscovered(replicas) => self.update_peers(replicas),
-            ReplicaEvent::Proposed { key, payload } => self.propose(key, payload),
+            ReplicaEvent::Proposed { key, payload } => self.propose(key, payload, now),
             ReplicaEvent::ReadRequested { key } => self.handle_read(key, now),
             ReplicaEvent::LeadershipTransferRequested => self.transfer_leadership(now),
             ReplicaEvent::Synced { token } => self.finish_sync(token, now),
--- a/src/control/replica/replica_event.rs
+++ b/src/control/replica/replica_event.rs
@@ -15,6 +15,8 @@
     Tick,
     /// A message from a peer, authenticated by the shell.
     MessageReceived(PeerMessage),
+    /// A connection to this replica was refused, so no process of it runs.
+    PeerRefused(ReplicaId),
     /// Discovery has found these members of the group.
     PeersDiscovered(Vec<ReplicaId>),
     /// A client proposes a change.
--- a/src/control/replica/replica_view.rs
+++ b/src/control/replica/replica_view.rs
@@ -29,6 +29,10 @@
     pub(crate) role: ReplicaRole,
     /// The leader, if known.
     pub(crate) leader: Option<MemberId>,
+    /// The leader to send callers to; none while it is silent.
+    pub(crate) trusted_leader: Option<MemberId>,
+    /// Time since a leader was last heard, zero on the leader.
+    pub(crate) leader_silence: SpanMillis,
     /// The commit index as known here.
     pub(crate) commit: LogIndex,
     /// Index of the last applied entry.
@@ -56,6 +60,11 @@
             term: self.hard_state.term,
             role: self.public_role(),
             leader: self.leader,
+            trusted_leader: self.trusted_leader(now),
+            leader_silence: match self.role {
+                CoreRole::Leader(_) => SpanMillis::ZERO,
+                CoreRole::Follower | CoreRole::Candidate(_) => now.since(self.leader_contact_at),
+            },
             commit: self.commit,
             applied: self.applied,
             last_index: self.log.last_index(),
--- a/src/control/replica/tests/group_simulator.rs
+++ b/src/control/replica/tests/group_simulator.rs
@@ -176,6 +176,12 @@
         self.handle(node, ReplicaEvent::Tick);
     }
 
+    /// Has a replica learn that another one refuses connections.
+    pub(super) fn refuse_connection(&mut self, node: usize, refusing: usize) {
+        let number = u32::try_from(refusing + 1).expect("few replicas");
+        self.handle(node, ReplicaEvent::PeerRefused(ReplicaId::new(number)));
+    }
+
     pub(super) fn pass_time(&mut self, span: SpanMillis) {
         self.now = self.now.after(span);
     }
--- a/src/control/replica/tests/single_core.rs
+++ b/src/control/replica/tests/single_core.rs
@@ -4,8 +4,9 @@
     clock::{ClockMillis, SpanMillis},
     control::replica::{
         DiskId, EntryBody, EntryPayload, GroupAdmission, GroupId, GroupMembers, HardState,
-        LogEntry, LogIndex, MemberId, PeerBody, PeerMessage, RecoveredState, ReplicaAction,
-        ReplicaCore, ReplicaEvent, ReplicaId, ReplicaPeers, ReplicaReport, TermNumber,
+        LogEntry, LogIndex, MemberId, PeerBody, PeerMessage, ProposalKey, ProposalOutcome,
+        RecoveredState, ReplicaAction, ReplicaCore, ReplicaEvent, ReplicaId, ReplicaPeers,
+        ReplicaReport, TermNumber,
     },
 };
 
@@ -218,3 +219,32 @@
     let address = std::net::Ipv4Addr::new(10, 1, 0, 13);
     assert_eq!(ReplicaId::at(address).to_string(), "10.1.0.13");
 }
+
+/// Guards against proposals that are sent to a leader which is silent, though it may only
+/// be slow: it stays the leader until the election timeout.
+#[test]
+fn callers_are_not_sent_to_a_silent_leader() {
+    let mut replica = SingleCore::with_commit(LogIndex::new(2));
+    let heartbeat = PeerBody::Heartbeat {
+        commit: LogIndex::new(2),
+        round: 1,
+    };
+    replica.receive(2, 4, heartbeat);
+    let propose = |replica: &mut SingleCore| {
+        let actions = replica.handle(ReplicaEvent::Proposed {
+            key: ProposalKey(1),
+            payload: EntryPayload::new(vec![1]),
+        });
+        let answer = actions.into_iter().find_map(|action| match action {
+            ReplicaAction::AnswerProposal { outcome, .. } => Some(outcome),
+            _ => None,
+        });
+        answer.expect("a proposal is answered")
+    };
+    let leader = ReplicaId::new(2);
+    assert_eq!(propose(&mut replica), ProposalOutcome::NotLeader { leader });
+    replica.now = replica.now.after(SpanMillis::new(450));
+    assert_eq!(propose(&mut replica), ProposalOutcome::NoQuorum);
+    let view = replica.core.view(replica.now);
+    assert_eq!(view.leader.map(|member_id| member_id.replica), Some(leader));
+}
--- a/src/control/replica/tests/timed_group.rs
+++ b/src/control/replica/tests/timed_group.rs
@@ -78,6 +78,8 @@
     arrivals: BTreeMap<(ClockMillis, u64), Envelope>,
     last_arrivals: BTreeMap<(usize, usize), ClockMillis>,
     sent: u64,
+    /// When which replica notices that which one refuses connections.
+    refusals: Vec<(ClockMillis, usize, usize)>,
 }
 
 impl TimedGroup {
@@ -94,6 +96,7 @@
             arrivals: BTreeMap::new(),
             last_arrivals: BTreeMap::new(),
             sent: 0,
+            refusals: Vec::new(),
         };
         for node in 0..group.clocks.len() {
             group.start_clock(node, ClockMillis::ORIGIN);
@@ -131,6 +134,32 @@
             .retain(|(from, to), _| *from != node && *to != node);
     }
 
+    /// Has each of `others` notice within `limit` that a replica refuses connections.
+    pub(super) fn schedule_refusals(
+        &mut self,
+        refusing: usize,
+        others: impl IntoIterator<Item = usize>,
+        limit: SpanMillis,
+    ) {
+        for node in others {
+            let span = SpanMillis::new(self.rng.random_range(1..=limit.millis()));
+            let due_at = self.simulator.now.after(span);
+            self.refusals.push((due_at, node, refusing));
+        }
+    }
+
+    fn deliver_refusals(&mut self) {
+        let now = self.simulator.now;
+        let (due, pending): (Vec<_>, Vec<_>) = std::mem::take(&mut self.refusals)
+            .into_iter()
+            .partition(|(due_at, ..)| *due_at <= now);
+        self.refusals = pending;
+        for (_, node, refusing) in due {
+            self.simulator.refuse_connection(node, refusing);
+            self.schedule_outputs(node);
+        }
+    }
+
     /// Starts a stopped replica.
     pub(super) fn start(&mut self, node: usize) {
         self.simulator.restart(node);
@@ -160,6 +189,7 @@
                 clock.inbox.push_back(envelope);
             }
         }
+        self.deliver_refusals();
         let mut order: Vec<usize> = (0..self.clocks.len()).collect();
         order.shuffle(&mut self.rng);
         for node in order {
--- a/src/control/replica_link/link_sender.rs
+++ b/src/control/replica_link/link_sender.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddrV4;
+use std::{io, net::SocketAddrV4};
 
 use metrics::counter;
 use tokio::{
@@ -30,6 +30,8 @@
 const KEEP_ALIVE_MILLIS: SpanMillis = SpanMillis::new(500);
 /// Shortest pause before a reconnect; it doubles with each failure.
 const MIN_BACKOFF_MILLIS: SpanMillis = SpanMillis::new(50);
+/// A connection that lasted shorter is not made again without a pause.
+const MIN_CONNECTION_MILLIS: SpanMillis = SpanMillis::new(1_000);
 /// How long a connect may take. It is below a second because a VM without power
 /// does not answer, and the kernel sends the SYN again only after a second.
 const CONNECT_TIMEOUT_MILLIS: SpanMillis = SpanMillis::new(250);
@@ -46,13 +48,21 @@
     /// Starts a task that connects; must be called within the runtime.
     ///
     /// The task ends when all clones of the sender are dropped.
-    pub(crate) fn start(replica: ReplicaId, address: SocketAddrV4, secret: SecretStore) -> Self {
+    ///
+    /// `refusals` gets the replica each time that a connection to it is refused.
+    pub(crate) fn start(
+        replica: ReplicaId,
+        address: SocketAddrV4,
+        secret: SecretStore,
+        refusals: mpsc::Sender<ReplicaId>,
+    ) -> Self {
         let (queue, messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let task = SenderTask {
             replica,
             address,
             secret,
             messages,
+            refusals,
         };
         tokio::spawn(task.run());
         Self { queue }
@@ -72,6 +82,7 @@
     address: SocketAddrV4,
     secret: SecretStore,
     messages: mpsc::Receiver<PeerMessage>,
+    refusals: mpsc::Sender<ReplicaId>,
 }
 
 impl SenderTask {
@@ -81,6 +92,7 @@
         while !self.messages.is_closed() || !self.messages.is_empty() {
             match self.connect().await {
                 Ok((writer, reader)) => {
+                    let connected_at = Instant::now();
                     backoff = MIN_BACKOFF_MILLIS;
                     failure_logged = false;
                     log_event!(info, ControlEvent::LinkUp, replica = %self.replica);
@@ -88,17 +100,38 @@
                         return;
                     };
                     log_event!(warn, ControlEvent::LinkDown, replica = %self.replica, %error);
+                    self.drop_queued_messages();
+                    if connected_at.elapsed() >= MIN_CONNECTION_MILLIS.duration() {
+                        // Whether the peer's process is gone shows at once.
+                        continue;
+                    }
                 }
-                Err(error) if !failure_logged => {
-                    failure_logged = true;
-                    log_event!(warn, ControlEvent::LinkDown, replica = %self.replica, %error);
+                Err(error) => {
+                    self.report_refusal(&error);
+                    if !failure_logged {
+                        failure_logged = true;
+                        log_event!(warn, ControlEvent::LinkDown, replica = %self.replica, %error);
+                    }
                 }
-                Err(_) => {}
             }
             sleep(backoff.duration()).await;
             backoff = backoff.saturating_mul(2).min(MAX_BACKOFF_MILLIS);
-            // Messages queued for the old connection are out of date.
-            while self.messages.try_recv().is_ok() {}
+            self.drop_queued_messages();
+        }
+    }
+
+    /// Drops the messages queued for a failed connection, which are out of date.
+    fn drop_queued_messages(&mut self) {
+        while self.messages.try_recv().is_ok() {}
+    }
+
+    /// Tells the replica if the peer refused the connection.
+    fn report_refusal(&self, error: &LinkError) {
+        if let LinkError::ConnectionFailed(cause) = error
+            && cause.kind() == io::ErrorKind::ConnectionRefused
+        {
+            // If the queue is full, the next refusal is reported instead.
+            let _ = self.refusals.try_send(self.replica);
         }
     }
 
@@ -127,28 +160,22 @@
         mut reader: FrameReader,
     ) -> Result<(), LinkError> {
         // Ends when no frame arrives within `SILENCE_TIMEOUT_MILLIS`.
-        let reader_task = tokio::spawn(async move {
+        let read_until_failure = async move {
             loop {
                 if let Err(error) = reader.read().await {
                     return error;
                 }
             }
-        });
-        let result = self.send_until_closed(&mut writer, &reader_task).await;
-        reader_task.abort();
-        result
+        };
+        tokio::select! {
+            error = read_until_failure => Err(error),
+            result = self.send_until_closed(&mut writer) => result,
+        }
     }
 
-    async fn send_until_closed(
-        &mut self,
-        writer: &mut FrameWriter,
-        reader_task: &tokio::task::JoinHandle<LinkError>,
-    ) -> Result<(), LinkError> {
+    async fn send_until_closed(&mut self, writer: &mut FrameWriter) -> Result<(), LinkError> {
         let mut keep_alive_at = Instant::now() + KEEP_ALIVE_MILLIS.duration();
         loop {
-            if reader_task.is_finished() {
-                return Err(LinkError::TimedOut);
-            }
             if Instant::now() >= keep_alive_at {
                 keep_alive_at = Instant::now() + KEEP_ALIVE_MILLIS.duration();
                 writer.write(&FrameContent::KeepAlive.encode()?).await?;
--- a/src/control/replica_link/tests/mod.rs
+++ b/src/control/replica_link/tests/mod.rs
@@ -1,4 +1,4 @@
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use rstest::rstest;
 use tokio::{
@@ -44,6 +44,11 @@
     (address, messages)
 }
 
+/// Returns a queue of refusals that nobody reads.
+fn no_refusals() -> mpsc::Sender<ReplicaId> {
+    mpsc::channel(1).0
+}
+
 fn new_secret() -> SecretStore {
     SecretStore::new(&DeploymentSecret::random(1)).expect("a valid secret")
 }
@@ -52,7 +57,7 @@
 async fn messages_arrive_in_order() {
     let secret = new_secret();
     let (address, mut messages) = listen(&secret).await;
-    let sender = LinkSender::start(ReplicaId::new(1), address, secret);
+    let sender = LinkSender::start(ReplicaId::new(1), address, secret, no_refusals());
     let exchange = async {
         // Messages sent before the connection is established may be dropped.
         loop {
@@ -81,7 +86,7 @@
 #[tokio::test]
 async fn a_sender_with_another_secret_is_refused() {
     let (address, mut messages) = listen(&new_secret()).await;
-    let sender = LinkSender::start(ReplicaId::new(1), address, new_secret());
+    let sender = LinkSender::start(ReplicaId::new(1), address, new_secret(), no_refusals());
     for _ in 0..10 {
         sender.send(message(1));
         let received = timeout(SpanMillis::new(30).duration(), messages.recv()).await;
@@ -127,3 +132,22 @@
     let other = SessionKey::new(secret, [1; 16], [9; 16]);
     assert!(!verify(&other, FrameDirection::FromDialler, 3, b"payload"));
 }
+
+/// Guards against a follower that learns only from the silence of its leader that the
+/// leader's process has ended.
+#[tokio::test]
+async fn a_peer_whose_process_has_ended_is_reported() {
+    let secret = new_secret();
+    let listener = TcpListener::bind(ANY_PORT).await.expect("a free port");
+    let Ok(SocketAddr::V4(address)) = listener.local_addr() else {
+        panic!("an IPv4 socket has an IPv4 address");
+    };
+    let (refusals, mut refused) = mpsc::channel(4);
+    let _sender = LinkSender::start(ReplicaId::new(1), address, secret, refusals);
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let early = timeout(SpanMillis::new(200).duration(), refused.recv()).await;
+    assert!(early.is_err(), "a silent peer was reported");
+    drop((stream, listener));
+    let reported = timeout(SpanMillis::new(400).duration(), refused.recv()).await;
+    assert_eq!(reported, Ok(Some(ReplicaId::new(1))));
+}
--- a/src/control/replica_shell/mod.rs
+++ b/src/control/replica_shell/mod.rs
@@ -8,6 +8,8 @@
 mod replicated_state;
 mod report_log;
 mod shell_error;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use replica_driver::{RunningReplica, start_replica};
 pub(crate) use replica_handle::ReplicaHandle;
--- a/src/control/replica_shell/replica_driver.rs
+++ b/src/control/replica_shell/replica_driver.rs
@@ -34,6 +34,8 @@
 
 /// Most commands from calls that wait for the driver.
 const MAX_QUEUED_COMMANDS: usize = 8_192;
+/// Most reports of refused connections that wait for the driver.
+const MAX_QUEUED_REFUSALS: usize = 64;
 /// Most messages from other replicas that wait for the driver.
 const MAX_QUEUED_MESSAGES: usize = 64;
 
@@ -76,8 +78,10 @@
         log_event!(info, ControlEvent::LinkListening, address = %listener.address());
         tokio::spawn(listener.run(inbox.clone(), secret.clone()));
     }
+    let (refusals, refused_peers) = mpsc::channel(MAX_QUEUED_REFUSALS);
     let links = options.peers.iter().map(|peer| {
-        let sender = LinkSender::start(peer.replica, peer.link_address, secret.clone());
+        let (secret, refusals) = (secret.clone(), refusals.clone());
+        let sender = LinkSender::start(peer.replica, peer.link_address, secret, refusals);
         (peer.replica, sender)
     });
     let call_addresses = options
@@ -86,9 +90,11 @@
         .map(|peer| (peer.replica, peer.call_address));
     let (commands, queue) = mpsc::channel(MAX_QUEUED_COMMANDS);
     let (view_sender, view) = watch::channel(core.view(clock.now()));
+    let (leader_sender, leader) = watch::channel(None);
     let handle = ReplicaHandle {
         commands,
         view,
+        leader,
         call_addresses: Arc::new(call_addresses.collect()),
         ports: options.ports,
         state: state.clone(),
@@ -98,10 +104,12 @@
         state,
         disk,
         links: links.collect(),
+        refusals,
         secret: secret.clone(),
         ports: options.ports,
         handle: handle.clone(),
         view_sender,
+        leader_sender,
         clock,
         last_key: 0,
         proposals: HashMap::new(),
@@ -110,6 +118,7 @@
     let inputs = DriverInputs {
         commands: queue,
         messages,
+        refused_peers,
         synced: reports.synced,
         _inbox: inbox,
     };
@@ -121,6 +130,7 @@
 struct DriverInputs {
     commands: mpsc::Receiver<ReplicaCommand>,
     messages: mpsc::Receiver<PeerMessage>,
+    refused_peers: mpsc::Receiver<ReplicaId>,
     synced: mpsc::UnboundedReceiver<SyncResult>,
     /// Keeps `messages` open in a group of one.
     _inbox: mpsc::Sender<PeerMessage>,
@@ -134,8 +144,11 @@
     secret: SecretStore,
     ports: Option<PeerPorts>,
     links: BTreeMap<ReplicaId, LinkSender>,
+    /// For the links; they report refused connections.
+    refusals: mpsc::Sender<ReplicaId>,
     handle: ReplicaHandle,
     view_sender: watch::Sender<ReplicaView>,
+    leader_sender: watch::Sender<Option<ReplicaId>>,
     clock: ProcessClock,
     last_key: u64,
     proposals: HashMap<ProposalKey, oneshot::Sender<ProposalAnswer>>,
@@ -150,6 +163,7 @@
             let event = tokio::select! {
                 _ = ticks.tick() => ReplicaEvent::Tick,
                 Some(message) = inputs.messages.recv() => ReplicaEvent::MessageReceived(message),
+                Some(replica) = inputs.refused_peers.recv() => ReplicaEvent::PeerRefused(replica),
                 Some(result) = inputs.synced.recv() => match result {
                     Ok(token) => ReplicaEvent::Synced { token },
                     Err(error) => return error.into(),
@@ -236,7 +250,8 @@
     fn link(&mut self, to: ReplicaId) -> Option<&LinkSender> {
         if let (Entry::Vacant(entry), Some(ports)) = (self.links.entry(to), self.ports) {
             let address = SocketAddrV4::new(to.address(), ports.link_port);
-            entry.insert(LinkSender::start(to, address, self.secret.clone()));
+            let (secret, refusals) = (self.secret.clone(), self.refusals.clone());
+            entry.insert(LinkSender::start(to, address, secret, refusals));
         }
         self.links.get(&to)
     }
@@ -291,10 +306,17 @@
     /// leader changes.
     fn publish(&self, is_tick: bool) {
         let view = self.core.view(self.clock.now());
+        let leader = view.trusted_leader.map(|member_id| member_id.replica);
+        self.leader_sender.send_if_modified(|published| {
+            let is_changed = *published != leader;
+            *published = leader;
+            is_changed
+        });
         self.view_sender.send_if_modified(|published| {
             let is_unchanged = published.role == view.role
                 && published.term == view.term
-                && published.leader == view.leader;
+                && published.leader == view.leader
+                && published.trusted_leader == view.trusted_leader;
             if is_unchanged && !is_tick {
                 return false;
             }
--- a/src/control/replica_shell/replica_handle.rs
+++ b/src/control/replica_shell/replica_handle.rs
@@ -22,6 +22,12 @@
 const READ_TIMEOUT_MILLIS: SpanMillis = SpanMillis::new(2_000);
 /// How long a stopping leader tries to transfer its leadership.
 const TRANSFER_TIMEOUT_MILLIS: SpanMillis = SpanMillis::new(2_000);
+/// How long a call waits for a leader to be known. Callers ask another replica after a
+/// second without an answer.
+const LEADER_WAIT_MILLIS: SpanMillis = SpanMillis::new(800);
+/// Silence after which calls no longer wait for a leader: an election takes less, so that
+/// there is probably no majority.
+const LEADER_SEARCH_MILLIS: SpanMillis = SpanMillis::new(3_000);
 /// Pause between two attempts to transfer leadership.
 const TRANSFER_RETRY_MILLIS: SpanMillis = SpanMillis::new(20);
 /// When a refused client may retry.
@@ -54,6 +60,8 @@
 pub(crate) struct ReplicaHandle {
     pub(super) commands: mpsc::Sender<ReplicaCommand>,
     pub(super) view: watch::Receiver<ReplicaView>,
+    /// Changes with the leader to send callers to.
+    pub(super) leader: watch::Receiver<Option<ReplicaId>>,
     pub(super) call_addresses: Arc<BTreeMap<ReplicaId, SocketAddrV4>>,
     pub(super) ports: Option<PeerPorts>,
     pub(super) state: ReplicatedState,
@@ -135,6 +143,25 @@
         self.view.borrow().clone()
     }
 
+    /// Waits until this replica leads or trusts a leader, for `LEADER_WAIT_MILLIS` at
+    /// most, and not at all if leaders have been silent for long.
+    ///
+    /// During an election a caller would otherwise be sent to the lost leader, or come
+    /// back later than a new one is elected.
+    pub(crate) async fn wait_for_leader(&self) {
+        let mut view = self.view.clone();
+        let known = view.wait_for(|view| {
+            view.trusted_leader.is_some() || view.leader_silence >= LEADER_SEARCH_MILLIS
+        });
+        // The caller is told that no leader is known.
+        let _ = timeout(LEADER_WAIT_MILLIS.duration(), known).await;
+    }
+
+    /// Returns a receiver of the leader to send callers to.
+    pub(crate) fn subscribe_leader(&self) -> watch::Receiver<Option<ReplicaId>> {
+        self.leader.clone()
+    }
+
     /// Returns whether this replica leads, or else the known leader's call address.
     pub(crate) fn leader_view(&self) -> LeaderView {
         let view = self.view.borrow();
@@ -144,7 +171,7 @@
             },
             ReplicaRole::Follower | ReplicaRole::Learner => LeaderView::Following {
                 leader: view
-                    .leader
+                    .trusted_leader
                     .and_then(|member_id| self.call_address(member_id.replica)),
             },
         }
--- a/src/control/replica_shell/report_log.rs
+++ b/src/control/replica_shell/report_log.rs
@@ -16,6 +16,9 @@
             gauge!("cyclamen_control_leading").set(1.0);
             log_event!(info, ControlEvent::LeaderElected, %term);
         }
+        ReplicaReport::LeaderGone { replica } => {
+            log_event!(warn, ControlEvent::LeaderGone, %replica);
+        }
         ReplicaReport::LeaderDeposed { term } => {
             gauge!("cyclamen_control_leading").set(0.0);
             log_event!(warn, ControlEvent::LeaderDeposed, %term);
--- a/src/control/server/control_service.rs
+++ b/src/control/server/control_service.rs
@@ -165,6 +165,7 @@
     }
 
     async fn propose(&self, command: ControlCommand) -> Result<ControlOutcome, CallRefusal> {
+        self.store.wait_for_leader().await;
         if let LeaderView::Following { leader } = self.store.leader_view() {
             return Err(CallRefusal::NotLeader { leader });
         }
--- a/src/control/store/control_store.rs
+++ b/src/control/store/control_store.rs
@@ -56,6 +56,15 @@
         }
     }
 
+    /// Waits for a while until a leader is known.
+    pub(crate) async fn wait_for_leader(&self) {
+        match self {
+            #[cfg(test)]
+            Self::Memory(_) => {}
+            Self::Replicated(handle) => handle.wait_for_leader().await,
+        }
+    }
+
     /// Returns this replica's view of the leader.
     pub(crate) fn leader_view(&self) -> LeaderView {
         match self {
--- a/src/fleet/entry_handle.rs
+++ b/src/fleet/entry_handle.rs
@@ -191,12 +191,9 @@
         }
     }
 
-    /// Returns the address for operators of the leader, or else of any replica.
+    /// Returns the address for operators of a replica.
     fn any_member(&self) -> Option<SocketAddrV4> {
-        let member = self
-            .group
-            .leader()
-            .or_else(|| self.group.members().first().copied())?;
+        let member = self.group.replica_for_callers()?;
         Some(SocketAddrV4::new(member, self.operator_port))
     }
 }
--- a/src/fleet/entry_maintenance.rs
+++ b/src/fleet/entry_maintenance.rs
@@ -90,8 +90,9 @@
         }
         if let Some(replica) = &self.replica {
             let members = replica.members();
-            let leader = replica.leader();
-            if self.group.update_members(members, leader) {
+            self.group
+                .set_leader(replica.leader(), self.settings.address);
+            if self.group.update_members(members) {
                 log_event!(info, FleetEvent::CoreFound, members = ?self.group.members());
             }
             replica.update_peers(&self.group.contacts());
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -309,7 +309,7 @@
     }
 
     fn note_members(&mut self, members: &[Ipv4Addr], from: Ipv4Addr) {
-        if self.group.update_members(members.to_vec(), None) {
+        if self.group.update_members(members.to_vec()) {
             log_event!(info, FleetEvent::CoreFound, ?members, %from);
         }
     }
@@ -325,8 +325,9 @@
 
     fn handle_update(&mut self, update: WatchUpdate) {
         match update {
-            WatchUpdate::Reply(reply) => self.apply_reply(*reply),
+            WatchUpdate::Reply { replica, reply } => self.apply_reply(*reply, replica),
             WatchUpdate::Lost { replica, cause } => {
+                self.group.forget_replica(replica);
                 self.control_lost = true;
                 self.update_ready();
                 log_event!(warn, FleetEvent::CoreLost, %replica, %cause);
@@ -334,7 +335,7 @@
         }
     }
 
-    fn apply_reply(&mut self, reply: WatchReply) {
+    fn apply_reply(&mut self, reply: WatchReply, replica: Ipv4Addr) {
         let now = self.clock.now();
         let could_reset = self.flows.can_reset_flows();
         let mut learned = false;
@@ -343,7 +344,8 @@
             self.control_heard_at = Some(now);
             self.flows.set_current(true);
         }
-        if self.group.update_members(reply.members, reply.leader) {
+        self.group.set_leader(reply.leader, replica);
+        if self.group.update_members(reply.members) {
             log_event!(info, FleetEvent::CoreFound, members = ?self.group.members());
         }
         if let Some(routes) = reply.routes
--- a/src/fleet/group_view.rs
+++ b/src/fleet/group_view.rs
@@ -22,6 +22,8 @@
     seeds: Vec<SocketAddrV4>,
     members: Vec<Ipv4Addr>,
     leader: Option<Ipv4Addr>,
+    /// The replica that answered last.
+    watched: Option<Ipv4Addr>,
 }
 
 impl GroupView {
@@ -46,16 +48,14 @@
         })
     }
 
-    /// Replaces the members, and the leader if there is one; an empty list of
-    /// members changes nothing.
+    /// Replaces the members; an empty list changes nothing.
     ///
     /// Returns whether the members changed.
-    pub(super) fn update_members(&self, members: Vec<Ipv4Addr>, leader: Option<Ipv4Addr>) -> bool {
+    pub(super) fn update_members(&self, members: Vec<Ipv4Addr>) -> bool {
         let changed = self.with_state(|state| {
             if members.is_empty() {
                 return false;
             }
-            state.leader = leader.or(state.leader);
             let changed = state.members != members;
             state.members = members;
             changed
@@ -76,11 +76,37 @@
         self.with_state(|state| state.members.clone())
     }
 
-    /// Returns the last known leader.
+    /// Sets the leader to send callers to, as told by `replica`; none while that one
+    /// knows none.
+    pub(super) fn set_leader(&self, leader: Option<Ipv4Addr>, replica: Ipv4Addr) {
+        self.with_state(|state| {
+            state.leader = leader;
+            state.watched = Some(replica);
+        });
+    }
+
+    /// Forgets a replica that no longer answers.
+    pub(super) fn forget_replica(&self, replica: Ipv4Addr) {
+        self.with_state(|state| {
+            state.leader = state.leader.filter(|leader| *leader != replica);
+            state.watched = state.watched.filter(|watched| *watched != replica);
+        });
+    }
+
+    /// Returns the leader, if one is known.
     pub(super) fn leader(&self) -> Option<Ipv4Addr> {
         self.with_state(|state| state.leader)
     }
 
+    /// Returns the replica to send callers to: the leader or, if none is known, the one
+    /// that answered last, which holds calls until it knows the next leader.
+    pub(super) fn replica_for_callers(&self) -> Option<Ipv4Addr> {
+        self.with_state(|state| {
+            let first_member = state.members.first().copied();
+            state.leader.or(state.watched).or(first_member)
+        })
+    }
+
     /// Returns the members and then the seeds that are not among them.
     pub(super) fn contacts(&self) -> Vec<Ipv4Addr> {
         self.with_state(|state| {
--- a/src/fleet/local_replica.rs
+++ b/src/fleet/local_replica.rs
@@ -8,7 +8,7 @@
 use super::{FleetError, FleetEvent, FleetSettings};
 use crate::{
     control::{
-        api::{CallRefusal, ReplicaRole},
+        api::CallRefusal,
         replica::{GroupAdmission, ReplicaId},
         replica_shell::{
             DiskFaultPolicy, PeerAddress, PeerPorts, ReplicaHandle, ReplicaOptions,
@@ -78,14 +78,21 @@
         members.map(|member| member.id.replica.address()).collect()
     }
 
-    /// Returns the leader that this replica follows, or itself if it leads.
+    /// Returns the leader to send callers to, this replica or another one.
     pub(super) fn leader(&self) -> Option<Ipv4Addr> {
-        let view = self.handle()?.view();
-        match view.role {
-            ReplicaRole::Leader => Some(view.member_id.replica.address()),
-            ReplicaRole::Follower | ReplicaRole::Learner => {
-                view.leader.map(|member_id| member_id.replica.address())
-            }
+        let leader = self.handle()?.view().trusted_leader;
+        leader.map(|member_id| member_id.replica.address())
+    }
+
+    /// Waits until the leader to send callers to is another one than `known`.
+    pub(super) async fn leader_changed(&self, known: Option<Ipv4Addr>) {
+        let Some(mut leader) = self.handle().map(|handle| handle.subscribe_leader()) else {
+            return std::future::pending().await;
+        };
+        let is_other = |leader: &Option<ReplicaId>| leader.map(ReplicaId::address) != known;
+        if leader.wait_for(is_other).await.is_err() {
+            // The replica has failed and elects no leader any more.
+            std::future::pending::<()>().await;
         }
     }
 
@@ -114,6 +121,7 @@
             return Ok(());
         }
         let handle = self.handle().ok_or(CallRefusal::NoQuorum)?;
+        handle.wait_for_leader().await;
         // If the manifest can't be encoded, nothing was proposed.
         let command = stored.encode().map_err(|_| CallRefusal::NoQuorum)?;
         handle.propose(command).await.map(|_| ())
@@ -128,6 +136,7 @@
     /// Refuses when it was not accepted, or when its outcome is unknown.
     pub(super) async fn order(&self, order: &EvacuationOrder) -> Result<bool, CallRefusal> {
         let handle = self.handle().ok_or(CallRefusal::NoQuorum)?;
+        handle.wait_for_leader().await;
         // If the order can't be encoded, nothing was proposed.
         let command = order.encode().map_err(|_| CallRefusal::NoQuorum)?;
         let outcome = handle.propose(command).await?;
--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -290,7 +290,7 @@
 
     fn note_members(&mut self, members: &[Ipv4Addr]) {
         self.group_heard_at = self.clock.now();
-        if self.group.update_members(members.to_vec(), None) {
+        if self.group.update_members(members.to_vec()) {
             log_event!(info, FleetEvent::CoreFound, ?members);
             // New members have not heard of this agent's target yet.
             self.announce_at = self.group_heard_at;
--- a/src/fleet/tests/evacuations.rs
+++ b/src/fleet/tests/evacuations.rs
@@ -57,7 +57,7 @@
 
 fn entry(members: Vec<Ipv4Addr>) -> EntryHandle {
     let group = GroupView::new(Vec::new());
-    group.update_members(members, None);
+    group.update_members(members);
     let domains = vec!["fjord-a".to_owned()];
     EntryHandle::new(None, group, OPERATOR_PORT, Arc::default(), domains)
 }
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the target tracker, the known balancers and the restart notifier.
 
 mod announced_figures;
+mod callers_replica;
 mod datagrams;
 mod evacuations;
 
--- a/src/fleet/watch_client.rs
+++ b/src/fleet/watch_client.rs
@@ -35,7 +35,12 @@
 #[derive(Debug)]
 pub(super) enum WatchUpdate {
     /// A replica answered a poll.
-    Reply(Box<WatchReply>),
+    Reply {
+        /// The replica.
+        replica: Ipv4Addr,
+        /// Its answer.
+        reply: Box<WatchReply>,
+    },
     /// The watched replica failed.
     Lost {
         /// The replica.
@@ -151,12 +156,9 @@
                 self.settled = targets.settled;
             }
             let caught_up = reply.caught_up;
-            if self
-                .updates
-                .send(WatchUpdate::Reply(Box::new(reply)))
-                .await
-                .is_err()
-            {
+            let reply = Box::new(reply);
+            let update = WatchUpdate::Reply { replica, reply };
+            if self.updates.send(update).await.is_err() {
                 return Ok(());
             }
             if !caught_up {
--- a/src/fleet/watch_server.rs
+++ b/src/fleet/watch_server.rs
@@ -154,6 +154,7 @@
         let mut routes = self.replica.store().subscribe();
         let mut evacuations = self.replica.store().subscribe_evacuations();
         let mut changes = self.directory.changes.subscribe();
+        let mut told_leader = None;
         loop {
             let poll: WatchPoll = read_frame(&mut stream, FRAME_TIMEOUT_MILLIS.duration()).await?;
             self.directory.note_balancer(poll.watcher, self.clock.now());
@@ -167,16 +168,14 @@
                         _ = routes.changed() => {}
                         _ = evacuations.changed() => {}
                         _ = changes.changed() => {}
+                        () = self.replica.leader_changed(told_leader) => {}
                     }
                 })
                 .await;
             }
-            write_reply(
-                &mut stream,
-                &self.reply(&poll),
-                FRAME_TIMEOUT_MILLIS.duration(),
-            )
-            .await?;
+            let reply = self.reply(&poll);
+            told_leader = reply.leader;
+            write_reply(&mut stream, &reply, FRAME_TIMEOUT_MILLIS.duration()).await?;
         }
     }
 
