The flow folder has a room for the balancer's half and one for the agent's

Cause: 43 files in one folder, in which a newcomer could not tell whose decision a file holds. The imports already had no arrow from one half to the other but for one constant.

FULL_PACKET_BYTES is with the packet.

--- a/src/flow/agent_flows.rs
+++ b/src/flow/agent/agent_flows.rs
@@ -1,13 +1,11 @@
 use std::{collections::HashMap, net::Ipv4Addr};
 
 use super::{
-    AgentAction, AgentFlowInfo, AgentStep, FlowKey, FlowPacket, FlowReport, FlowReset, HopHeader,
-    PacketFlags, ReportKind, TargetLifecycle,
+    AgentAction, AgentStep, TargetLifecycle,
     agent_pace::HeldOpenings,
     cold_limiter::ColdLimiter,
     delivery_ring::DeliveryRing,
     opening_queue::OpeningQueue,
-    pending_openings::{PendingOpening, PendingOpenings},
     request_progress::RequestProgress,
     target_health::TargetHealth,
     target_load::{MAX_ANSWER_MILLIS, TargetLoad},
@@ -15,6 +13,11 @@
 };
 use crate::{
     clock::{ClockMillis, SpanMillis},
+    flow::{
+        AgentFlowInfo, FlowKey, FlowPacket, FlowReport, FlowReset, HopHeader, PacketFlags,
+        ReportKind,
+        pending_openings::{PendingOpening, PendingOpenings},
+    },
     key::IncarnationId,
     listener::ServiceTag,
 };
--- a/src/flow/agent_journal.rs
+++ b/src/flow/agent/agent_journal.rs
@@ -1,8 +1,11 @@
 //! Which flows an agent tells the control replicas, so that these can reset them after
 //! a loss of the agent and its target.
 
-use super::{AgentFlows, LongFlow, LongFlowList, tracked_flow::TrackedFlow};
-use crate::clock::{ClockMillis, SpanMillis};
+use super::{AgentFlows, tracked_flow::TrackedFlow};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    flow::{LongFlow, LongFlowList},
+};
 
 /// How long a flow must have been in use. A target that has restarted announces itself
 /// within its heartbeat and the second that it waits for an answer, so a longer flow is
--- a/src/flow/agent_openings.rs
+++ b/src/flow/agent/agent_openings.rs
@@ -1,11 +1,13 @@
 //! Handling of openings at an agent: deliver them to the target, queue them until
 //! it has a free slot, pass them on or refuse them.
 
-use super::{
-    AgentAction, AgentFlows, AgentStep, DequeuedOpening, FlowKey, FlowPacket, FlowReset, HopHeader,
-    ReportKind, TargetLifecycle, pending_openings::PendingOpening,
+use super::{AgentAction, AgentFlows, AgentStep, DequeuedOpening, TargetLifecycle};
+use crate::{
+    clock::ClockMillis,
+    flow::{
+        FlowKey, FlowPacket, FlowReset, HopHeader, ReportKind, pending_openings::PendingOpening,
+    },
 };
-use crate::clock::ClockMillis;
 
 impl AgentFlows {
     /// Delivers, queues, passes on or refuses an opening.
--- a/src/flow/agent_pace.rs
+++ b/src/flow/agent/agent_pace.rs
@@ -1,7 +1,10 @@
 //! The pace of a target that is cold or has recovered, and what is measured of it.
 
-use super::{AgentFlows, HopHeader, TargetFigures, TargetLifecycle};
-use crate::clock::{ClockMillis, SpanMillis};
+use super::{AgentFlows, TargetFigures, TargetLifecycle};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    flow::HopHeader,
+};
 
 /// Openings that an agent passed on or queued although its target had capacity,
 /// counted since the agent started.
--- a/src/flow/agent_step.rs
+++ b/src/flow/agent/agent_step.rs
@@ -2,8 +2,10 @@
 
 use std::{fmt, net::Ipv4Addr};
 
-use super::{FlowKey, FlowReport, FlowReset, HopHeader};
-use crate::clock::SpanMillis;
+use crate::{
+    clock::SpanMillis,
+    flow::{FlowKey, FlowReport, FlowReset, HopHeader},
+};
 
 /// The state of the target as its agent sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/flow/delivery_ring.rs
+++ b/src/flow/agent/delivery_ring.rs
@@ -1,4 +1,4 @@
-use super::HopHeader;
+use crate::flow::HopHeader;
 
 /// Number of delivered packets whose headers are kept.
 const RING_SLOTS: usize = 2_048;
--- a/src/flow/opening_queue.rs
+++ b/src/flow/agent/opening_queue.rs
@@ -1,7 +1,9 @@
 use std::cmp::Reverse;
 
-use super::{FlowKey, HopHeader, pending_openings::PendingOpening};
-use crate::clock::{ClockMillis, SpanMillis};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    flow::{FlowKey, HopHeader, pending_openings::PendingOpening},
+};
 
 /// Maximum number of openings queued at an agent.
 const MAX_QUEUED_OPENINGS: usize = 256;
--- a/src/flow/request_progress.rs
+++ b/src/flow/agent/request_progress.rs
@@ -1,8 +1,4 @@
-use super::FlowPacket;
-
-/// The most data that a packet carries, in bytes; a sender fills every packet of a
-/// request but the last.
-pub(super) const FULL_PACKET_BYTES: u16 = 1_200;
+use crate::flow::{FULL_PACKET_BYTES, FlowPacket};
 
 /// How much of a flow's latest request has arrived at the target.
 ///
@@ -21,7 +17,7 @@
 
 /// What a packet changed about a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum RequestChange {
+pub(crate) enum RequestChange {
     /// Nothing: it repeats what had arrived.
     Nothing,
     /// More of the request has arrived, but not all.
--- a/src/flow/target_load.rs
+++ b/src/flow/agent/target_load.rs
@@ -1,13 +1,16 @@
 use std::collections::HashMap;
 
 use super::{
-    FlowKey, TargetFigures,
+    TargetFigures,
     failure_meter::{FailureMeter, RequestOutcome},
     pace_window::PaceWindow,
     request_progress::RequestChange,
     service_meter::ServiceMeter,
 };
-use crate::clock::{ClockMillis, SpanMillis};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    flow::FlowKey,
+};
 
 /// How long a new flow reserves capacity for its first request: a few round
 /// trips between caller and target.
@@ -23,7 +26,7 @@
 const AVERAGE_DIVISOR: u64 = 8;
 /// The time after which a request counts as failed, unless its route's timeout is
 /// shorter: callers wait for an answer for a few seconds at most.
-pub(super) const MAX_ANSWER_MILLIS: SpanMillis = SpanMillis::new(2_000);
+pub(crate) const MAX_ANSWER_MILLIS: SpanMillis = SpanMillis::new(2_000);
 /// How long a request counts towards the pace window. Latency goals are below a
 /// second, so a request that takes longer is a matter of the failure rate.
 const MAX_WINDOW_MILLIS: SpanMillis = SpanMillis::new(1_000);
@@ -89,7 +92,7 @@
 
     /// Records what has arrived of a flow's request, which counts as failed without
     /// an answer within `answer_timeout`.
-    pub(super) fn apply_change(
+    pub(crate) fn apply_change(
         &mut self,
         flow: FlowKey,
         change: RequestChange,
@@ -208,7 +211,7 @@
     }
 
     /// Returns what has been measured of the target.
-    pub(super) fn figures(&mut self, now: ClockMillis) -> TargetFigures {
+    pub(crate) fn figures(&mut self, now: ClockMillis) -> TargetFigures {
         self.observe(now);
         TargetFigures {
             speed: self.slots.map_or(0, |slots| self.meter.speed(slots)),
--- a/src/flow/balancer_flows.rs
+++ b/src/flow/balancer/balancer_flows.rs
@@ -1,18 +1,19 @@
 use std::{collections::HashMap, net::Ipv4Addr};
 
 use super::{
-    BalancerFlowInfo, FlowKey, FlowOwnerInfo, FlowPacket, FlowReset, FlowVerdict, HopHeader,
-    KnownTargets, RefusalCause,
-    hop_frame::MAX_CANDIDATES,
+    FlowVerdict, KnownTargets, RefusalCause,
     link_admission::{EndedWait, LinkAdmission, LinkVerdict},
     owner_cache::OwnerCache,
     owner_lookup::{OwnerLookup, PendingLookups},
     parked_packets::ParkedPackets,
-    pending_openings::PendingOpenings,
     report_timer::{MIN_TIMEOUT_MILLIS, ReportTimer},
 };
 use crate::{
     clock::{ClockMillis, SpanMillis},
+    flow::{
+        BalancerFlowInfo, FlowKey, FlowOwnerInfo, FlowPacket, FlowReset, HopHeader,
+        hop_frame::MAX_CANDIDATES, pending_openings::PendingOpenings,
+    },
     listener::{ListenerTable, ServiceTag},
 };
 
@@ -36,7 +37,7 @@
     /// How long openings wait for their reports.
     pub(super) report_timer: ReportTimer,
     /// The agent that each pending opening was sent to.
-    pub(super) opening_agents: HashMap<FlowKey, Ipv4Addr>,
+    pub(in crate::flow) opening_agents: HashMap<FlowKey, Ipv4Addr>,
     /// Agents that new flows avoid, each with the time when the suspicion ends.
     pub(super) suspects: HashMap<Ipv4Addr, ClockMillis>,
     /// Openings that timed out without a report since the last report.
--- a/src/flow/balancer_lookups.rs
+++ b/src/flow/balancer/balancer_lookups.rs
@@ -4,11 +4,14 @@
 use std::{collections::HashSet, net::Ipv4Addr};
 
 use super::{
-    BalancerFlows, FlowKey, FlowReport, HopHeader, ReportAction,
-    hop_frame::MAX_CANDIDATES,
+    BalancerFlows, ReportAction,
     owner_lookup::{LookupRound, OwnerLookup, WideLookup},
 };
-use crate::{clock::ClockMillis, listener::ServiceTag};
+use crate::{
+    clock::ClockMillis,
+    flow::{FlowKey, FlowReport, HopHeader, hop_frame::MAX_CANDIDATES},
+    listener::ServiceTag,
+};
 
 /// Number of agents of the first round, which nearly always finds the owner of a
 /// flow that is held.
--- a/src/flow/balancer_openings.rs
+++ b/src/flow/balancer/balancer_openings.rs
@@ -3,11 +3,13 @@
 use std::net::Ipv4Addr;
 
 use super::{
-    BalancerFlows, FlowKey, FlowPacket, FlowReport, FlowVerdict, HopHeader, RefusalCause,
-    ReportAction, ReportKind, pending_openings::PendingOpening, report_timer::MIN_TIMEOUT_MILLIS,
+    BalancerFlows, FlowVerdict, RefusalCause, ReportAction, report_timer::MIN_TIMEOUT_MILLIS,
 };
 use crate::{
     clock::{ClockMillis, SpanMillis},
+    flow::{
+        FlowKey, FlowPacket, FlowReport, HopHeader, ReportKind, pending_openings::PendingOpening,
+    },
     listener::RouteChoice,
 };
 
--- a/src/flow/flow_verdict.rs
+++ b/src/flow/balancer/flow_verdict.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use super::{FlowReset, HopHeader};
+use crate::flow::{FlowReset, HopHeader};
 
 /// What a balancer does with a caller's packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/flow/link_admission.rs
+++ b/src/flow/balancer/link_admission.rs
@@ -3,11 +3,11 @@
     net::{Ipv4Addr, SocketAddrV4},
 };
 
-use super::{
-    FlowKey, FlowPacket, PacketFlags, request_progress::FULL_PACKET_BYTES,
-    route_profile::RouteProfile,
+use super::route_profile::RouteProfile;
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    flow::{FULL_PACKET_BYTES, FlowKey, FlowPacket, PacketFlags},
 };
-use crate::clock::{ClockMillis, SpanMillis};
 
 /// What a caller sends of a large request before it waits for an acknowledgement:
 /// 16 packets with their headers.
--- a/src/flow/owner_cache.rs
+++ b/src/flow/balancer/owner_cache.rs
@@ -3,9 +3,9 @@
     net::Ipv4Addr,
 };
 
-use super::FlowKey;
 use crate::{
     clock::{ClockMillis, SpanMillis},
+    flow::FlowKey,
     key::IncarnationId,
 };
 
--- a/src/flow/owner_lookup.rs
+++ b/src/flow/balancer/owner_lookup.rs
@@ -3,8 +3,10 @@
     net::Ipv4Addr,
 };
 
-use super::{FlowKey, FlowPacket, FlowReset, HopHeader};
-use crate::clock::{ClockMillis, SpanMillis};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    flow::{FlowKey, FlowPacket, FlowReset, HopHeader},
+};
 
 /// Maximum number of concurrent lookups; further ones are not recorded.
 const MAX_LOOKUPS: usize = 4_096;
--- a/src/flow/parked_packets.rs
+++ b/src/flow/balancer/parked_packets.rs
@@ -1,7 +1,9 @@
 use std::{cmp::Reverse, collections::HashMap};
 
-use super::FlowKey;
-use crate::clock::{ClockMillis, SpanMillis};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    flow::FlowKey,
+};
 
 /// Maximum number of parked packets, one per flow; further ones are dropped.
 const MAX_PARKED: usize = 2_048;
--- a/src/flow/report_timer.rs
+++ b/src/flow/balancer/report_timer.rs
@@ -1,7 +1,9 @@
 use std::{collections::HashMap, net::Ipv4Addr};
 
-use super::FlowKey;
-use crate::clock::{ClockMillis, SpanMillis};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    flow::FlowKey,
+};
 
 /// The shortest time after which an opening counts as unreported, also if reports on
 /// openings that were sent that much later have come; an agent waits for its target
--- a/src/flow/route_profile.rs
+++ b/src/flow/balancer/route_profile.rs
@@ -1,4 +1,4 @@
-use super::{FlowPacket, request_progress::FULL_PACKET_BYTES};
+use crate::flow::{FULL_PACKET_BYTES, FlowPacket};
 
 /// Data after which a route's profile is known: half of a large request.
 const MIN_PROFILE_BYTES: u64 = 20_000;
--- a/src/flow/target_ranking.rs
+++ b/src/flow/balancer/target_ranking.rs
@@ -2,7 +2,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::FlowKey;
+use crate::flow::FlowKey;
 
 /// A target that may be ranked.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/src/flow/flow_packet.rs
+++ b/src/flow/flow_packet.rs
@@ -3,6 +3,10 @@
 use super::FlowKey;
 use crate::clock::SpanMillis;
 
+/// The most data that a packet carries, in bytes; a sender fills every packet of a
+/// request but the last.
+pub(crate) const FULL_PACKET_BYTES: u16 = 1_200;
+
 /// Flags of a packet, one bit each.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct PacketFlags(u8);
--- a/src/flow/tests/target_figures.rs
+++ b/src/flow/tests/target_figures.rs
@@ -12,8 +12,8 @@
     clock::{ClockMillis, SpanMillis},
     flow::{
         PacketFlags, TargetFigures,
-        request_progress::RequestChange,
-        target_load::{MAX_ANSWER_MILLIS, TargetLoad},
+        agent::request_progress::RequestChange,
+        agent::target_load::{MAX_ANSWER_MILLIS, TargetLoad},
     },
 };
 
--- a/src/flow/tests/thin_link.rs
+++ b/src/flow/tests/thin_link.rs
@@ -11,7 +11,7 @@
     clock::{ClockMillis, SpanMillis},
     flow::{
         FlowKey, FlowPacket, PacketFlags,
-        link_admission::{LinkAdmission, LinkVerdict},
+        balancer::link_admission::{LinkAdmission, LinkVerdict},
     },
 };
 
