The checks that services and rules share have a file of their own

Cause: rule_check and service_check imported from each other, for the check of names, the range of deadlines and the cut of long texts.

Change: these are in common_check, which both use. One import moved to its usual place.

--- a/src/control/replica/proposals.rs
+++ b/src/control/replica/proposals.rs
@@ -1,7 +1,5 @@
 //! Proposals: bounded admission, and one answer for each.
 
-use crate::clock::ClockMillis;
-
 use super::{
     EntryBody, EntryPayload, PeerBody, ProposalKey, ProposalOutcome, ReadOutcome, ReplicaAction,
     ReplicaCore,
@@ -9,6 +7,7 @@
     leader_state::{LeaderState, PendingProposal, ReadSource},
     limits::{MAX_ENTRY_BYTES, MAX_PENDING_BYTES, MAX_PENDING_PROPOSALS},
 };
+use crate::clock::ClockMillis;
 
 impl ReplicaCore {
     /// Appends a client's change, or refuses it at once.
--- a/src/manifest/manifest_check.rs
+++ b/src/manifest/manifest_check.rs
@@ -2,8 +2,9 @@
 
 use super::{
     FaultCause, Manifest, ManifestFault,
+    common_check::{MAX_NAME_CHARS, truncate},
     fault_list::FaultList,
-    service_check::{MAX_NAME_CHARS, check_service, truncate},
+    service_check::check_service,
 };
 
 /// The maximum number of services in a manifest.
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -1,5 +1,6 @@
 //! The operators' manifest of all services with their addresses, limits and rules.
 
+mod common_check;
 mod fault_cause;
 mod fault_list;
 mod manifest_check;
@@ -14,6 +15,7 @@
 mod service_spec;
 mod traffic_rule;
 
+pub use common_check::MAX_NAME_CHARS;
 pub use fault_cause::FaultCause;
 pub use manifest_check::{MAX_SERVICES, check_manifest};
 pub use manifest_document::{Manifest, ManifestDigest};
@@ -23,7 +25,7 @@
 pub use manifest_text::{MAX_MANIFEST_BYTES, ManifestError, ManifestText};
 pub use rule_check::{MAX_METHOD_CHARS, MAX_METHODS, MAX_PREFIX_CHARS};
 pub use rule_match::{RequestPolicy, is_idempotent};
-pub use service_check::{MAX_NAME_CHARS, MAX_RULES};
+pub use service_check::MAX_RULES;
 pub use service_spec::{ServiceLimits, ServiceSpec};
 pub use traffic_rule::{RequestPriority, TrafficRule};
 
--- a/src/manifest/rule_check.rs
+++ b/src/manifest/rule_check.rs
@@ -2,8 +2,8 @@
 
 use super::{
     FaultCause, TrafficRule,
+    common_check::{DEADLINE_MILLIS, MAX_NAME_CHARS, check_name, truncate},
     fault_list::FaultList,
-    service_check::{DEADLINE_MILLIS, MAX_NAME_CHARS, check_name, truncate},
 };
 
 /// The maximum length of a path prefix.
