Known red: open flows reset on a directory or routes that are younger than the flow

A replica that has restarted counts its directory as settled once every agent of its file has announced itself. An agent that started while it was down is not in the file. Balancers that watch the replica drop that agent, find that no other one holds its flows, and reset them; the agent's next announcement comes up to half a second later.

A balancer that started after a route had changed its service knows only the present one. It asks no agent of the former service and resets the flows that are open there.

--- a/src/flow/tests/mod.rs
+++ b/src/flow/tests/mod.rs
@@ -21,6 +21,7 @@
 mod target_model;
 mod target_pace;
 mod thin_link;
+mod unheard_agents;
 mod uploads;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/src/flow/tests/returned_target.rs
+++ b/src/flow/tests/returned_target.rs
@@ -31,7 +31,7 @@
     START.after(SpanMillis::new(millis))
 }
 
-fn balancer_of(services: ServiceTargets) -> BalancerFlows {
+pub(super) fn balancer_of(services: ServiceTargets) -> BalancerFlows {
     let mut table = ListenerTable::new(FLOW_AGE);
     table.replace(&manifest(1, vec![route(service())]), START);
     let mut flows = BalancerFlows::new(BALANCER, table, FLOW_AGE);
@@ -49,10 +49,10 @@
 
 /// The agents that a lookup of flow 1 reaches, of which `answering` answer that they
 /// do not hold the flow unless they are `owner`.
-struct AskedAgents {
+pub(super) struct AskedAgents {
     answering: HashSet<Ipv4Addr>,
     owner: Option<Ipv4Addr>,
-    asked: Vec<Ipv4Addr>,
+    pub(super) asked: Vec<Ipv4Addr>,
 }
 
 impl AskedAgents {
@@ -102,7 +102,7 @@
     }
 
     /// Looks flow 1 up and lets a second pass; returns when it was reset, if it was.
-    fn look_up(&mut self, flows: &mut BalancerFlows) -> Option<ClockMillis> {
+    pub(super) fn look_up(&mut self, flows: &mut BalancerFlows) -> Option<ClockMillis> {
         let data = from_caller(flow(1), PacketFlags::ACKNOWLEDGE);
         let FlowVerdict::Forward { to, header } = flows.handle_packet(&data, &[1], START) else {
             return None;
@@ -135,7 +135,7 @@
     }
 }
 
-fn asked_agents(answering: &[u8], owner: Option<u8>) -> AskedAgents {
+pub(super) fn asked_agents(answering: &[u8], owner: Option<u8>) -> AskedAgents {
     AskedAgents {
         answering: answering.iter().map(|number| agent(*number)).collect(),
         owner: owner.map(agent),
@@ -306,7 +306,7 @@
     }
 }
 
-fn first_record(number: u8) -> TargetRecord {
+pub(super) fn first_record(number: u8) -> TargetRecord {
     TargetRecord {
         agent: agent(number),
         service: service(),
