Flows on the former service of a route outlive a restart of their balancer

What callers saw: once a route had moved to another service, the open flows on the former one were reset by each balancer that started afterwards and got their packets, as after a planned restart or when balancers are added.

Cause: former services are remembered by the process that applied the change. A balancer that starts later, or whose poll skips a manifest, knows only the present services, asks none of the former one's agents, and takes the flow for one that no target holds.

Change: for the longest age of a flow after a manifest was applied, the last rounds of a lookup ask the agents of all services. The first round is as before, so flows that are found cost nothing more.

Ruled out: keeping former services in the manifest. Operators send manifests whole, and builds that don't know the field would drop it.

Evidence: a_restarted_balancer_ends_no_flow_on_the_former_service_of_a_route failed on (reset at once, agent 3 not asked) and passes; the other flow, listener, directory and fleet tests are unchanged (303 passed, the listed one failed).

--- a/src/flow/balancer/balancer_lookups.rs
+++ b/src/flow/balancer/balancer_lookups.rs
@@ -43,7 +43,7 @@
             lookup.asked_agents.clear();
         }
         let mut next: Vec<Ipv4Addr> = assumed_owner.into_iter().collect();
-        next.extend(self.agents_of_round(&lookup, services));
+        next.extend(self.agents_of_round(&lookup, services, now));
         let mut seen: HashSet<Ipv4Addr> = lookup.asked_agents.iter().copied().collect();
         next.retain(|agent| seen.insert(*agent));
         // An agent that does not answer ends its chain, so such agents come last.
@@ -78,10 +78,22 @@
 
     /// Returns the agents that a round may ask, those first that most likely hold the
     /// flow.
-    fn agents_of_round(&self, lookup: &OwnerLookup, services: &[ServiceTag]) -> Vec<Ipv4Addr> {
+    fn agents_of_round(
+        &self,
+        lookup: &OwnerLookup,
+        services: &[ServiceTag],
+        now: ClockMillis,
+    ) -> Vec<Ipv4Addr> {
         let mut searched_services = services.to_vec();
-        if !self.was_ever_current {
+        let searches_all = match lookup.round {
             // The flow may have been opened under newer routes than the known ones.
+            LookupRound::First | LookupRound::Wide => !self.was_ever_current,
+            // It may be on a service that its route had before.
+            LookupRound::Others | LookupRound::Ended { .. } => {
+                !self.was_ever_current || self.table.may_lack_former_services(now)
+            }
+        };
+        if searches_all {
             searched_services.extend(self.targets.services.keys());
         }
         let targets = searched_services
--- a/src/listener/listener_table.rs
+++ b/src/listener/listener_table.rs
@@ -35,6 +35,8 @@
     version: u64,
     entries: HashMap<SocketAddrV4, TableEntry>,
     flow_age: SpanMillis,
+    /// When the manifest in force was applied.
+    replaced_at: Option<ClockMillis>,
 }
 
 impl ListenerTable {
@@ -45,6 +47,7 @@
             version: 0,
             entries: HashMap::new(),
             flow_age,
+            replaced_at: None,
         }
     }
 
@@ -60,6 +63,7 @@
             return false;
         }
         self.version = manifest.version;
+        self.replaced_at = Some(now);
         let mut previous = std::mem::take(&mut self.entries);
         for route in &manifest.routes {
             let former = previous
@@ -77,6 +81,14 @@
         true
     }
 
+    /// Returns whether open flows may be on services that this table does not list for
+    /// their route: manifests between the one in force and the one before it, or before the
+    /// first one, were not seen.
+    pub(crate) fn may_lack_former_services(&self, now: ClockMillis) -> bool {
+        self.replaced_at
+            .is_none_or(|replaced_at| now.since(replaced_at) < self.flow_age)
+    }
+
     /// Returns the services for a flow to `address`, `None` without a route;
     /// `flow_hash` selects one by weight for a new flow.
     pub(crate) fn choose(
