A restarted replica knows agents that started while it was down

What callers saw: an open flow at a target on a new VM was reset when its packets moved to a balancer that watches a replica which had just been restarted.

Cause: a directory counted as settled once all agents of the file on its disk had announced themselves, some 50 ms after the start. An agent that started while the replica was down is not in that file, and announces itself every 0.5 s. In between, watchers were told that the directory is complete: they dropped the agent, were told by all others that these don't hold the flow, and reset it.

Change: a replica that starts copies the directory of another replica that has settled and hears a leader, over the port and messages of watchers, so builds can be mixed. Without one, as after a loss of all power, it waits until the agents of its file have announced themselves and 0.6 s are over, an announcement interval and a margin. Copied records end no long flows, since the other replica may not have heard the last restart of a target.

Ruled out: waiting 0.6 s alone, which a single lost announcement defeats.

Two expectations of directory tests said that a directory settles at the moment when the agents of its file are heard, which is the fault itself. They now ask that it doesn't before 0.6 s, and does then.

Evidence: a_restarted_replica_ends_no_flow_of_an_agent_that_started_meanwhile failed on (reset 60 ms after the start) and passes; 41 tests of fleet, and before the loopback test was added 311 of flow, listener, directory and fleet passed. Not measured yet: how much later callers of dead flows are told after a loss of all power.

--- a/src/directory/target_directory.rs
+++ b/src/directory/target_directory.rs
@@ -27,6 +27,9 @@
 const ENDED_RETENTION_MILLIS: SpanMillis = SpanMillis::new(60_000);
 /// Time after its start at which a replica has heard from every running agent.
 const SETTLE_MILLIS: SpanMillis = SpanMillis::new(2_500);
+/// Time after its start at which it has heard from those that it does not expect: one
+/// announcement interval plus a margin for a late announcement.
+const UNEXPECTED_MILLIS: SpanMillis = SpanMillis::new(600);
 /// How long announcements of an agent's earlier run are ignored after a newer run
 /// was heard: longer than a datagram may be delayed.
 const EARLIER_RUN_MILLIS: SpanMillis = SpanMillis::new(5_000);
@@ -37,6 +40,9 @@
 struct DirectoryEntry {
     record: TargetRecord,
     last_heard_at: ClockMillis,
+    /// Whether the agent has announced itself to this replica, or another replica told of
+    /// it.
+    heard: bool,
     /// The revision that added or last changed the record.
     revision: u64,
     /// The agent's run before the current one.
@@ -77,6 +83,8 @@
     expected: BTreeSet<Ipv4Addr>,
     /// Whether the agents that ran before this replica started are known.
     knows_previous_agents: bool,
+    /// Whether the records of a settled directory were copied.
+    copied: bool,
     /// Whether a revision told watchers that the directory has settled.
     settled_published: bool,
     /// The domains whose targets are shown as leaving.
@@ -94,6 +102,7 @@
             last_removal: 0,
             expected: BTreeSet::new(),
             knows_previous_agents: false,
+            copied: false,
             settled_published: false,
             evacuated: EvacuatedDomains::default(),
         }
@@ -108,20 +117,44 @@
             .retain(|agent| !self.entries.contains_key(agent));
     }
 
+    /// Adds what another replica knows of agents that this one has not heard, if that
+    /// replica's directory has settled; returns whether it was copied.
+    ///
+    /// Agents that have started since this replica stopped are in no list of its own.
+    pub(crate) fn copy_settled(&mut self, mut update: DirectoryUpdate, now: ClockMillis) -> bool {
+        if !update.full || !update.settled {
+            return false;
+        }
+        update.unmask();
+        for record in update.records {
+            if !self.entries.contains_key(&record.agent) {
+                self.set(record, None, now);
+                if let Some(entry) = self.entries.get_mut(&record.agent) {
+                    entry.heard = false;
+                }
+            }
+        }
+        self.copied = true;
+        self.publish_settled(now);
+        true
+    }
+
     /// Returns the agents whose targets are neither silent nor ended.
     pub(crate) fn running(&self) -> BTreeSet<Ipv4Addr> {
         let running = self.entries.values().filter(|entry| is_live(entry));
         running.map(|entry| entry.record.agent).collect()
     }
 
-    /// Returns the incarnation of an agent's target, if the target has announced itself.
+    /// Returns the incarnation of an agent's target, if the target has announced itself
+    /// and the agent this to this replica.
     pub(crate) fn incarnation_of(&self, agent: Ipv4Addr) -> Option<IncarnationId> {
-        self.entries.get(&agent)?.record.incarnation
+        let entry = self.entries.get(&agent).filter(|entry| entry.heard)?;
+        entry.record.incarnation
     }
 
-    /// Returns every agent with the incarnation of its target.
+    /// Returns every agent that this replica has heard, with the incarnation of its target.
     pub(crate) fn incarnations(&self) -> Vec<(Ipv4Addr, Option<IncarnationId>)> {
-        let entries = self.entries.values();
+        let entries = self.entries.values().filter(|entry| entry.heard);
         entries
             .map(|entry| (entry.record.agent, entry.record.incarnation))
             .collect()
@@ -147,8 +180,9 @@
 
     /// Returns whether every running agent has announced its target.
     pub(crate) fn is_settled(&self, now: ClockMillis) -> bool {
-        let heard_all = self.knows_previous_agents && self.expected.is_empty();
-        heard_all || now.since(self.started_at) >= SETTLE_MILLIS
+        let age = now.since(self.started_at);
+        let heard_expected = self.knows_previous_agents && self.expected.is_empty();
+        self.copied || (heard_expected && age >= UNEXPECTED_MILLIS) || age >= SETTLE_MILLIS
     }
 
     /// Returns the position of a watcher that is up to date.
@@ -182,6 +216,7 @@
             record = record.after_restart_of(&old);
             record.attributes = record.attributes.keeping_close_figures(&old.attributes);
             entry.last_heard_at = now;
+            entry.heard = true;
             entry.record = record;
             earlier_run = entry.earlier_run;
             if old.has_same_state(&record) {
@@ -273,6 +308,10 @@
         let entry = DirectoryEntry {
             record,
             last_heard_at,
+            heard: self
+                .entries
+                .get(&record.agent)
+                .is_none_or(|known| known.heard),
             revision: self.revision,
             earlier_run,
         };
--- a/src/directory/tests/mod.rs
+++ b/src/directory/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the directory of targets.
 
+mod directory_copies;
 mod evacuations;
 mod lookup_ranking;
 mod published_figures;
@@ -125,11 +126,14 @@
         .collect();
     let mut restarted = TargetDirectory::new(8, START);
     restarted.expect_agents(agents);
+    let announced = START.after(SpanMillis::new(600));
     for number in 0..3 {
-        assert!(!restarted.is_settled(START));
+        assert!(!restarted.is_settled(announced));
         restarted.announce(record(number, 1, TargetStatus::Serving), START);
     }
-    assert!(restarted.is_settled(START));
+    // An agent that is not expected announces itself within half a second.
+    assert!(!restarted.is_settled(START.after(SpanMillis::new(500))));
+    assert!(restarted.is_settled(announced));
     // A directory that does not know them waits for agents that may still announce.
     assert!(!directory(3, START).is_settled(START));
     assert!(directory(3, START).is_settled(SETTLED));
@@ -207,9 +211,10 @@
     let mut view = TargetView::default();
     let mut position = DirectoryPosition::default();
     let mut received = 0;
+    let now = START.after(SpanMillis::new(600));
     for number in 0..200 {
-        directory.announce(record(number, 1, TargetStatus::Serving), START);
-        let update = directory.changes_since(position, START);
+        directory.announce(record(number, 1, TargetStatus::Serving), now);
+        let update = directory.changes_since(position, now);
         received += update.records.len();
         position = update.position;
         assert_eq!(update.settled, number == 199);
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -14,6 +14,7 @@
 use super::{
     EntryHandle, FleetError, FleetEvent, FleetSettings, SettingsSource,
     agent_policy::AgentPolicy,
+    directory_copy::DirectoryCopy,
     entry_journal::JournalFile,
     entry_sockets::{FleetSocket, open_socket},
     fleet_counters::EntryCounters,
@@ -195,6 +196,16 @@
             sender,
         );
         tokio::spawn(watch.run());
+        if let Some(directory) = &self.directory {
+            let copy = DirectoryCopy::new(
+                self.settings.address,
+                self.settings.ports.watch,
+                self.group.clone(),
+                directory.clone(),
+                self.clock,
+            );
+            tokio::spawn(copy.run());
+        }
         let inspect = SocketAddrV4::new(
             self.settings.listen_address(),
             self.settings.ports.inspections,
--- a/src/fleet/fleet_event.rs
+++ b/src/fleet/fleet_event.rs
@@ -51,6 +51,7 @@
         AgentsUnwritten = 6041 => "file of running processes not written",
         LongFlowsUnread = 6047 => "file of long flows not read; their callers learn of a loss from their next request",
         LongFlowsUnwritten = 6048 => "file of long flows not written",
+        DirectoryCopied = 6049 => "directory copied from another replica",
         PolicyInForce = 6050 => "policy of the replicas in force at the agent",
         TargetSetAside = 6060 => "target set aside: too many of its requests fail",
         TargetTakenBack = 6061 => "target taken back: its failures have ended or others are worse",
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 mod agent_policy;
 mod announced_figures;
+mod directory_copy;
 mod entry_handle;
 mod entry_journal;
 mod entry_maintenance;
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -3,6 +3,7 @@
 mod announced_figures;
 mod callers_replica;
 mod datagrams;
+mod directory_copy;
 mod evacuations;
 
 use std::net::Ipv4Addr;
--- a/src/fleet/watch_client.rs
+++ b/src/fleet/watch_client.rs
@@ -23,7 +23,7 @@
 /// The delay between the connection attempts to successive replicas.
 const CONNECT_STAGGER_MILLIS: SpanMillis = SpanMillis::new(20);
 /// How long a reply may take, which the server may hold for `LONG_POLL_MILLIS`.
-const REPLY_TIMEOUT_MILLIS: SpanMillis = LONG_POLL_MILLIS.saturating_mul(2);
+pub(super) const REPLY_TIMEOUT_MILLIS: SpanMillis = LONG_POLL_MILLIS.saturating_mul(2);
 /// The pause before the replicas are tried again, and between polls while the
 /// directory has not settled.
 const RETRY_PAUSE_MILLIS: SpanMillis = SpanMillis::new(50);
@@ -86,7 +86,8 @@
     pub(super) async fn run(mut self) {
         while !self.updates.is_closed() {
             let mut untried = self.candidates();
-            while let Some((replica, stream)) = self.connect_any(&untried).await {
+            while let Some((replica, stream)) = connect_any(&self.group, self.port, &untried).await
+            {
                 // After any error the next replica is tried at once.
                 if self.follow(replica, stream).await.is_ok() {
                     return;
@@ -106,34 +107,6 @@
         contacts
     }
 
-    /// Connects to the first replica that answers; `None` if none does, or if the
-    /// members of the group changed meanwhile.
-    async fn connect_any(&self, replicas: &[Ipv4Addr]) -> Option<(Ipv4Addr, TcpStream)> {
-        let mut attempts = JoinSet::new();
-        let mut delay = SpanMillis::ZERO;
-        for replica in replicas.iter().copied() {
-            let address = SocketAddrV4::new(replica, self.port);
-            attempts.spawn(async move {
-                sleep(delay.duration()).await;
-                let connect = TcpStream::connect(address);
-                let stream = timeout(CONNECT_TIMEOUT_MILLIS.duration(), connect).await;
-                Some((replica, stream.ok()?.ok()?))
-            });
-            delay = delay.saturating_add(CONNECT_STAGGER_MILLIS);
-        }
-        loop {
-            tokio::select! {
-                attempt = attempts.join_next() => {
-                    if let Ok(Some(connected)) = attempt? {
-                        return Some(connected);
-                    }
-                }
-                // The new members are tried instead.
-                () = self.group.members_changed() => return None,
-            }
-        }
-    }
-
     /// Watches a replica until it fails or is no longer caught up; succeeds when
     /// `updates` is closed.
     async fn follow(&mut self, replica: Ipv4Addr, mut stream: TcpStream) -> io::Result<()> {
@@ -183,3 +156,35 @@
         read_reply(stream, REPLY_TIMEOUT_MILLIS.duration()).await
     }
 }
+
+/// Connects to the watch port of the first replica that answers; `None` if none does, or
+/// if the members of the group changed meanwhile.
+pub(super) async fn connect_any(
+    group: &GroupView,
+    port: u16,
+    replicas: &[Ipv4Addr],
+) -> Option<(Ipv4Addr, TcpStream)> {
+    let mut attempts = JoinSet::new();
+    let mut delay = SpanMillis::ZERO;
+    for replica in replicas.iter().copied() {
+        let address = SocketAddrV4::new(replica, port);
+        attempts.spawn(async move {
+            sleep(delay.duration()).await;
+            let connect = TcpStream::connect(address);
+            let stream = timeout(CONNECT_TIMEOUT_MILLIS.duration(), connect).await;
+            Some((replica, stream.ok()?.ok()?))
+        });
+        delay = delay.saturating_add(CONNECT_STAGGER_MILLIS);
+    }
+    loop {
+        tokio::select! {
+            attempt = attempts.join_next() => {
+                if let Ok(Some(connected)) = attempt? {
+                    return Some(connected);
+                }
+            }
+            // The new members are tried instead.
+            () = group.members_changed() => return None,
+        }
+    }
+}
