Agents that become known during a lookup are asked before its flow is reset

What callers saw: an open flow was reset by a balancer that had just been restarted as planned, while its target served it.

Trace, flow 100.65.0.236:1051 held at 10.2.0.18: 19.666 edge-lhr-b-6 starts and watches a replica that started 0.03 s before 19.686 its view has nine targets and is not complete; the lookup's chain of eight starts 19.695 the eight don't hold the flow; no other target is known, so the lookup goes on to the agents of ended targets 19.701 the view has all 73 targets and is complete 19.711 the agents of ended targets have answered; the flow is reset

Cause: once a lookup had come to the agents of ended targets, it asked no others, but whether the view is complete was looked at when it ended. So its answers and its completeness were of two different views: a check whose facts had changed before its result was used.

Change: after each round a lookup first asks all agents that may hold the flow and were not asked, whatever the round was, then those of ended targets, and ends only when there are none of either. That holds as well when an agent of an ended target does not answer, and when such a target runs again between the two times that its agent is asked.

Ruled out: keeping the view of the lookup's start until it ends, which lets lookups under a partial view end in nothing and costs a retransmission.

Evidence: agents_heard_of_during_a_lookup_are_asked_before_its_flow_is_reset and agents_heard_of_while_an_ended_target_is_silent_... failed before (agent 6 asked instead of 3 and 4; reset) and pass. The third test, an_ended_target_that_runs_again_during_a_lookup_is_waited_for, was not run without the change. All 170 flow tests pass.

--- a/src/flow/balancer/balancer_lookups.rs
+++ b/src/flow/balancer/balancer_lookups.rs
@@ -152,7 +152,7 @@
         let mut actions = Vec::new();
         while let Some(mut lookup) = self.lookups.take_unanswered(now) {
             if lookup.round == (LookupRound::Ended { repeated: true }) {
-                actions.push(self.end_lookup(&lookup, now));
+                actions.push(self.send_next_round(lookup, now));
                 continue;
             }
             let silent = std::mem::take(&mut lookup.awaited_agents);
@@ -171,34 +171,41 @@
         report: &FlowReport,
         now: ClockMillis,
     ) -> ReportAction {
-        let Some(mut lookup) = self
+        let lookup = self
             .lookups
-            .end_chain(report.flow, report.agent, report.lookup_id)
-        else {
-            return ReportAction::Nothing;
+            .end_chain(report.flow, report.agent, report.lookup_id);
+        lookup.map_or(ReportAction::Nothing, |lookup| {
+            self.send_next_round(lookup, now)
+        })
+    }
+
+    /// Starts the next round of a lookup whose agents have answered, or ends it.
+    fn send_next_round(&mut self, lookup: OwnerLookup, now: ClockMillis) -> ReportAction {
+        let lookup = OwnerLookup {
+            round: LookupRound::Others,
+            ..lookup
         };
-        if !matches!(lookup.round, LookupRound::Ended { .. }) {
-            lookup.round = LookupRound::Others;
-        }
         self.send_or_end(lookup, now)
     }
 
-    /// Sends the round of a lookup, or the next one that has agents to ask.
+    /// Sends a round to the agents that may hold the flow and were not asked, or else to
+    /// those of ended targets, or ends the lookup. Agents of both kinds may have become
+    /// known since the round before.
     fn send_or_end(&mut self, mut lookup: OwnerLookup, now: ClockMillis) -> ReportAction {
         let flow = lookup.reset.flow;
         let Some(choice) = self.table.choose(flow.listener, flow.stable_hash(), now) else {
             return ReportAction::Nothing;
         };
-        let mut hops = self.send_lookup(lookup.clone(), &choice.owner_services, None, now);
-        if hops.is_empty() && lookup.round == LookupRound::Others {
-            lookup.round = LookupRound::Ended { repeated: false };
-            hops = self.send_lookup(lookup.clone(), &choice.owner_services, None, now);
-        }
-        if hops.is_empty() {
-            return self.end_lookup(&lookup, now);
+        let repeated = lookup.round == (LookupRound::Ended { repeated: true });
+        for round in [LookupRound::Others, LookupRound::Ended { repeated }] {
+            lookup.round = round;
+            let hops = self.send_lookup(lookup.clone(), &choice.owner_services, None, now);
+            if !hops.is_empty() {
+                let packet = lookup.packet;
+                return ReportAction::Forward { packet, hops };
+            }
         }
-        let packet = lookup.packet;
-        ReportAction::Forward { packet, hops }
+        self.end_lookup(&lookup, now)
     }
 
     /// Ends a lookup whose flow no target holds.
--- a/src/flow/tests/unheard_agents.rs
+++ b/src/flow/tests/unheard_agents.rs
@@ -1,17 +1,26 @@
 //! A balancer whose replica or routes are younger than an open flow gets the flow's next
 //! packet.
 
-use std::collections::{BTreeSet, HashMap};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::Ipv4Addr,
+};
 
 use super::{
     BALANCER, agent,
-    balancer_verdicts::{FLOW_AGE, START, known_targets, manifest, route, service, targets},
+    balancer_verdicts::{
+        FLOW_AGE, START, known_targets, manifest, report, route, service, targets,
+    },
+    flow, from_caller,
     returned_target::{asked_agents, balancer_of, first_record},
 };
 use crate::{
     clock::{ClockMillis, SpanMillis},
     directory::{DirectoryPosition, TargetDirectory, TargetView},
-    flow::{BalancerFlows, ServiceTargets},
+    flow::{
+        BalancerFlows, FlowReport, FlowVerdict, PacketFlags, ReportAction, ReportKind,
+        ServiceTargets,
+    },
     listener::{ListenerTable, ServiceTag},
 };
 
@@ -69,3 +78,105 @@
     assert_eq!(agents.look_up(&mut flows), None);
     assert!(agents.asked.contains(&agent(3)));
 }
+
+/// Issue 36: a balancer that had just started heard of most agents while the lookup of a
+/// flow was at its last agents, those of ended targets. It ended the lookup without asking
+/// the others and reset the flow, since all targets were known by then.
+#[test]
+fn agents_heard_of_during_a_lookup_are_asked_before_its_flow_is_reset() {
+    let mut first = targets(&[1, 2], &[1, 2]);
+    first.ended = vec![agent(5)];
+    let mut flows = balancer_of(ServiceTargets::default());
+    let mut partial = known_targets(HashMap::from([(service(), first)]));
+    partial.complete = false;
+    flows.set_targets(partial);
+    let data = from_caller(flow(1), PacketFlags::ACKNOWLEDGE);
+    let FlowVerdict::Forward { to, header } = flows.handle_packet(&data, &[1], START) else {
+        panic!("not forwarded");
+    };
+    let last = header.candidates().last().copied().unwrap_or(to);
+    let ended_round = answer(&mut flows, last, header.lookup_id);
+    assert_eq!(agents_of(&ended_round), [agent(5)]);
+    let mut all = targets(&[1, 2, 3, 4], &[1, 2, 3, 4]);
+    all.ended = vec![agent(5), agent(6)];
+    flows.set_targets(known_targets(HashMap::from([(service(), all)])));
+    let lookup_id = lookup_id_of(&ended_round);
+    let mut asked = agents_of(&answer(&mut flows, agent(5), lookup_id));
+    asked.sort_unstable();
+    assert_eq!(asked, [agent(3), agent(4)]);
+}
+
+/// The same with an agent of an ended target that does not answer.
+#[test]
+fn agents_heard_of_while_an_ended_target_is_silent_are_asked_before_the_flow_is_reset() {
+    let mut first = targets(&[1, 2], &[1, 2]);
+    first.ended = vec![agent(5)];
+    let mut flows = balancer_of(first);
+    let data = from_caller(flow(1), PacketFlags::ACKNOWLEDGE);
+    let FlowVerdict::Forward { to, header } = flows.handle_packet(&data, &[1], START) else {
+        panic!("not forwarded");
+    };
+    let last = header.candidates().last().copied().unwrap_or(to);
+    assert_eq!(
+        agents_of(&answer(&mut flows, last, header.lookup_id)),
+        [agent(5)]
+    );
+    assert_eq!(flows.expire_ended_rounds(at(50)).len(), 1);
+    let mut all = targets(&[1, 2, 3], &[1, 2, 3]);
+    all.ended = vec![agent(5)];
+    flows.set_targets(known_targets(HashMap::from([(service(), all)])));
+    let actions = flows.expire_ended_rounds(at(100));
+    assert_eq!(actions.len(), 1);
+    assert_eq!(agents_of(&actions[0]), [agent(3)]);
+    // Once that one has answered too, no target holds the flow.
+    let lookup_id = lookup_id_of(&actions[0]);
+    assert!(matches!(
+        answer(&mut flows, agent(3), lookup_id),
+        ReportAction::Reset(_)
+    ));
+}
+
+/// The same with an ended target that runs again before its agent is asked a second time.
+#[test]
+fn an_ended_target_that_runs_again_during_a_lookup_is_waited_for() {
+    let mut first = targets(&[1, 2], &[1, 2]);
+    first.ended = vec![agent(5)];
+    let mut flows = balancer_of(first);
+    let data = from_caller(flow(1), PacketFlags::ACKNOWLEDGE);
+    let FlowVerdict::Forward { to, header } = flows.handle_packet(&data, &[1], START) else {
+        panic!("not forwarded");
+    };
+    let last = header.candidates().last().copied().unwrap_or(to);
+    answer(&mut flows, last, header.lookup_id);
+    let again = targets(&[1, 2, 5], &[1, 2, 5]);
+    flows.set_targets(known_targets(HashMap::from([(service(), again)])));
+    let actions = flows.expire_ended_rounds(at(50));
+    assert_eq!(agents_of(&actions[0]), [agent(5)]);
+    // It may hold the flow, so its silence ends nothing.
+    assert_eq!(flows.expire_ended_rounds(at(150)), []);
+}
+
+/// Reports that the chain that ends at `agent` does not hold flow 1.
+fn answer(flows: &mut BalancerFlows, agent: Ipv4Addr, lookup_id: u32) -> ReportAction {
+    let report = FlowReport {
+        lookup_id,
+        ..report(1, agent, ReportKind::NotHeld)
+    };
+    flows.handle_report(&report, START)
+}
+
+fn agents_of(action: &ReportAction) -> Vec<Ipv4Addr> {
+    let ReportAction::Forward { hops, .. } = action else {
+        panic!("nothing is asked: {action:?}");
+    };
+    hops.iter()
+        .flat_map(|(to, header)| [*to].into_iter().chain(header.candidates().iter().copied()))
+        .collect()
+}
+
+fn lookup_id_of(action: &ReportAction) -> u32 {
+    let ReportAction::Forward { hops, .. } = action else {
+        panic!("nothing is asked: {action:?}");
+    };
+    hops[0].1.lookup_id
+}
