Each reset names its cause and the facts it rests on

Agents logged no line for a reset, 6026 said only the number of targets, 6023 no knowledge behind its cause, and nothing said whether a flow had been established.

- Agents log each reset as 6052 with its cause, the target's state, the incarnation that held the flow, and the flow's age if it was established; control replicas log each long flow that they reset as 6052, too.
- 6023, 6026 and 6027 say what the balancer knew: whether the directory was complete and current, its replica, run and revision, the age of control knowledge, and how long the process runs. 6023 names the agent and incarnation of a target that has ended; 6026, 6028 and the new 6051 (owner found) say how many agents were asked, how many chains did not answer, the rounds, and since when the owner is unknown.
- cyclamen_resets_total counts resets by cause at all processes.

Fields are formatted only where the log limiter allows the line. No decision changes. Evidence: the tests of flow, fleet and event_catalogue pass; two tests of resets now compare cause, incarnation, age, agents asked and rounds as well.

--- a/src/fleet/entry_journal.rs
+++ b/src/fleet/entry_journal.rs
@@ -10,7 +10,7 @@
 use crate::{
     clock::{ClockMillis, SpanMillis},
     event::log_event,
-    flow::{FlowJournal, LongFlowList},
+    flow::{FlowJournal, LongFlowList, ResetCause},
     key::IncarnationId,
 };
 
@@ -56,13 +56,28 @@
         let Some(file) = &mut self.journal_file else {
             return;
         };
+        let held_by = file.journal.incarnation_of(agent);
         let resets = file.journal.take_dead(agent, incarnation);
         if resets.is_empty() {
             return;
         }
         log_event!(info, FleetEvent::LongFlowsReset, %agent, flows = resets.len());
+        let now = self.clock.now();
         for reset in resets {
             self.counters.ended += 1;
+            self.counters.resets.record(ResetCause::OtherIncarnation);
+            if self.log_limiter.allows(FleetEvent::FlowReset, now) {
+                log_event!(
+                    info,
+                    FleetEvent::FlowReset,
+                    flow = %reset.flow,
+                    cause = ResetCause::OtherIncarnation.label(),
+                    %agent,
+                    incarnation = held_by.map(display),
+                    other = incarnation.map(display),
+                    running_ms = now.millis()
+                );
+            }
             let answer = self.codec.encode_reset(&reset);
             self.send_to_caller(*reset.flow.caller.ip(), &answer);
         }
--- a/src/fleet/entry_maintenance.rs
+++ b/src/fleet/entry_maintenance.rs
@@ -33,7 +33,7 @@
         for lookup in self.flows.expire_lookups(now) {
             self.counters.widened += 1;
             if self.log_limiter.allows(FleetEvent::LookupWidened, now) {
-                log_event!(warn, FleetEvent::LookupWidened, flow = %lookup.flow, agents = lookup.hops.len());
+                log_event!(warn, FleetEvent::LookupWidened, flow = %lookup.flow, agents = lookup.hops.len(), asked = lookup.progress.asked, unanswered = lookup.progress.unanswered, rounds = lookup.progress.rounds, unknown_for = %lookup.progress.unknown_for);
             }
             for (to, header) in lookup.hops {
                 self.forward(&lookup.packet, to, header);
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -31,7 +31,7 @@
 };
 use crate::{
     clock::{ClockMillis, ProcessClock, SpanMillis},
-    directory::{TargetDirectory, TargetView},
+    directory::{DirectoryPosition, TargetDirectory, TargetView},
     event::log_event,
     flow::{BalancerFlows, PacketCodec},
     listener::ListenerTable,
@@ -89,6 +89,8 @@
     pub(super) stopping: bool,
     /// When a caught-up replica last answered.
     pub(super) control_heard_at: Option<ClockMillis>,
+    /// The replica whose directory was last applied, and how far.
+    pub(super) directory_source: Option<(Ipv4Addr, DirectoryPosition)>,
     /// Whether the watched replica failed and none has answered since.
     pub(super) control_lost: bool,
     pub(super) maintenance_at: ClockMillis,
@@ -167,6 +169,7 @@
             ready,
             stopping: false,
             control_heard_at: None,
+            directory_source: None,
             control_lost: false,
             maintenance_at: clock.now(),
             seeds_reread_at: clock.now().after(SEEDS_REREAD_MILLIS),
@@ -371,6 +374,7 @@
             learned = true;
         }
         if let Some(targets) = reply.targets {
+            self.directory_source = Some((replica, targets.position));
             let evacuations_before = self.view.evacuated().revision;
             for record in self.view.apply_update(targets) {
                 learned = true;
--- a/src/fleet/entry_packets.rs
+++ b/src/fleet/entry_packets.rs
@@ -11,10 +11,43 @@
 use crate::{
     clock::{ClockMillis, SpanMillis},
     event::log_event,
-    flow::{FlowPacket, FlowReport, FlowReset, FlowVerdict, HopHeader, RefusalCause, ReportAction},
+    flow::{
+        FlowPacket, FlowReport, FlowReset, FlowVerdict, HopHeader, RefusalCause, ReportAction,
+        ReportKind, ResetCause,
+    },
 };
 
+/// What a balancer knows of routes and targets, for log lines on resets.
+#[derive(Debug, Clone, Copy)]
+struct ControlKnowledge {
+    /// Whether the directory has heard every running agent.
+    complete: bool,
+    /// Whether routes and targets are current.
+    current: bool,
+    /// The replica whose directory was last applied.
+    replica: Option<Ipv4Addr>,
+    /// The run of that replica.
+    run: Option<u64>,
+    /// The last revision of that run.
+    revision: Option<u64>,
+    /// The time since a caught-up replica last answered.
+    control_age_ms: Option<u64>,
+}
+
 impl EntryNode {
+    /// Returns what this balancer knows of routes and targets.
+    fn knowledge(&self, now: ClockMillis) -> ControlKnowledge {
+        let source = self.directory_source;
+        ControlKnowledge {
+            complete: self.flows.knows_all_targets(),
+            current: self.flows.is_current(),
+            replica: source.map(|(replica, _)| replica),
+            run: source.map(|(_, position)| position.run),
+            revision: source.map(|(_, position)| position.revision),
+            control_age_ms: self.control_heard_at.map(|at| now.since(at).millis()),
+        }
+    }
+
     /// Handles the packets that have arrived, at most `PACKETS_PER_TURN`.
     pub(super) fn receive_packets(&mut self) {
         let mut buffer = [0; MAX_PACKET_BYTES];
@@ -38,6 +71,8 @@
             }
             self.counters.refused += 1;
             self.counters.link_refused += 1;
+            let cause = ResetCause::Refused(RefusalCause::LinkFull);
+            self.counters.resets.record(cause);
             let reset = FlowReset {
                 flow: ended.flow,
                 sequence: 0,
@@ -46,7 +81,7 @@
             self.send_to_caller(*reset.flow.caller.ip(), &answer);
             if self.log_limiter.allows(FleetEvent::LinkRefused, now) {
                 let (under_way, waiting) = self.flows.link_load();
-                log_event!(info, FleetEvent::LinkRefused, flow = %ended.flow, waited = %ended.waited, under_way, waiting);
+                log_event!(info, FleetEvent::LinkRefused, flow = %ended.flow, cause = cause.label(), waited = %ended.waited, under_way, waiting);
             }
         }
     }
@@ -78,6 +113,7 @@
             }
             FlowVerdict::Reset(reset, cause) => {
                 self.counters.refused += 1;
+                self.counters.resets.record(ResetCause::Refused(cause));
                 let answer = self.codec.encode_reset(&reset);
                 self.send_to_caller(*reset.flow.caller.ip(), &answer);
                 self.log_refusal(FleetEvent::FlowRefused, &packet, cause, now);
@@ -140,7 +176,25 @@
         if self.log_limiter.allows(event, now) {
             let flow = packet.caller_flow();
             let version = self.flows.table().version();
-            tracing::info!(event = event.number(), %flow, ?cause, version, "{}", event.message());
+            let knowledge = self.knowledge(now);
+            let gone = cause.gone_target();
+            tracing::info!(
+                event = event.number(),
+                %flow,
+                cause = cause.name(),
+                version,
+                agent = gone.map(|target| display(target.agent)),
+                incarnation = gone.and_then(|target| target.incarnation).map(display),
+                complete = knowledge.complete,
+                current = knowledge.current,
+                replica = knowledge.replica.map(display),
+                run = knowledge.run,
+                revision = knowledge.revision,
+                control_age_ms = knowledge.control_age_ms,
+                running_ms = now.millis(),
+                "{}",
+                event.message()
+            );
         }
     }
 
@@ -177,6 +231,12 @@
         if let Some(waited) = self.flows.opening_age(report.flow, now) {
             histogram!("cyclamen_entry_opening_ms").record(waited.millis_float());
         }
+        if report.kind == ReportKind::Held
+            && let Some(progress) = self.flows.lookup_progress(report.flow, now)
+            && self.log_limiter.allows(FleetEvent::LookupAnswered, now)
+        {
+            log_event!(info, FleetEvent::LookupAnswered, flow = %report.flow, agent = %report.agent, asked = progress.asked, unanswered = progress.unanswered, rounds = progress.rounds, unknown_for = %progress.unknown_for);
+        }
         let action = self.flows.handle_report(report, now);
         self.apply_report_action(action, now);
     }
@@ -190,12 +250,33 @@
                     self.forward(&packet, to, header);
                 }
             }
-            ReportAction::Reset(reset) => {
+            ReportAction::Reset(unheld) => {
                 self.counters.ended += 1;
+                self.counters.resets.record(ResetCause::NotHeld);
+                let reset = unheld.reset;
                 let answer = self.codec.encode_reset(&reset);
                 self.send_to_caller(*reset.flow.caller.ip(), &answer);
                 if self.log_limiter.allows(FleetEvent::FlowEnded, now) {
-                    log_event!(info, FleetEvent::FlowEnded, flow = %reset.flow, targets = self.view.len());
+                    let progress = unheld.progress;
+                    let knowledge = self.knowledge(now);
+                    log_event!(
+                        info,
+                        FleetEvent::FlowEnded,
+                        flow = %reset.flow,
+                        cause = ResetCause::NotHeld.label(),
+                        targets = self.view.len(),
+                        asked = progress.asked,
+                        unanswered = progress.unanswered,
+                        rounds = progress.rounds,
+                        unknown_for = %progress.unknown_for,
+                        complete = knowledge.complete,
+                        current = knowledge.current,
+                        replica = knowledge.replica.map(display),
+                        run = knowledge.run,
+                        revision = knowledge.revision,
+                        control_age_ms = knowledge.control_age_ms,
+                        running_ms = now.millis()
+                    );
                 }
             }
         }
--- a/src/fleet/fleet_counters.rs
+++ b/src/fleet/fleet_counters.rs
@@ -1,10 +1,33 @@
+use std::collections::BTreeMap;
+
 use metrics::{counter, gauge};
 use serde::Serialize;
 
-use crate::flow::{HeldOpenings, TargetFigures};
+use crate::flow::{HeldOpenings, ResetCause, TargetFigures};
+
+/// The resets that a process has sent to callers since its start, by cause.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize)]
+#[serde(transparent)]
+pub(super) struct ResetCounters {
+    counts: BTreeMap<&'static str, u64>,
+}
+
+impl ResetCounters {
+    /// Counts a reset.
+    pub(super) fn record(&mut self, cause: ResetCause) {
+        *self.counts.entry(cause.label()).or_default() += 1;
+    }
+
+    /// Exports the counters as metrics, one series per cause.
+    fn publish(&self) {
+        for (cause, count) in &self.counts {
+            counter!("cyclamen_resets_total", "cause" => *cause).absolute(*count);
+        }
+    }
+}
 
 /// The counters of a balancer since its start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize)]
 pub(super) struct EntryCounters {
     /// Packets received from callers.
     pub(super) received: u64,
@@ -32,6 +55,8 @@
     pub(super) parked: u64,
     /// Packets that the kernel did not accept for sending.
     pub(super) unsent: u64,
+    /// Resets sent to callers, by cause.
+    pub(super) resets: ResetCounters,
 }
 
 impl EntryCounters {
@@ -55,11 +80,12 @@
         for (kind, count) in kinds {
             counter!("cyclamen_entry_packets_total", "kind" => kind).absolute(count);
         }
+        self.resets.publish();
     }
 }
 
 /// The counters of an agent since its start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize)]
 pub(super) struct SideCounters {
     /// Frames received from balancers and other agents.
     pub(super) frames: u64,
@@ -81,6 +107,8 @@
     pub(super) dropped: u64,
     /// Packets that the kernel did not accept for sending.
     pub(super) unsent: u64,
+    /// Resets sent to callers, by cause.
+    pub(super) resets: ResetCounters,
 }
 
 impl SideCounters {
@@ -101,6 +129,7 @@
         for (kind, count) in kinds {
             counter!("cyclamen_side_packets_total", "kind" => kind).absolute(count);
         }
+        self.resets.publish();
     }
 }
 
--- a/src/fleet/fleet_event.rs
+++ b/src/fleet/fleet_event.rs
@@ -31,6 +31,8 @@
         LinkWaits = 6045 => "opening waits for its turn on the link",
         LinkRefused = 6046 => "opening refused: the link carries as many large requests as it can",
         FlowEnded = 6026 => "flow reset: no target holds it",
+        LookupAnswered = 6051 => "owner of the flow found",
+        FlowReset = 6052 => "flow reset",
         ReportSent = 6030 => "flow reported to its balancer",
         RequestDelivered = 6035 => "request handed to the target",
         FlowPassed = 6031 => "packet passed on to the next agent",
--- a/src/fleet/side_packets.rs
+++ b/src/fleet/side_packets.rs
@@ -12,7 +12,7 @@
 use crate::{
     clock::ClockMillis,
     event::log_event,
-    flow::{AgentAction, AgentStep, DequeuedOpening, FlowKey, HopFrame, request_id},
+    flow::{AgentAction, AgentReset, AgentStep, DequeuedOpening, FlowKey, HopFrame, request_id},
 };
 
 impl SideNode {
@@ -132,9 +132,7 @@
                 }
             }
             AgentAction::Reset(reset) => {
-                self.counters.reset += 1;
-                let answer = self.codec.encode_reset(&reset);
-                self.send_to_caller(flow, &answer);
+                self.send_reset(&reset, now);
             }
             AgentAction::Wait => {
                 self.counters.waited += 1;
@@ -159,6 +157,31 @@
         }
     }
 
+    /// Resets a flow of a caller.
+    pub(super) fn send_reset(&mut self, reset: &AgentReset, now: ClockMillis) {
+        self.counters.reset += 1;
+        self.counters.resets.record(reset.cause);
+        let flow = reset.reset.flow;
+        let answer = self.codec.encode_reset(&reset.reset);
+        self.send_to_caller(flow, &answer);
+        if self.log_limiter.allows(FleetEvent::FlowReset, now) {
+            let age = reset
+                .established_since
+                .map(|since| now.since(since).millis());
+            log_event!(
+                info,
+                FleetEvent::FlowReset,
+                %flow,
+                cause = reset.cause.label(),
+                target = ?self.tracker.lifecycle(),
+                incarnation = reset.incarnation.map(display),
+                established = age.is_some(),
+                age_ms = age,
+                running_ms = now.millis()
+            );
+        }
+    }
+
     /// Admits waiting openings to free slots, and refuses those that can't be
     /// served any more.
     pub(super) fn admit_waiting(&mut self, now: ClockMillis) {
--- a/src/fleet/side_target.rs
+++ b/src/fleet/side_target.rs
@@ -37,9 +37,7 @@
             log_event!(info, FleetEvent::FlowsGone, target = ?lifecycle, flows = resets.len());
         }
         for reset in resets {
-            self.counters.reset += 1;
-            let answer = self.codec.encode_reset(&reset);
-            self.send_to_caller(reset.flow, &answer);
+            self.send_reset(&reset, now);
         }
         self.flows.set_warming(self.tracker.is_warming(now));
         let suspect = self.flows.is_suspect();
--- a/src/flow/agent/agent_flows.rs
+++ b/src/flow/agent/agent_flows.rs
@@ -14,8 +14,8 @@
 use crate::{
     clock::{ClockMillis, SpanMillis},
     flow::{
-        AgentFlowInfo, FlowKey, FlowPacket, FlowReport, FlowReset, HopHeader, PacketFlags,
-        ReportKind,
+        AgentFlowInfo, AgentReset, FlowKey, FlowPacket, FlowReport, FlowReset, HopHeader,
+        PacketFlags, ReportKind, ResetCause,
         pending_openings::{PendingOpening, PendingOpenings},
     },
     key::IncarnationId,
@@ -93,12 +93,13 @@
         lifecycle: TargetLifecycle,
         incarnation: Option<IncarnationId>,
         cutoff: ClockMillis,
-    ) -> Vec<FlowReset> {
+    ) -> Vec<AgentReset> {
         let restarted = self.incarnation.is_some() && self.incarnation != incarnation;
         let has_ended =
             |lifecycle| matches!(lifecycle, TargetLifecycle::Ended | TargetLifecycle::Lost);
         let ended = has_ended(lifecycle);
         let came_back = has_ended(self.lifecycle) && !ended;
+        let held_by = self.incarnation;
         self.lifecycle = lifecycle;
         self.incarnation = incarnation;
         if restarted || ended {
@@ -110,17 +111,34 @@
         if !restarted && !ended {
             return Vec::new();
         }
+        let cause = self.loss_cause();
         let gone = self
             .tracked
             .extract_if(|_, tracked| tracked.first_seen_at < cutoff);
         gone.filter(|(_, tracked)| tracked.established)
-            .map(|(flow, tracked)| FlowReset {
-                flow,
-                sequence: tracked.acknowledged,
+            .map(|(flow, tracked)| AgentReset {
+                reset: FlowReset {
+                    flow,
+                    sequence: tracked.acknowledged,
+                },
+                cause,
+                incarnation: held_by,
+                established_since: Some(tracked.first_seen_at),
             })
             .collect()
     }
 
+    /// Returns why the flows of a target that has ended or restarted are reset.
+    const fn loss_cause(&self) -> ResetCause {
+        match self.lifecycle {
+            TargetLifecycle::Ended => ResetCause::TargetEnded,
+            TargetLifecycle::Lost => ResetCause::TargetLost,
+            TargetLifecycle::Unproved | TargetLifecycle::Serving | TargetLifecycle::Leaving => {
+                ResetCause::TargetRestarted
+            }
+        }
+    }
+
     /// Sets whether the target's failure domain is evacuated: no new flow is then
     /// delivered to it, whatever else holds.
     pub(crate) fn set_evacuated(&mut self, evacuated: bool) {
@@ -197,7 +215,7 @@
         ) {
             return match self.tracked.remove(&flow) {
                 Some(tracked) if tracked.established => {
-                    self.reset_flow(header, packet, ReportKind::Gone)
+                    self.end_flow(header, packet, &tracked, self.loss_cause())
                 }
                 _ => self.pass_on(header, packet),
             };
@@ -282,7 +300,7 @@
         match self.tracked.remove(&flow) {
             // The target held the flow before, so it has restarted.
             Some(tracked) if tracked.established => {
-                self.reset_flow(header, packet, ReportKind::Gone)
+                self.end_flow(header, packet, &tracked, ResetCause::FlowBounced)
             }
             _ => self.pass_on(header, packet),
         }
@@ -327,7 +345,13 @@
         match header.next_hop() {
             Some((to, header)) => AgentStep::without_report(AgentAction::PassOn { to, header }),
             None if packet.is_opening() && header.may_reset_opening() => {
-                self.reset_flow(header, packet, ReportKind::Refused)
+                let reset = AgentReset {
+                    reset: FlowReset::answering(packet),
+                    cause: ResetCause::OpeningRefused,
+                    incarnation: self.incarnation,
+                    established_since: None,
+                };
+                self.reset_flow(header, reset, ReportKind::Refused)
             }
             None => {
                 let kind = if packet.is_opening() {
@@ -344,14 +368,29 @@
         }
     }
 
+    /// Resets an established flow that the target no longer holds.
+    fn end_flow(
+        &self,
+        header: HopHeader,
+        packet: &FlowPacket,
+        tracked: &TrackedFlow,
+        cause: ResetCause,
+    ) -> AgentStep {
+        let reset = AgentReset {
+            reset: FlowReset::answering(packet),
+            cause,
+            incarnation: self.incarnation,
+            established_since: Some(tracked.first_seen_at),
+        };
+        self.reset_flow(header, reset, ReportKind::Gone)
+    }
+
     /// Resets the caller's flow and reports `kind` to the balancer.
-    fn reset_flow(&self, header: HopHeader, packet: &FlowPacket, kind: ReportKind) -> AgentStep {
+    fn reset_flow(&self, header: HopHeader, reset: AgentReset, kind: ReportKind) -> AgentStep {
+        let report = self.report(reset.reset.flow, header.lookup_id, kind);
         AgentStep {
-            action: AgentAction::Reset(FlowReset::answering(packet)),
-            report: Some((
-                header.balancer,
-                self.report(packet.caller_flow(), header.lookup_id, kind),
-            )),
+            action: AgentAction::Reset(reset),
+            report: Some((header.balancer, report)),
         }
     }
 
--- a/src/flow/agent/agent_openings.rs
+++ b/src/flow/agent/agent_openings.rs
@@ -5,7 +5,8 @@
 use crate::{
     clock::ClockMillis,
     flow::{
-        FlowKey, FlowPacket, FlowReset, HopHeader, ReportKind, pending_openings::PendingOpening,
+        AgentReset, FlowKey, FlowPacket, FlowReset, HopHeader, ReportKind, ResetCause,
+        pending_openings::PendingOpening,
     },
 };
 
@@ -125,9 +126,14 @@
     fn refuse_queued(&self, opening: PendingOpening, now: ClockMillis) -> DequeuedOpening {
         let report = self.report(opening.flow, opening.header.lookup_id, ReportKind::Refused);
         let action = if opening.header.may_reset_opening() {
-            AgentAction::Reset(FlowReset {
-                flow: opening.flow,
-                sequence: 0,
+            AgentAction::Reset(AgentReset {
+                reset: FlowReset {
+                    flow: opening.flow,
+                    sequence: 0,
+                },
+                cause: ResetCause::WaitRefused,
+                incarnation: self.incarnation,
+                established_since: None,
             })
         } else {
             AgentAction::Drop
--- a/src/flow/agent/agent_step.rs
+++ b/src/flow/agent/agent_step.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock::SpanMillis,
-    flow::{FlowKey, FlowReport, FlowReset, HopHeader},
+    flow::{AgentReset, FlowKey, FlowReport, HopHeader},
 };
 
 /// The state of the target as its agent sees it.
@@ -42,7 +42,7 @@
         header: HopHeader,
     },
     /// Discard it and send a reset to the caller.
-    Reset(FlowReset),
+    Reset(AgentReset),
     /// Queue it until the target has a free slot.
     Wait,
     /// Drop it: no agent is left that may take it.
--- a/src/flow/balancer/balancer_flows.rs
+++ b/src/flow/balancer/balancer_flows.rs
@@ -2,6 +2,7 @@
 
 use super::{
     FlowVerdict, KnownTargets, RefusalCause,
+    flow_verdict::GoneTarget,
     link_admission::{EndedWait, LinkAdmission, LinkVerdict},
     owner_cache::OwnerCache,
     owner_lookup::{OwnerLookup, PendingLookups},
@@ -11,7 +12,7 @@
 use crate::{
     clock::{ClockMillis, SpanMillis},
     flow::{
-        BalancerFlowInfo, FlowKey, FlowOwnerInfo, FlowPacket, FlowReset, HopHeader,
+        BalancerFlowInfo, FlowKey, FlowOwnerInfo, FlowPacket, FlowReset, HopHeader, LookupProgress,
         hop_frame::MAX_CANDIDATES, pending_openings::PendingOpenings,
     },
     listener::{ListenerTable, ServiceTag},
@@ -163,6 +164,25 @@
         }
     }
 
+    /// Returns how far the lookup of a flow's owner has come, if it is looked up.
+    pub(crate) fn lookup_progress(
+        &self,
+        flow: FlowKey,
+        now: ClockMillis,
+    ) -> Option<LookupProgress> {
+        self.lookups.get(flow).map(|lookup| lookup.progress(now))
+    }
+
+    /// Returns whether the known targets include every running one.
+    pub(crate) fn knows_all_targets(&self) -> bool {
+        self.targets.complete
+    }
+
+    /// Returns whether routes and targets are current.
+    pub(crate) fn is_current(&self) -> bool {
+        self.current
+    }
+
     /// Returns how long a flow's opening has waited for its report, if it is
     /// pending.
     pub(crate) fn opening_age(&self, flow: FlowKey, now: ClockMillis) -> Option<SpanMillis> {
@@ -208,9 +228,10 @@
         now: ClockMillis,
     ) -> FlowVerdict {
         let flow = packet.caller_flow();
-        if self.is_owner_gone(flow) {
+        if let Some(target) = self.gone_owner(flow) {
             self.owners.remove(flow);
-            return FlowVerdict::Reset(FlowReset::answering(packet), RefusalCause::TargetGone);
+            let cause = RefusalCause::TargetGone(target);
+            return FlowVerdict::Reset(FlowReset::answering(packet), cause);
         }
         if let Some(to) = self.live_owner(flow, now) {
             let header = HopHeader::new(services[0], self.own_address);
@@ -243,10 +264,13 @@
         (!lost).then_some(owner.agent)
     }
 
-    /// Returns whether the target that was reported to hold the flow has ended.
-    pub(super) fn is_owner_gone(&self, flow: FlowKey) -> bool {
-        self.owners.peek(flow).is_some_and(|owner| {
-            owner.confirmed && self.targets.has_ended(owner.agent, owner.incarnation)
+    /// Returns the target that was reported to hold the flow, if it has ended.
+    pub(super) fn gone_owner(&self, flow: FlowKey) -> Option<GoneTarget> {
+        let owner = self.owners.peek(flow).filter(|owner| owner.confirmed)?;
+        let ended = self.targets.has_ended(owner.agent, owner.incarnation);
+        ended.then_some(GoneTarget {
+            agent: owner.agent,
+            incarnation: owner.incarnation,
         })
     }
 
--- a/src/flow/balancer/balancer_lookups.rs
+++ b/src/flow/balancer/balancer_lookups.rs
@@ -9,7 +9,7 @@
 };
 use crate::{
     clock::ClockMillis,
-    flow::{FlowKey, FlowReport, HopHeader, hop_frame::MAX_CANDIDATES},
+    flow::{FlowKey, FlowReport, HopHeader, UnheldFlow, hop_frame::MAX_CANDIDATES},
     listener::ServiceTag,
 };
 
@@ -69,6 +69,7 @@
             .map(|chain| (chain[0], header.with_candidates(chain[1..].iter().copied())))
             .collect();
         lookup.lookup_id = self.last_lookup_id;
+        lookup.rounds += 1;
         lookup.awaited_agents = chains().filter_map(|chain| chain.last().copied()).collect();
         lookup.asked_agents.extend(&next);
         lookup.sent_at = now;
@@ -137,12 +138,18 @@
                 continue;
             };
             let packet = lookup.packet.clone();
+            let progress = lookup.progress(now);
             let lookup = OwnerLookup {
                 round: LookupRound::Wide,
                 ..lookup
             };
             let hops = self.send_lookup(lookup, &choice.owner_services, None, now);
-            sent.push(WideLookup { flow, packet, hops });
+            sent.push(WideLookup {
+                flow,
+                packet,
+                hops,
+                progress,
+            });
         }
     }
 
@@ -211,7 +218,10 @@
     /// Ends a lookup whose flow no target holds.
     fn end_lookup(&mut self, lookup: &OwnerLookup, now: ClockMillis) -> ReportAction {
         if self.can_reset_flows() {
-            return ReportAction::Reset(lookup.reset);
+            return ReportAction::Reset(UnheldFlow {
+                reset: lookup.reset,
+                progress: lookup.progress(now),
+            });
         }
         self.parked.park(lookup.reset.flow, &lookup.packet, now);
         ReportAction::Nothing
--- a/src/flow/balancer/balancer_openings.rs
+++ b/src/flow/balancer/balancer_openings.rs
@@ -45,7 +45,7 @@
                 .with_age(packet.age);
             return FlowVerdict::Forward { to: owner, header };
         }
-        if self.is_owner_gone(flow) {
+        if self.gone_owner(flow).is_some() {
             // The caller uses the address and port of an earlier flow again.
             self.owners.remove(flow);
         }
--- a/src/flow/balancer/flow_verdict.rs
+++ b/src/flow/balancer/flow_verdict.rs
@@ -2,7 +2,10 @@
 
 use std::net::Ipv4Addr;
 
-use crate::flow::{FlowReset, HopHeader};
+use crate::{
+    flow::{FlowReset, HopHeader, UnheldFlow},
+    key::IncarnationId,
+};
 
 /// What a balancer does with a caller's packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,7 +39,40 @@
     /// This VM's link can't carry the flow's request in time.
     LinkFull,
     /// The incarnation of the target that held the flow has ended.
-    TargetGone,
+    TargetGone(GoneTarget),
+}
+
+impl RefusalCause {
+    /// Returns the name of the cause for log lines.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::NoRoute => "NoRoute",
+            Self::NoTarget => "NoTarget",
+            Self::NotReady => "NotReady",
+            Self::OwnerUnknown => "OwnerUnknown",
+            Self::LinkFull => "LinkFull",
+            Self::TargetGone(_) => "TargetGone",
+        }
+    }
+
+    /// Returns the target that has ended, if that is the cause.
+    pub(crate) const fn gone_target(self) -> Option<GoneTarget> {
+        match self {
+            Self::TargetGone(target) => Some(target),
+            Self::NoRoute
+            | Self::NoTarget
+            | Self::NotReady
+            | Self::OwnerUnknown
+            | Self::LinkFull => None,
+        }
+    }
+}
+
+/// The incarnation of a target that held a flow and has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct GoneTarget {
+    pub(crate) agent: Ipv4Addr,
+    pub(crate) incarnation: Option<IncarnationId>,
 }
 
 /// What a balancer sends in response to an agent's report.
@@ -53,5 +89,5 @@
         hops: Vec<(Ipv4Addr, HopHeader)>,
     },
     /// Reset the flow: no target holds it.
-    Reset(FlowReset),
+    Reset(UnheldFlow),
 }
--- a/src/flow/balancer/owner_lookup.rs
+++ b/src/flow/balancer/owner_lookup.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     clock::{ClockMillis, SpanMillis},
-    flow::{FlowKey, FlowPacket, FlowReset, HopHeader},
+    flow::{FlowKey, FlowPacket, FlowReset, HopHeader, LookupProgress},
 };
 
 /// Maximum number of concurrent lookups; further ones are not recorded.
@@ -61,6 +61,8 @@
     pub(crate) awaited_agents: Vec<Ipv4Addr>,
     /// Identifies the current round.
     pub(crate) lookup_id: u32,
+    /// The number of rounds so far.
+    pub(crate) rounds: u32,
     /// When the first packet since the owner is unknown was sent.
     pub(crate) started_at: ClockMillis,
     /// When the current round was sent.
@@ -78,11 +80,23 @@
             asked_agents: Vec::new(),
             awaited_agents: Vec::new(),
             lookup_id: 0,
+            rounds: 0,
             started_at,
             sent_at: started_at,
         }
     }
 
+    /// Returns how far the lookup has come.
+    pub(super) fn progress(&self, now: ClockMillis) -> LookupProgress {
+        LookupProgress {
+            flow: self.reset.flow,
+            asked: self.asked_agents.len(),
+            unanswered: self.awaited_agents.len(),
+            rounds: self.rounds,
+            unknown_for: now.since(self.started_at),
+        }
+    }
+
     /// Returns whether all agents were asked just now, so that asking them again for
     /// the flow's next packet would only add load.
     pub(super) fn is_wide_pending(&self, now: ClockMillis) -> bool {
@@ -111,6 +125,8 @@
     pub(crate) packet: Vec<u8>,
     /// The first agent of each chain, with the frame's header.
     pub(crate) hops: Vec<(Ipv4Addr, HopHeader)>,
+    /// How far the lookup had come before.
+    pub(crate) progress: LookupProgress,
 }
 
 /// Owner lookups in progress, by flow.
--- a/src/flow/flow_journal.rs
+++ b/src/flow/flow_journal.rs
@@ -90,6 +90,11 @@
             .collect()
     }
 
+    /// Returns the incarnation of an agent's target whose flows are kept.
+    pub(crate) fn incarnation_of(&self, agent: Ipv4Addr) -> Option<IncarnationId> {
+        self.targets.get(&agent).map(|target| target.incarnation)
+    }
+
     /// Adds flows that were written to disk before this replica started, unless their
     /// agents have told of others since.
     pub(crate) fn restore(&mut self, lists: Vec<LongFlowList>, now: ClockMillis) {
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -22,6 +22,7 @@
 mod packet_codec;
 mod pending_openings;
 mod request_id;
+mod reset_cause;
 
 pub use flow_key::FlowKey;
 pub use flow_packet::{FlowPacket, FlowReset, PacketFlags};
@@ -42,6 +43,7 @@
 pub(crate) use hop_frame::{HopFrame, HopHeader};
 pub(crate) use long_flow::{LongFlow, LongFlowList};
 pub(crate) use request_id::request_id;
+pub(crate) use reset_cause::{AgentReset, LookupProgress, ResetCause, UnheldFlow};
 
 #[cfg(test)]
 mod tests;
--- a/src/flow/tests/agent_steps.rs
+++ b/src/flow/tests/agent_steps.rs
@@ -6,7 +6,8 @@
 use crate::{
     clock::{ClockMillis, SpanMillis},
     flow::{
-        AgentAction, AgentFlows, FlowReset, HopHeader, PacketFlags, ReportKind, TargetLifecycle,
+        AgentAction, AgentFlows, AgentReset, FlowReset, HopHeader, PacketFlags, ReportKind,
+        ResetCause, TargetLifecycle,
     },
     key::IncarnationId,
     listener::ServiceTag,
@@ -148,7 +149,9 @@
         panic!("not reset: {:?}", step.action);
     };
     // A reset must carry the sequence number that the caller acknowledged last.
-    assert_eq!((reset.flow, reset.sequence), (flow(1), 7));
+    assert_eq!((reset.reset.flow, reset.reset.sequence), (flow(1), 7));
+    assert_eq!(reset.cause, ResetCause::FlowBounced);
+    assert_eq!(reset.established_since, Some(START));
     assert_eq!(
         step.report.map(|(_, report)| report.kind),
         Some(ReportKind::Gone)
@@ -204,12 +207,17 @@
 }
 
 #[rstest]
-#[case::crashed(TargetLifecycle::Lost, None)]
-#[case::ended(TargetLifecycle::Ended, None)]
-#[case::restarted(TargetLifecycle::Serving, Some(IncarnationId::new(2)))]
+#[case::crashed(TargetLifecycle::Lost, None, ResetCause::TargetLost)]
+#[case::ended(TargetLifecycle::Ended, None, ResetCause::TargetEnded)]
+#[case::restarted(
+    TargetLifecycle::Serving,
+    Some(IncarnationId::new(2)),
+    ResetCause::TargetRestarted
+)]
 fn established_flows_of_a_lost_target_are_reset_without_waiting_for_a_packet(
     #[case] lifecycle: TargetLifecycle,
     #[case] incarnation: Option<IncarnationId>,
+    #[case] cause: ResetCause,
 ) {
     let mut flows = flows();
     flows.set_lifecycle(TargetLifecycle::Serving, Some(IncarnationId::new(1)), START);
@@ -226,9 +234,14 @@
     let resets = flows.set_lifecycle(lifecycle, incarnation, LATER);
     assert_eq!(
         resets,
-        [FlowReset {
-            flow: flow(1),
-            sequence: 7
+        [AgentReset {
+            reset: FlowReset {
+                flow: flow(1),
+                sequence: 7
+            },
+            cause,
+            incarnation: Some(IncarnationId::new(1)),
+            established_since: Some(START),
         }]
     );
     assert!(
--- a/src/flow/tests/balancer_verdicts.rs
+++ b/src/flow/tests/balancer_verdicts.rs
@@ -272,7 +272,12 @@
         targets(&agents, &agents),
     )])));
     let (mut asked, end) = run_lookup(&mut flows);
-    assert!(matches!(end, ReportAction::Reset(reset) if reset.flow == flow(1)));
+    let ReportAction::Reset(unheld) = end else {
+        panic!("not reset: {end:?}");
+    };
+    assert_eq!(unheld.reset.flow, flow(1));
+    assert_eq!((unheld.progress.asked, unheld.progress.unanswered), (42, 0));
+    assert_eq!(unheld.progress.rounds, 2);
     assert_eq!(asked.len(), 42);
     asked.sort_unstable();
     asked.dedup();
--- a/src/flow/tests/target_incarnations.rs
+++ b/src/flow/tests/target_incarnations.rs
@@ -43,7 +43,7 @@
     let verdict = flows.handle_packet(&data, &[1], START);
     assert!(matches!(
         verdict,
-        FlowVerdict::Reset(_, RefusalCause::TargetGone)
+        FlowVerdict::Reset(_, RefusalCause::TargetGone(_))
     ));
 }
 
