Only a refused connection ends the flows of a target

Cause: an agent probes a silent or suspected target, and each target at the agent's own start, by a TCP connection to it on the same VM. Any failure counted as "nothing listens": a time-out after 300 ms, though a full queue of connections drops the opening packet, and local errors such as no descriptors, no buffers, no free port. The target became Lost, the agent reset its established flows and announced it as ended, balancers reset what came later, and a restarted agent told every lookup that it held nothing. Besides, a result was compared with what was heard in the 300 ms before it was delivered, not since the probe was sent: a refusal from just before the target's start, delivered later than that, could end the flows of the new incarnation, and of two probes the one sent first could win.

Now a probe has a closed outcome: present, refused, unknown. Unknown changes nothing about the target's life; it stays suspected or silent, so new flows avoid it. A refusal counts only if the target was not heard, and no later probe was applied, since the probe was sent. A reset during a connection is unknown too: a system that aborts on a full queue answers so.

What callers see of a target that really is gone: it refuses on the same VM, so its flows are reset as before, at the latest with the next probe after a second if it was heard while the probe was under way. Of a target that hangs with its port open: its queue takes connections until it is full, so before its flows were reset once probes timed out; now they are silent until it goes on, is killed, or its callers give up. That costs them time, and is what a target that lives must get. Of a VM that hangs: nothing changes, its agent hangs with it.

Evidence: the tests of fleet/tests/target_probes.rs failed with the former meaning of results: Refused for a real full queue and for six local errors, Lost for an agent that has just started; with the check of the time of the probe taken out, the late and overtaken results were Applied. They pass now. Ruled out: draining announcements, announcements of another incarnation, and late ones end no flow of the incarnation that runs (target_tracker tests).

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -31,6 +31,7 @@
 mod side_node;
 mod side_packets;
 mod side_target;
+mod target_probe;
 mod target_tracker;
 mod watch_client;
 mod watch_frame;
--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -24,6 +24,7 @@
     inspect_server::{InspectRequest, Inspection, start_inspections},
     log_limiter::LogLimiter,
     side_handle::SideCommand,
+    target_probe::TargetProbe,
     target_tracker::TargetTracker,
 };
 use crate::{
@@ -78,7 +79,7 @@
     pub(super) repeats_left: u32,
     pub(super) announce_at: ClockMillis,
     pub(super) probe_at: ClockMillis,
-    pub(super) probes: mpsc::Sender<bool>,
+    pub(super) probes: mpsc::Sender<TargetProbe>,
     pub(super) commands: mpsc::Receiver<SideCommand>,
     pub(super) log_limiter: LogLimiter,
     pub(super) counters: SideCounters,
@@ -167,7 +168,7 @@
                 _ = self.fleet_socket.readable() => self.receive_datagrams(),
                 Some(command) = self.commands.recv() => self.handle_command(command),
                 Some(inspection) = inspections.recv() => self.answer_inspection(inspection),
-                Some(present) = probe_results.recv() => self.handle_probe_result(present),
+                Some(probe) = probe_results.recv() => self.handle_probe_result(probe),
                 () = sleep_until(next_work_at) => self.run_due_work(),
                 () = wait_for_signal(&mut hangup) => self.reread_seeds(),
                 () = wait_for_signal(&mut terminate) => break,
--- a/src/fleet/side_target.rs
+++ b/src/fleet/side_target.rs
@@ -2,17 +2,13 @@
 
 use std::net::Ipv4Addr;
 
-use tokio::{net::TcpStream, time::timeout};
-
 use super::{
     FleetEvent, SideNode,
     fleet_counters::{publish_figures, publish_gauge},
     fleet_datagram::FleetDatagram,
     side_handle::SideCommand,
-    side_node::{
-        CHANGE_REPEATS, GROUP_LOST_MILLIS, PROBE_INTERVAL_MILLIS, PROBE_TIMEOUT_MILLIS,
-        REPEAT_INTERVAL_MILLIS,
-    },
+    side_node::{CHANGE_REPEATS, GROUP_LOST_MILLIS, PROBE_INTERVAL_MILLIS, REPEAT_INTERVAL_MILLIS},
+    target_probe::{ProbeOutcome, TargetProbe},
     target_tracker::NoticeVerdict,
 };
 use crate::{
@@ -50,34 +46,33 @@
     }
 
     /// Probes whether anything listens at the target's address; on the same VM a
-    /// connection succeeds or fails at once.
+    /// connection to a target that has crashed is refused at once.
     pub(super) fn probe_target(&mut self, now: ClockMillis) {
         self.probe_at = now.after(PROBE_INTERVAL_MILLIS);
         let target = self.settings.target;
         let probes = self.probes.clone();
         tokio::spawn(async move {
-            let connect = TcpStream::connect(target);
-            let present = matches!(
-                timeout(PROBE_TIMEOUT_MILLIS.duration(), connect).await,
-                Ok(Ok(_))
-            );
+            let probe = TargetProbe::run(target, now).await;
             // The receiver is gone when the process is stopping.
-            let _ = probes.send(present).await;
+            let _ = probes.send(probe).await;
         });
     }
 
     /// Applies the result of a probe.
-    pub(super) fn handle_probe_result(&mut self, present: bool) {
+    pub(super) fn handle_probe_result(&mut self, probe: TargetProbe) {
         let now = self.clock.now();
-        // Packets that arrived during the probe are newer than its result.
-        let heard = self
-            .flows
-            .silence(now)
-            .is_some_and(|silence| silence < PROBE_TIMEOUT_MILLIS);
-        log_event!(info, FleetEvent::TargetProbed, target = %self.settings.target, present, heard);
-        if present || !heard {
-            self.tracker.note_presence(present, now);
-        }
+        let heard_at = self.flows.heard_at();
+        let verdict = self.tracker.apply_probe(probe, heard_at);
+        log_event!(
+            info,
+            FleetEvent::TargetProbed,
+            target = %self.settings.target,
+            present = probe.outcome == ProbeOutcome::Present,
+            heard = heard_at.is_some_and(|at| at >= probe.started_at),
+            outcome = ?probe.outcome,
+            ?verdict,
+            delay = %now.since(probe.started_at)
+        );
         self.announce_change(now);
     }
 
--- a/src/fleet/target_tracker.rs
+++ b/src/fleet/target_tracker.rs
@@ -1,6 +1,9 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{TargetNotice, TargetState};
+use super::{
+    TargetNotice, TargetState,
+    target_probe::{ProbeOutcome, TargetProbe},
+};
 use crate::{
     clock::{ClockMillis, SpanMillis},
     directory::TargetStatus,
@@ -24,6 +27,17 @@
     Late,
 }
 
+/// Whether the outcome of a probe was applied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ProbeVerdict {
+    /// It is in force.
+    Applied,
+    /// The target was heard, or another probe sent, since this one was sent.
+    Outdated,
+    /// It shows nothing.
+    Empty,
+}
+
 /// The state of a target as its agent knows it from announcements and probes.
 #[derive(Debug)]
 pub(crate) struct TargetTracker {
@@ -34,6 +48,9 @@
     heard_at: ClockMillis,
     /// Whether nothing listens at the target's address.
     absent: bool,
+    /// When the last announcement arrived that was applied, or the last probe was sent
+    /// that was.
+    known_at: Option<ClockMillis>,
     warm_up_until: ClockMillis,
 }
 
@@ -48,6 +65,7 @@
             ended: false,
             heard_at: now,
             absent: false,
+            known_at: None,
             warm_up_until: now,
         }
     }
@@ -68,6 +86,7 @@
         self.heard_at = now;
         self.ended = false;
         self.absent = false;
+        self.known_at = self.known_at.max(Some(now));
         self.latest_notice = Some(notice);
         NoticeVerdict::Taken
     }
@@ -105,12 +124,30 @@
         self.latest_notice.as_ref().and_then(|notice| notice.slots)
     }
 
-    /// Notes whether anything listens at the target's address.
-    pub(crate) fn note_presence(&mut self, present: bool, now: ClockMillis) {
-        self.absent = !present;
-        if present {
-            self.heard_at = now;
+    /// Applies a probe; `packet_heard_at` is when the target last sent a packet.
+    ///
+    /// A refused connection says that no process listens, at the time of the probe: a
+    /// target that was heard since may be the next incarnation.
+    pub(crate) fn apply_probe(
+        &mut self,
+        probe: TargetProbe,
+        packet_heard_at: Option<ClockMillis>,
+    ) -> ProbeVerdict {
+        let is_since = |at: Option<ClockMillis>| at.is_some_and(|at| at >= probe.started_at);
+        match probe.outcome {
+            ProbeOutcome::Unknown => return ProbeVerdict::Empty,
+            ProbeOutcome::Present if is_since(self.known_at) => return ProbeVerdict::Outdated,
+            ProbeOutcome::Refused if is_since(self.known_at) || is_since(packet_heard_at) => {
+                return ProbeVerdict::Outdated;
+            }
+            ProbeOutcome::Present => {
+                self.absent = false;
+                self.heard_at = self.heard_at.max(probe.started_at);
+            }
+            ProbeOutcome::Refused => self.absent = true,
         }
+        self.known_at = Some(probe.started_at);
+        ProbeVerdict::Applied
     }
 
     /// Returns whether the target has been silent for so long that it should be
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -5,6 +5,7 @@
 mod datagrams;
 mod directory_copy;
 mod evacuations;
+mod target_probes;
 
 use std::net::Ipv4Addr;
 
@@ -12,6 +13,7 @@
     TargetNotice, TargetState,
     known_balancers::KnownBalancers,
     restart_notifier::{KnownProcesses, RestartNotifier},
+    target_probe::{ProbeOutcome, TargetProbe},
     target_tracker::{NoticeVerdict, TargetTracker},
 };
 use crate::{
@@ -40,6 +42,13 @@
     tracker
 }
 
+fn probe(outcome: ProbeOutcome, started_at: ClockMillis) -> TargetProbe {
+    TargetProbe {
+        started_at,
+        outcome,
+    }
+}
+
 fn after(heartbeats: u64) -> ClockMillis {
     START.after(HEARTBEAT.saturating_mul(heartbeats))
 }
@@ -91,11 +100,11 @@
 #[test]
 fn a_target_is_lost_while_nothing_listens_at_its_address() {
     let mut tracker = tracker();
-    tracker.note_presence(false, after(3));
+    tracker.apply_probe(probe(ProbeOutcome::Refused, after(3)), None);
     assert_eq!(tracker.lifecycle(), TargetLifecycle::Lost);
     tracker.apply_notice(notice("i-2", 70, 1, TargetState::Ready), after(4));
     assert_eq!(tracker.lifecycle(), TargetLifecycle::Serving);
-    tracker.note_presence(true, after(9));
+    tracker.apply_probe(probe(ProbeOutcome::Present, after(9)), None);
     assert!(!tracker.is_silent(None, after(11)));
 }
 
@@ -130,7 +139,8 @@
     tracker.apply_notice(notice("i-1", 50, 9, TargetState::Ready), now);
     assert!(now.since(tracker.stale_flows_before(now)) >= HEARTBEAT.saturating_mul(9));
     // A target that is gone holds no flows, however long it had run.
-    tracker.note_presence(false, now);
+    let later = now.after(SpanMillis::new(1));
+    tracker.apply_probe(probe(ProbeOutcome::Refused, later), None);
     let gone = now.since(tracker.stale_flows_before(now));
     assert_eq!(gone, SpanMillis::new(1_000));
 }
--- a/src/flow/agent/agent_flows.rs
+++ b/src/flow/agent/agent_flows.rs
@@ -165,6 +165,11 @@
         self.health.silence(now)
     }
 
+    /// Returns when the target last sent anything.
+    pub(crate) fn heard_at(&self) -> Option<ClockMillis> {
+        self.health.heard_at()
+    }
+
     /// Sets how many requests the target processes concurrently, if it announced that.
     pub(crate) fn set_slots(&mut self, slots: Option<u32>) {
         self.load.set_slots(slots);
--- a/src/flow/agent/target_health.rs
+++ b/src/flow/agent/target_health.rs
@@ -35,6 +35,11 @@
             .map(|last_heard_at| now.since(last_heard_at))
     }
 
+    /// Returns when the target last sent anything.
+    pub(crate) fn heard_at(&self) -> Option<ClockMillis> {
+        self.last_heard_at
+    }
+
     /// Returns whether the target is suspected of not answering.
     pub(crate) fn is_suspect(&self) -> bool {
         self.suspect
