A retransmission of a moved flow takes another chain of agents

Cause: a balancer that does not know a flow's owner sends its packet along a chain of nine agents, and one that is down swallows it. Each retransmission took the same chain. The wide round that helps is bounded to five flows a second, and services of more than 64 targets get none.

Evidence: a simulation with the flow states of balancer and agents, without a network: 12, 37 or 120 targets, a third of them old enough to hold the flows; 12, 60 or 200 flows that move within 500 ms to a balancer that has just started; two or three agents gone and one more stopped every 1.1 s for 1 or 2 s. Now none in any setting. No flow was reset in either.

Fix: a packet that comes 100 ms or more after the one before, with the owner still unknown, is a further attempt, which takes another order, so that agents behind the one that is down come before it. Agents that were not heard of for a second come last in it; reports show that an agent runs, and so does having passed a packet on to one that reported. The state of a lookup is kept for 2 s, so that 800 ms or 1.6 s between retransmissions do not start the order anew; its reports count for 700 ms as before.

What a reset rests on is unchanged, and so are frames and reports.

Asking all agents at once fills thin links.

--- a/src/flow/balancer/balancer_flows.rs
+++ b/src/flow/balancer/balancer_flows.rs
@@ -2,6 +2,7 @@
 
 use super::{
     FlowVerdict, KnownTargets, RefusalCause,
+    heard_agents::HeardAgents,
     link_admission::{EndedWait, LinkAdmission, LinkVerdict},
     owner_cache::OwnerCache,
     owner_lookup::{OwnerLookup, PendingLookups},
@@ -40,6 +41,8 @@
     pub(in crate::flow) opening_agents: HashMap<FlowKey, Ipv4Addr>,
     /// Agents that new flows avoid, each with the time when the suspicion ends.
     pub(super) suspects: HashMap<Ipv4Addr, ClockMillis>,
+    /// Agents that were heard of just now.
+    pub(super) heard_agents: HeardAgents,
     /// Openings that timed out without a report since the last report.
     pub(super) unreported_openings: u32,
     /// Whether routes and targets are current, so that flows may be refused.
@@ -70,6 +73,7 @@
             report_timer: ReportTimer::default(),
             opening_agents: HashMap::new(),
             suspects: HashMap::new(),
+            heard_agents: HeardAgents::default(),
             unreported_openings: 0,
             current: false,
             was_ever_current: false,
@@ -216,15 +220,19 @@
             let header = HopHeader::new(services[0], self.own_address);
             return FlowVerdict::Forward { to, header };
         }
-        let assumed_owner = self.owners.peek(flow).map(|owner| owner.agent);
         let lookup = match self.lookups.get(flow) {
             // The caller sends this packet again if the flow is not found by then.
             Some(lookup) if lookup.is_wide_pending(now) => {
                 return FlowVerdict::Park(RefusalCause::OwnerUnknown);
             }
-            Some(lookup) => OwnerLookup::new(bytes, packet, lookup.start_for_next(now)),
+            Some(lookup) => OwnerLookup::new(bytes, packet, now).following(lookup, now),
             None => OwnerLookup::new(bytes, packet, now),
         };
+        // What a failed attempt assumed of the owner counts no more.
+        let assumed_owner = self.owners.peek(flow);
+        let assumed_owner = assumed_owner
+            .filter(|owner| owner.confirmed || lookup.attempt == 0)
+            .map(|owner| owner.agent);
         // The first round of a lookup is a single chain.
         let hops = self.send_lookup(lookup, services, assumed_owner, now);
         let Some((to, header)) = hops.first().copied() else {
@@ -276,6 +284,7 @@
     pub(crate) fn sweep(&mut self, now: ClockMillis) {
         self.owners.sweep(now);
         self.lookups.sweep(now);
+        self.heard_agents.sweep(now);
         self.report_timer.sweep(now);
         if let Some(link) = &mut self.link {
             link.sweep(now);
--- a/src/flow/balancer/balancer_lookups.rs
+++ b/src/flow/balancer/balancer_lookups.rs
@@ -9,7 +9,7 @@
 };
 use crate::{
     clock::ClockMillis,
-    flow::{FlowKey, FlowReport, HopHeader, hop_frame::MAX_CANDIDATES},
+    flow::{FlowKey, FlowReport, HopHeader, ReportKind, hop_frame::MAX_CANDIDATES},
     listener::ServiceTag,
 };
 
@@ -22,7 +22,8 @@
 /// hundreds of targets take longer than the wait for one, and after an outage wide
 /// rounds filled links of 2 Mbit/s.
 const MAX_WIDE_TARGETS: usize = 64;
-/// Number of agents that a chain of the second round passes one after the other.
+/// Number of agents that a chain of the second round, or of a further attempt, passes
+/// one after the other.
 const CHAIN_AGENTS: usize = MAX_CANDIDATES + 1;
 
 impl BalancerFlows {
@@ -46,12 +47,24 @@
         next.extend(self.agents_of_round(&lookup, services));
         let mut seen: HashSet<Ipv4Addr> = lookup.asked_agents.iter().copied().collect();
         next.retain(|agent| seen.insert(*agent));
+        if lookup.round == LookupRound::First {
+            reorder_for_attempt(&mut next, lookup.attempt);
+        }
         // An agent that does not answer ends its chain, so such agents come last.
         next.sort_by_key(|agent| {
             self.suspects.contains_key(agent) || self.targets.is_silent(*agent)
         });
+        let is_further_attempt = lookup.attempt > 0;
         if lookup.round == LookupRound::First {
-            next.truncate(FIRST_ROUND_AGENTS);
+            next.truncate(if is_further_attempt {
+                CHAIN_AGENTS
+            } else {
+                FIRST_ROUND_AGENTS
+            });
+        }
+        if is_further_attempt && matches!(lookup.round, LookupRound::First | LookupRound::Others) {
+            // The agent that ended the chain before is one that was not heard of since.
+            next.sort_by_key(|agent| !self.heard_agents.contains(*agent, now));
         }
         if next.is_empty() {
             return Vec::new();
@@ -69,7 +82,7 @@
             .map(|chain| (chain[0], header.with_candidates(chain[1..].iter().copied())))
             .collect();
         lookup.lookup_id = self.last_lookup_id;
-        lookup.awaited_agents = chains().filter_map(|chain| chain.last().copied()).collect();
+        lookup.awaited_chains = chains().map(<[Ipv4Addr]>::to_vec).collect();
         lookup.asked_agents.extend(&next);
         lookup.sent_at = now;
         self.lookups.insert(flow, lookup);
@@ -89,13 +102,13 @@
             .filter_map(|service| self.targets.services.get(service));
         let flow = lookup.reset.flow;
         match lookup.round {
-            LookupRound::First => {
+            LookupRound::First if lookup.attempt == 0 => {
                 let limit = FIRST_ROUND_AGENTS + self.suspects.len();
                 targets
                     .flat_map(|targets| targets.possible_owners.rank(flow, limit))
                     .collect()
             }
-            LookupRound::Others | LookupRound::Wide => targets
+            LookupRound::First | LookupRound::Others | LookupRound::Wide => targets
                 .flat_map(|targets| {
                     let owners = &targets.possible_owners;
                     owners.rank(flow, owners.len())
@@ -143,14 +156,31 @@
                 actions.push(self.end_lookup(&lookup, now));
                 continue;
             }
-            let silent = std::mem::take(&mut lookup.awaited_agents);
-            lookup.asked_agents.retain(|agent| !silent.contains(agent));
+            let silent = std::mem::take(&mut lookup.awaited_chains);
+            let is_silent =
+                |agent: &Ipv4Addr| silent.iter().any(|chain| chain.last() == Some(agent));
+            lookup.asked_agents.retain(|agent| !is_silent(agent));
             lookup.round = LookupRound::Ended { repeated: true };
             actions.push(self.send_or_end(lookup, now));
         }
         actions
     }
 
+    /// Records that the agent of a report runs, and those that passed the packet on to
+    /// it.
+    pub(super) fn note_heard(&mut self, report: &FlowReport, now: ClockMillis) {
+        self.heard_agents.note(report.agent, now);
+        let Some(lookup) = self.lookups.get(report.flow) else {
+            return;
+        };
+        let is_of_round = lookup.lookup_id == report.lookup_id || report.kind == ReportKind::Held;
+        if is_of_round {
+            for agent in lookup.agents_before(report.agent) {
+                self.heard_agents.note(*agent, lookup.sent_at);
+            }
+        }
+    }
+
     /// Starts the next round after every chain of a round reported that it does not
     /// hold the flow. Once no target that may hold the flow has it, the flow is
     /// reset, or its packet parked while a target may be missing.
@@ -198,3 +228,16 @@
         ReportAction::Nothing
     }
 }
+
+/// Changes the order of the agents, best first, for a further attempt of a lookup: an
+/// agent of the chain before does not answer, and those behind it were not asked.
+fn reorder_for_attempt(agents: &mut [Ipv4Addr], attempt: u32) {
+    let first_round = agents.len().min(FIRST_ROUND_AGENTS);
+    match attempt % 4 {
+        0 => {}
+        1 => agents[..first_round].reverse(),
+        2 => agents.rotate_left(first_round),
+        // Those in the middle may be behind an agent that is down either way.
+        _ => agents[..first_round].rotate_left(first_round / 2),
+    }
+}
--- a/src/flow/balancer/balancer_openings.rs
+++ b/src/flow/balancer/balancer_openings.rs
@@ -94,6 +94,7 @@
     /// Handles an agent's report on a flow; returns what to send in response.
     pub(crate) fn handle_report(&mut self, report: &FlowReport, now: ClockMillis) -> ReportAction {
         self.suspects.remove(&report.agent);
+        self.note_heard(report, now);
         self.unreported_openings = 0;
         let delay = self.openings.age(report.flow, now);
         self.report_timer
--- a/src/flow/balancer/mod.rs
+++ b/src/flow/balancer/mod.rs
@@ -5,6 +5,7 @@
 mod balancer_lookups;
 mod balancer_openings;
 mod flow_verdict;
+mod heard_agents;
 mod known_targets;
 pub(super) mod link_admission;
 mod owner_cache;
--- a/src/flow/balancer/owner_lookup.rs
+++ b/src/flow/balancer/owner_lookup.rs
@@ -13,6 +13,9 @@
 /// How long a lookup waits for the last agent's report; the caller retransmits
 /// its packet after 200 ms, which starts a new lookup.
 const LOOKUP_TIMEOUT_MILLIS: SpanMillis = SpanMillis::new(700);
+/// How long the next packet of a flow counts as a further attempt of its lookup: callers
+/// retransmit at intervals of up to 1.6 s.
+const ATTEMPT_MEMORY_MILLIS: SpanMillis = SpanMillis::new(2_000);
 /// How long after its start a lookup asks all agents at once: nine agents that
 /// answer take some 40 ms, and the caller retransmits after 200 ms.
 const WIDE_AFTER_MILLIS: SpanMillis = SpanMillis::new(100);
@@ -52,52 +55,69 @@
     pub(crate) packet: Vec<u8>,
     /// The reset that ends the flow if no target holds it.
     pub(crate) reset: FlowReset,
+    /// How many attempts before this one have found no owner.
+    pub(crate) attempt: u32,
     /// The current round.
     pub(crate) round: LookupRound,
     /// The agents of all rounds so far.
     pub(crate) asked_agents: Vec<Ipv4Addr>,
-    /// The last agent of each chain of the current round; it reports if no agent of
-    /// its chain holds the flow.
-    pub(crate) awaited_agents: Vec<Ipv4Addr>,
+    /// The chains of the current round without a report; the last agent of each
+    /// reports if no agent of its chain holds the flow.
+    pub(crate) awaited_chains: Vec<Vec<Ipv4Addr>>,
     /// Identifies the current round.
     pub(crate) lookup_id: u32,
-    /// When the first packet since the owner is unknown was sent.
+    /// When the first packet of this attempt was sent.
     pub(crate) started_at: ClockMillis,
     /// When the current round was sent.
     pub(crate) sent_at: ClockMillis,
 }
 
 impl OwnerLookup {
-    /// Creates a lookup that has asked no agent yet, for a flow that is being looked
-    /// up since `started_at`.
-    pub(super) fn new(bytes: &[u8], packet: &FlowPacket, started_at: ClockMillis) -> Self {
+    /// Creates a lookup that has asked no agent yet.
+    pub(super) fn new(bytes: &[u8], packet: &FlowPacket, now: ClockMillis) -> Self {
         Self {
             packet: bytes.to_vec(),
             reset: FlowReset::answering(packet),
+            attempt: 0,
             round: LookupRound::First,
             asked_agents: Vec::new(),
-            awaited_agents: Vec::new(),
+            awaited_chains: Vec::new(),
             lookup_id: 0,
-            started_at,
-            sent_at: started_at,
+            started_at: now,
+            sent_at: now,
         }
     }
 
+    /// Continues the search of `previous` with the flow's next packet. Once that search
+    /// had time to end, this is a further attempt.
+    pub(super) fn following(mut self, previous: &Self, now: ClockMillis) -> Self {
+        let has_failed = previous.round == LookupRound::Wide || previous.wide_at() <= now;
+        if has_failed {
+            self.attempt = previous.attempt.saturating_add(1);
+        } else {
+            self.attempt = previous.attempt;
+            self.started_at = previous.started_at;
+        }
+        self
+    }
+
+    /// Returns the agents that passed the packet on before `agent` got it, if it is one
+    /// of a chain without a report.
+    pub(super) fn agents_before(&self, agent: Ipv4Addr) -> &[Ipv4Addr] {
+        let mut chains = self.awaited_chains.iter();
+        let before = chains.find_map(|chain| {
+            let position = chain.iter().position(|asked| *asked == agent)?;
+            Some(&chain[..position])
+        });
+        before.unwrap_or_default()
+    }
+
     /// Returns whether all agents were asked just now, so that asking them again for
     /// the flow's next packet would only add load.
     pub(super) fn is_wide_pending(&self, now: ClockMillis) -> bool {
         self.round == LookupRound::Wide && now.since(self.sent_at) < WIDE_WAIT_MILLIS
     }
 
-    /// Returns since when the flow's owner is searched for, for a lookup of its next
-    /// packet.
-    pub(super) fn start_for_next(&self, now: ClockMillis) -> ClockMillis {
-        match self.round {
-            LookupRound::First | LookupRound::Others | LookupRound::Ended { .. } => self.started_at,
-            LookupRound::Wide => now,
-        }
-    }
-
     fn wide_at(&self) -> ClockMillis {
         self.started_at.after(WIDE_AFTER_MILLIS)
     }
@@ -164,11 +184,11 @@
             return None;
         }
         let position = lookup
-            .awaited_agents
+            .awaited_chains
             .iter()
-            .position(|awaited| *awaited == agent)?;
-        lookup.awaited_agents.swap_remove(position);
-        if !lookup.awaited_agents.is_empty() {
+            .position(|chain| chain.last() == Some(&agent))?;
+        lookup.awaited_chains.swap_remove(position);
+        if !lookup.awaited_chains.is_empty() {
             return None;
         }
         self.lookups.remove(&flow)
@@ -237,9 +257,15 @@
         wide_at.into_iter().chain(ended_at).min()
     }
 
-    /// Drops the lookups whose last agent did not report in time.
+    /// Ends the wait for reports of lookups that did not get them in time, and drops
+    /// those whose flow sent no other packet since.
     pub(crate) fn sweep(&mut self, now: ClockMillis) {
         self.lookups
-            .retain(|_, lookup| now.since(lookup.sent_at) < LOOKUP_TIMEOUT_MILLIS);
+            .retain(|_, lookup| now.since(lookup.sent_at) < ATTEMPT_MEMORY_MILLIS);
+        for lookup in self.lookups.values_mut() {
+            if now.since(lookup.sent_at) >= LOOKUP_TIMEOUT_MILLIS {
+                lookup.awaited_chains.clear();
+            }
+        }
     }
 }
--- a/src/flow/tests/mod.rs
+++ b/src/flow/tests/mod.rs
@@ -9,6 +9,7 @@
 mod frames;
 mod full_target;
 mod large_service;
+mod moved_flows;
 mod opening_burst;
 mod overload;
 mod power_loss;
--- /dev/null
+++ b/src/flow/tests/moved_flows.rs
@@ -0,0 +1,455 @@
+//! Open flows that move to a balancer which has just started, while agents are
+//! restarted in turn and the VMs of others are gone.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, HashMap},
+    net::Ipv4Addr,
+};
+
+use rstest::rstest;
+
+use super::{
+    BALANCER, agent,
+    balancer_verdicts::{
+        FLOW_AGE, START, balancer, known_targets, manifest, report, route, service, targets,
+    },
+    bounced, flow, from_caller, from_target,
+};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    flow::{
+        AgentAction, AgentFlows, AgentStep, BalancerFlows, FlowReport, FlowVerdict, HopHeader,
+        PacketFlags, RankedTarget, ReportAction, ReportKind, TargetIncarnation, TargetLifecycle,
+        TargetRanking,
+    },
+    listener::ListenerTable,
+};
+
+/// The balancer through which the flows were opened.
+const EARLIER_BALANCER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 2);
+/// The first targets of the service are one in this many; the others were added after
+/// the flows opened.
+const GROWTH: u8 = 3;
+/// The number of targets where no more are needed.
+const TARGETS: u8 = 37;
+const HOP_MILLIS: u64 = 3;
+/// When a caller sends a packet that nobody acknowledges, after the first time.
+const RETRANSMISSIONS: [u64; 5] = [0, 200, 600, 1_400, 3_000];
+/// The interval between the stops of two agents.
+const RESTART_INTERVAL_MILLIS: u64 = 1_100;
+/// How long the directory takes to mark an agent as silent.
+const SILENT_AFTER_MILLIS: u64 = 2_200;
+const SWEEP_MILLIS: u64 = 250;
+const RUN_MILLIS: u64 = 6_000;
+/// How long packets of a flow may reach other targets only, and how many.
+const SLACK_MILLIS: u64 = 2_000;
+const MAX_STRAY_PACKETS: usize = 2;
+/// How the flows' first packets are spread.
+const ARRIVAL_MILLIS: u64 = 500;
+
+fn at(millis: u64) -> ClockMillis {
+    START.after(SpanMillis::new(millis))
+}
+
+/// An event of the simulation; the order breaks ties of time only.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum FleetStep {
+    Send { port: u16 },
+    Frame { frame: usize },
+    Report { report: usize },
+}
+
+#[derive(Debug, Default)]
+struct FlowTrace {
+    /// When packets reached other targets.
+    strays: Vec<u64>,
+    /// When the first packet reached the flow's own target.
+    reached_at: Option<u64>,
+    was_reset: bool,
+}
+
+impl FlowTrace {
+    /// Returns whether packets reached only other targets for too long.
+    fn is_astray(&self) -> bool {
+        let until = self.reached_at.unwrap_or(RUN_MILLIS);
+        let astray_from = |start: u64| {
+            let in_time = |time: &&u64| (start..start + SLACK_MILLIS).contains(*time);
+            until >= start + SLACK_MILLIS
+                && self.strays.iter().filter(in_time).count() > MAX_STRAY_PACKETS
+        };
+        self.strays.iter().any(|start| astray_from(*start))
+    }
+}
+
+struct MovedFleet {
+    balancer: BalancerFlows,
+    agents: BTreeMap<Ipv4Addr, AgentFlows>,
+    /// When each agent is down.
+    outages: HashMap<Ipv4Addr, (u64, u64)>,
+    gone: Vec<u8>,
+    targets: u8,
+    owners: BTreeMap<u16, Ipv4Addr>,
+    traces: BTreeMap<u16, FlowTrace>,
+    queue: BinaryHeap<Reverse<(u64, usize, FleetStep)>>,
+    steps: usize,
+    frames: Vec<(Ipv4Addr, HopHeader, u16)>,
+    reports: Vec<FlowReport>,
+    /// The packets that the balancer sent.
+    sent: usize,
+}
+
+impl MovedFleet {
+    /// Creates a service of `target_count` targets, of which agents `gone` never
+    /// answer and others are down for `restart_millis`, one after the other.
+    fn new(target_count: u8, gone: &[u8], restart_millis: u64, flows: u16) -> Self {
+        let agents: Vec<u8> = (1..=target_count).collect();
+        let mut outages: HashMap<Ipv4Addr, (u64, u64)> = gone
+            .iter()
+            .map(|number| (agent(*number), (0, u64::MAX)))
+            .collect();
+        let restarted = agents.iter().rev().filter(|number| !gone.contains(number));
+        for (index, number) in (0..).zip(restarted) {
+            let stopped_at = index * RESTART_INTERVAL_MILLIS;
+            outages.insert(agent(*number), (stopped_at, stopped_at + restart_millis));
+        }
+        let mut table = ListenerTable::new(FLOW_AGE);
+        table.replace(&manifest(1, vec![route(service())]), START);
+        let mut fleet = Self {
+            balancer: BalancerFlows::new(BALANCER, table, FLOW_AGE),
+            agents: agents
+                .iter()
+                .map(|number| (agent(*number), new_agent(agent(*number))))
+                .collect(),
+            outages,
+            gone: gone.to_vec(),
+            targets: target_count,
+            owners: BTreeMap::new(),
+            traces: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            steps: 0,
+            frames: Vec::new(),
+            reports: Vec::new(),
+            sent: 0,
+        };
+        fleet.update_directory(false);
+        fleet.balancer.set_current(true);
+        let first = (1..=target_count / GROWTH).filter(|number| !gone.contains(number));
+        let first = first.map(|number| RankedTarget {
+            agent: agent(number),
+            weight: 1.0,
+        });
+        let ranking = TargetRanking::new(first.collect());
+        for port in 1..=flows {
+            let owner = ranking
+                .rank(flow(port), 1)
+                .first()
+                .copied()
+                .unwrap_or(agent(target_count));
+            fleet.open(port, owner);
+            let offset = u64::from(port) * ARRIVAL_MILLIS / u64::from(flows);
+            for delay in RETRANSMISSIONS {
+                fleet.schedule(offset + delay, FleetStep::Send { port });
+            }
+        }
+        fleet
+    }
+
+    fn update_directory(&mut self, gone_are_silent: bool) {
+        let agents: Vec<u8> = (1..=self.targets).collect();
+        let mut known = known_targets(HashMap::from([(service(), targets(&agents, &agents))]));
+        if gone_are_silent {
+            let silent = TargetIncarnation {
+                id: None,
+                ended: false,
+                silent: true,
+            };
+            let gone = self.gone.iter().map(|number| (agent(*number), silent));
+            known.incarnations.extend(gone);
+        }
+        self.balancer.set_targets(known);
+    }
+
+    fn open(&mut self, port: u16, owner: Ipv4Addr) {
+        let held = self.agents.get_mut(&owner).expect("an agent");
+        let header = HopHeader::new(service(), EARLIER_BALANCER);
+        let opening = from_caller(flow(port), PacketFlags::OPEN);
+        held.handle_frame(header, &opening, &[1], START);
+        for flags in [
+            PacketFlags::OPEN.with(PacketFlags::ACKNOWLEDGE),
+            PacketFlags::ACKNOWLEDGE,
+        ] {
+            held.handle_target_packet(&from_target(flow(port), flags), START);
+        }
+        self.owners.insert(port, owner);
+        self.traces.insert(port, FlowTrace::default());
+    }
+
+    fn schedule(&mut self, time: u64, step: FleetStep) {
+        self.steps += 1;
+        self.queue.push(Reverse((time, self.steps, step)));
+    }
+
+    fn send_frame(&mut self, to: Ipv4Addr, header: HopHeader, port: u16, now: u64) {
+        let frame = self.frames.len();
+        self.frames.push((to, header, port));
+        self.schedule(now + HOP_MILLIS, FleetStep::Frame { frame });
+    }
+
+    fn send_report(&mut self, report: FlowReport, now: u64) {
+        let number = self.reports.len();
+        self.reports.push(report);
+        self.schedule(now + HOP_MILLIS, FleetStep::Report { report: number });
+    }
+
+    fn is_down(&self, agent: Ipv4Addr, now: u64) -> bool {
+        let outage = self.outages.get(&agent);
+        outage.is_some_and(|(from, until)| (*from..*until).contains(&now))
+    }
+
+    fn run(&mut self) {
+        for now in 0..RUN_MILLIS {
+            self.restart_agents(now);
+            if now == SILENT_AFTER_MILLIS {
+                self.update_directory(true);
+            }
+            while self.queue.peek().is_some_and(|next| next.0.0 <= now) {
+                let Reverse((_, _, step)) = self.queue.pop().expect("a step");
+                self.play(&step, now);
+            }
+            if self.balancer.next_due().is_some_and(|due| due <= at(now)) {
+                for lookup in self.balancer.expire_lookups(at(now)) {
+                    self.forward(lookup.flow.caller.port(), &lookup.hops, now);
+                }
+                for action in self.balancer.expire_ended_rounds(at(now)) {
+                    self.apply(0, &action, now);
+                }
+            }
+            if now % SWEEP_MILLIS == 0 {
+                self.balancer.sweep(at(now));
+            }
+        }
+    }
+
+    /// Replaces the agents whose restart ends: the new ones know no flows.
+    fn restart_agents(&mut self, now: u64) {
+        let started = self
+            .outages
+            .iter()
+            .filter(|(_, (_, until))| *until == now)
+            .map(|(agent, _)| *agent)
+            .collect::<Vec<_>>();
+        for agent in started {
+            self.agents.insert(agent, new_agent(agent));
+        }
+    }
+
+    fn play(&mut self, step: &FleetStep, now: u64) {
+        match *step {
+            FleetStep::Send { port } => {
+                if self.traces[&port].reached_at.is_some() {
+                    return;
+                }
+                let data = from_caller(flow(port), PacketFlags::ACKNOWLEDGE);
+                match self.balancer.handle_packet(&data, &[1], at(now)) {
+                    FlowVerdict::Forward { to, header } => {
+                        self.forward(port, &[(to, header)], now);
+                    }
+                    FlowVerdict::Reset(..) => self.trace(port).was_reset = true,
+                    FlowVerdict::Wait | FlowVerdict::Park(_) => {}
+                }
+            }
+            FleetStep::Frame { frame } => {
+                let (to, header, port) = self.frames[frame];
+                if !self.is_down(to, now) {
+                    self.arrive(to, header, port, now);
+                }
+            }
+            FleetStep::Report { report } => {
+                let report = self.reports[report];
+                let action = self.balancer.handle_report(&report, at(now));
+                self.apply(report.flow.caller.port(), &action, now);
+            }
+        }
+    }
+
+    fn trace(&mut self, port: u16) -> &mut FlowTrace {
+        self.traces.get_mut(&port).expect("a flow")
+    }
+
+    fn forward(&mut self, port: u16, hops: &[(Ipv4Addr, HopHeader)], now: u64) {
+        self.sent += hops.len();
+        for (to, header) in hops {
+            self.send_frame(*to, *header, port, now);
+        }
+    }
+
+    fn apply(&mut self, port: u16, action: &ReportAction, now: u64) {
+        match action {
+            ReportAction::Nothing => {}
+            ReportAction::Forward { hops, .. } => self.forward(port, hops, now),
+            ReportAction::Reset(reset) => self.trace(reset.flow.caller.port()).was_reset = true,
+        }
+    }
+
+    fn arrive(&mut self, to: Ipv4Addr, header: HopHeader, port: u16, now: u64) {
+        let data = from_caller(flow(port), PacketFlags::ACKNOWLEDGE);
+        let receiver = self.agents.get_mut(&to).expect("an agent");
+        let mut step = receiver.handle_frame(header, &data, &[1], at(now));
+        if let AgentAction::Deliver { tag } = step.action {
+            let is_own = self.owners[&port] == to;
+            let answer = if is_own {
+                from_target(flow(port), PacketFlags::ACKNOWLEDGE)
+            } else {
+                bounced(flow(port), PacketFlags::ACKNOWLEDGE, tag)
+            };
+            step = receiver.handle_target_packet(&answer, at(now));
+            let trace = self.trace(port);
+            if is_own {
+                trace.reached_at.get_or_insert(now);
+            } else {
+                trace.strays.push(now);
+            }
+        }
+        self.follow(port, &step, now);
+    }
+
+    fn follow(&mut self, port: u16, step: &AgentStep, now: u64) {
+        match step.action {
+            AgentAction::PassOn { to, header } => self.send_frame(to, header, port, now),
+            AgentAction::Reset(_) => self.trace(port).was_reset = true,
+            AgentAction::Deliver { .. }
+            | AgentAction::Return
+            | AgentAction::Wait
+            | AgentAction::Drop => {}
+        }
+        if let Some((_, report)) = step.report {
+            self.send_report(report, now);
+        }
+    }
+
+    /// Returns the flows whose packets reached only other targets for too long.
+    fn astray(&self) -> Vec<u16> {
+        let astray = self.traces.iter().filter(|(_, trace)| trace.is_astray());
+        astray.map(|(port, _)| *port).collect()
+    }
+
+    fn reset_flows(&self) -> Vec<u16> {
+        let reset = self.traces.iter().filter(|(_, trace)| trace.was_reset);
+        reset.map(|(port, _)| *port).collect()
+    }
+}
+
+fn new_agent(address: Ipv4Addr) -> AgentFlows {
+    let mut flows = AgentFlows::new(address, service(), 100, FLOW_AGE);
+    flows.set_lifecycle(TargetLifecycle::Serving, None, START);
+    flows
+}
+
+/// Agents that were down took the packets of moved flows, and each retransmission took
+/// the same chain again: flows beyond the bound of wide rounds reached only other
+/// targets for seconds.
+#[rstest]
+fn moved_flows_reach_their_targets_while_agents_are_restarted(
+    #[values(12, 37, 120)] target_count: u8,
+    #[values(12, 60, 200)] flows: u16,
+    #[values(1_000, 2_000)] restart_millis: u64,
+    #[values(&[5, 9], &[1, 2], &[3, 7, 10])] gone: &[u8],
+) {
+    let mut fleet = MovedFleet::new(target_count, gone, restart_millis, flows);
+    fleet.run();
+    assert_eq!(fleet.reset_flows(), Vec::<u16>::new());
+    assert_eq!(fleet.astray(), Vec::<u16>::new());
+}
+
+/// Returns a balancer of `count` targets.
+fn balancer_of(count: u8) -> BalancerFlows {
+    let mut flows = balancer();
+    let agents: Vec<u8> = (1..=count).collect();
+    flows.set_targets(known_targets(HashMap::from([(
+        service(),
+        targets(&agents, &agents),
+    )])));
+    flows
+}
+
+/// Sends a packet of a flow; returns its chain and the number of its lookup.
+fn send(flows: &mut BalancerFlows, port: u16, now: u64) -> (Vec<Ipv4Addr>, u32) {
+    let data = from_caller(flow(port), PacketFlags::ACKNOWLEDGE);
+    match flows.handle_packet(&data, &[1], at(now)) {
+        FlowVerdict::Forward { to, header } => {
+            let rest = header.candidates().iter().copied();
+            (std::iter::once(to).chain(rest).collect(), header.lookup_id)
+        }
+        other => panic!("not forwarded: {other:?}"),
+    }
+}
+
+/// An agent of the chain is down: those behind it were never asked.
+#[test]
+fn a_retransmission_takes_the_chain_from_its_other_end() {
+    let mut flows = balancer_of(TARGETS);
+    let (first, _) = send(&mut flows, 1, 0);
+    let (second, _) = send(&mut flows, 1, 200);
+    let reversed: Vec<Ipv4Addr> = first.iter().rev().copied().collect();
+    assert_eq!(second[..first.len()], reversed);
+    let (third, _) = send(&mut flows, 1, 600);
+    assert!(!first.contains(&third[0]), "{third:?}");
+    let (fourth, _) = send(&mut flows, 1, 1_400);
+    assert_eq!(fourth[0], first[first.len() / 2]);
+}
+
+/// The sweep dropped a lookup while its caller waited 800 ms to send again, so the next
+/// packet took the first chain again.
+#[test]
+fn a_further_attempt_is_known_as_one_after_a_long_wait() {
+    let mut flows = balancer_of(TARGETS);
+    let (first, _) = send(&mut flows, 1, 0);
+    for now in (250..1_600).step_by(250) {
+        flows.sweep(at(now));
+    }
+    let (second, _) = send(&mut flows, 1, 1_600);
+    assert_eq!(second[0], first[first.len() - 1]);
+}
+
+/// Packets of an upload come before the chain had time to end.
+#[test]
+fn packets_that_follow_at_once_take_the_same_chain() {
+    let mut flows = balancer_of(TARGETS);
+    let (first, _) = send(&mut flows, 1, 0);
+    assert_eq!(send(&mut flows, 1, 40).0, first);
+    assert_eq!(send(&mut flows, 1, 80).0, first);
+}
+
+/// With several agents down, one of them blocked the chain from either end.
+#[test]
+fn agents_that_were_not_heard_of_come_last_in_a_further_attempt() {
+    let mut flows = balancer_of(TARGETS);
+    let (chain, _) = send(&mut flows, 1, 0);
+    let (passed, lookup_id) = send(&mut flows, 2, 10);
+    let report = FlowReport {
+        lookup_id,
+        ..report(2, passed[passed.len() - 1], ReportKind::NotHeld)
+    };
+    flows.handle_report(&report, at(50));
+    let (second, _) = send(&mut flows, 1, 200);
+    let heard = |agent: &Ipv4Addr| passed.contains(agent);
+    let first_unheard = second.iter().position(|agent| !heard(agent));
+    let known = chain.iter().filter(|agent| heard(agent)).count();
+    assert!(known > 0 && first_unheard >= Some(known), "{second:?}");
+    assert!(!second[first_unheard.expect("an agent")..].iter().any(heard));
+    assert!(chain.iter().all(|agent| second.contains(agent)));
+}
+
+/// A report on a lookup that nobody waits for any more tells nothing of the flow now.
+#[test]
+fn a_report_that_comes_long_after_its_lookup_resets_no_flow() {
+    let mut flows = balancer_of(5);
+    let (chain, lookup_id) = send(&mut flows, 1, 0);
+    flows.sweep(at(750));
+    let late = FlowReport {
+        lookup_id,
+        ..report(1, chain[chain.len() - 1], ReportKind::NotHeld)
+    };
+    assert_eq!(flows.handle_report(&late, at(760)), ReportAction::Nothing);
+}
