Only agents that have not answered get the next packets of a flow

What callers saw: for more than two seconds the packets of an open flow reached other targets and none its own, which ran but for a planned restart of its agent of 0.54 s.

Cause: a lookup forgot, from one packet to the next, which agents had answered, though a flow that is open does not move. Asking those again is what takes packets to other targets and ends in agents that are down.

Change: the agents that have answered are not asked again by the next attempts, only before a reset, which rests on the answers of one attempt as before. An attempt has up to four chains (50 further ones a second for a balancer, none in services of more than 64 targets), so an agent that is down hides few others. After all agents were asked, packets wait only while more than four have not answered. A new flow on the same addresses and ports forgets the answers.

--- a/src/fleet/entry_packets.rs
+++ b/src/fleet/entry_packets.rs
@@ -110,6 +110,9 @@
             FlowVerdict::Forward { to, header } => {
                 self.log_forward(&packet, to, &header, now);
                 self.forward(bytes, to, header);
+                for (to, header) in self.flows.take_further_chains() {
+                    self.forward(bytes, to, header);
+                }
             }
             FlowVerdict::Reset(reset, cause) => {
                 self.counters.refused += 1;
--- a/src/flow/balancer/balancer_flows.rs
+++ b/src/flow/balancer/balancer_flows.rs
@@ -2,6 +2,7 @@
 
 use super::{
     FlowVerdict, KnownTargets, RefusalCause,
+    balancer_lookups::ATTEMPT_CHAINS,
     flow_verdict::GoneTarget,
     heard_agents::HeardAgents,
     link_admission::{EndedWait, LinkAdmission, LinkVerdict},
@@ -42,6 +43,8 @@
     pub(in crate::flow) opening_agents: HashMap<FlowKey, Ipv4Addr>,
     /// Agents that new flows avoid, each with the time when the suspicion ends.
     pub(super) suspects: HashMap<Ipv4Addr, ClockMillis>,
+    /// The chains of the last verdict's lookup besides the first one.
+    pub(super) further_chains: Vec<(Ipv4Addr, HopHeader)>,
     /// Agents that were heard of just now.
     pub(super) heard_agents: HeardAgents,
     /// Openings that timed out without a report since the last report.
@@ -74,6 +77,7 @@
             report_timer: ReportTimer::default(),
             opening_agents: HashMap::new(),
             suspects: HashMap::new(),
+            further_chains: Vec::new(),
             heard_agents: HeardAgents::default(),
             unreported_openings: 0,
             current: false,
@@ -224,6 +228,12 @@
         self.continue_flow(packet, bytes, &choice.owner_services, now)
     }
 
+    /// Removes and returns where the packet that was just forwarded goes as well: a
+    /// further attempt of a lookup may have several chains.
+    pub(crate) fn take_further_chains(&mut self) -> Vec<(Ipv4Addr, HopHeader)> {
+        std::mem::take(&mut self.further_chains)
+    }
+
     fn continue_flow(
         &mut self,
         packet: &FlowPacket,
@@ -243,7 +253,10 @@
         }
         let lookup = match self.lookups.get(flow) {
             // The caller sends this packet again if the flow is not found by then.
-            Some(lookup) if lookup.is_wide_pending(now) => {
+            // A few agents that are left may be asked again: one may have been restarted.
+            Some(lookup)
+                if lookup.is_wide_pending(now) && lookup.unanswered_agents() > ATTEMPT_CHAINS =>
+            {
                 return FlowVerdict::Park(RefusalCause::OwnerUnknown);
             }
             Some(lookup) => OwnerLookup::new(bytes, packet, now).following(lookup, now),
@@ -254,8 +267,14 @@
         let assumed_owner = assumed_owner
             .filter(|owner| owner.confirmed || lookup.attempt == 0)
             .map(|owner| owner.agent);
-        // The first round of a lookup is a single chain.
-        let hops = self.send_lookup(lookup, services, assumed_owner, now);
+        let mut hops = self.send_lookup(lookup.clone(), services, assumed_owner, now);
+        if hops.is_empty() {
+            // All agents have answered, but the flow can't be reset.
+            let mut lookup = lookup;
+            lookup.ask_denied_again();
+            hops = self.send_lookup(lookup, services, assumed_owner, now);
+        }
+        self.further_chains = hops.split_off(hops.len().min(1));
         let Some((to, header)) = hops.first().copied() else {
             self.parked.park(flow, bytes, now);
             return FlowVerdict::Park(RefusalCause::NoTarget);
--- a/src/flow/balancer/balancer_lookups.rs
+++ b/src/flow/balancer/balancer_lookups.rs
@@ -22,6 +22,9 @@
 /// hundreds of targets take longer than the wait for one, and after an outage wide
 /// rounds filled links of 2 Mbit/s.
 const MAX_WIDE_TARGETS: usize = 64;
+/// Maximum number of chains of a further attempt, so that an agent that is down hides few
+/// others.
+pub(super) const ATTEMPT_CHAINS: usize = 4;
 /// Number of agents that a chain of the second round, or of a further attempt, passes
 /// one after the other.
 const CHAIN_AGENTS: usize = MAX_CANDIDATES + 1;
@@ -41,7 +44,7 @@
     ) -> Vec<(Ipv4Addr, HopHeader)> {
         let flow = lookup.reset.flow;
         if lookup.round == LookupRound::Wide {
-            lookup.asked_agents.clear();
+            lookup.asked_agents = lookup.known_denied().collect();
         }
         let mut next: Vec<Ipv4Addr> = assumed_owner.into_iter().collect();
         next.extend(self.agents_of_round(&lookup, services, now));
@@ -55,12 +58,17 @@
             self.suspects.contains_key(agent) || self.targets.is_silent(*agent)
         });
         let is_further_attempt = lookup.attempt > 0;
+        let mut chain_count = 1;
         if lookup.round == LookupRound::First {
-            next.truncate(if is_further_attempt {
-                CHAIN_AGENTS
-            } else {
-                FIRST_ROUND_AGENTS
-            });
+            let mut limit = FIRST_ROUND_AGENTS;
+            if is_further_attempt {
+                if next.len() <= MAX_WIDE_TARGETS {
+                    let wanted = next.len().clamp(1, ATTEMPT_CHAINS) - 1;
+                    chain_count += self.lookups.take_further_chains(wanted, now);
+                }
+                limit = chain_count * CHAIN_AGENTS;
+            }
+            next.truncate(limit);
         }
         if is_further_attempt && matches!(lookup.round, LookupRound::First | LookupRound::Others) {
             // The agent that ended the chain before is one that was not heard of since.
@@ -77,13 +85,20 @@
             LookupRound::Wide | LookupRound::Ended { .. } => next.len().min(WIDE_ROUND_AGENTS),
         };
         let (single, chained) = next.split_at(alone);
-        let chains = || single.chunks(1).chain(chained.chunks(CHAIN_AGENTS));
-        let hops = chains()
+        let chains: Vec<Vec<Ipv4Addr>> = match lookup.round {
+            LookupRound::First => deal_chains(&next, chain_count),
+            LookupRound::Others | LookupRound::Wide | LookupRound::Ended { .. } => {
+                let chains = single.chunks(1).chain(chained.chunks(CHAIN_AGENTS));
+                chains.map(<[Ipv4Addr]>::to_vec).collect()
+            }
+        };
+        let hops = chains
+            .iter()
             .map(|chain| (chain[0], header.with_candidates(chain[1..].iter().copied())))
             .collect();
         lookup.lookup_id = self.last_lookup_id;
         lookup.rounds += 1;
-        lookup.awaited_chains = chains().map(<[Ipv4Addr]>::to_vec).collect();
+        lookup.awaited_chains = chains;
         lookup.asked_agents.extend(&next);
         lookup.sent_at = now;
         self.lookups.insert(flow, lookup);
@@ -234,15 +249,21 @@
             return ReportAction::Nothing;
         };
         let repeated = lookup.round == (LookupRound::Ended { repeated: true });
-        for round in [LookupRound::Others, LookupRound::Ended { repeated }] {
-            lookup.round = round;
-            let hops = self.send_lookup(lookup.clone(), &choice.owner_services, None, now);
-            if !hops.is_empty() {
-                let packet = lookup.packet;
-                return ReportAction::Forward { packet, hops };
+        loop {
+            for round in [LookupRound::Others, LookupRound::Ended { repeated }] {
+                lookup.round = round;
+                let hops = self.send_lookup(lookup.clone(), &choice.owner_services, None, now);
+                if !hops.is_empty() {
+                    let packet = lookup.packet;
+                    return ReportAction::Forward { packet, hops };
+                }
+            }
+            if lookup.earlier_denied.is_empty() {
+                return self.end_lookup(&lookup, now);
             }
+            // A reset rests on answers of one lookup alone.
+            lookup.ask_denied_again();
         }
-        self.end_lookup(&lookup, now)
     }
 
     /// Ends a lookup whose flow no target holds.
@@ -258,6 +279,13 @@
     }
 }
 
+/// Deals the agents, best first, to this number of chains.
+fn deal_chains(agents: &[Ipv4Addr], chain_count: usize) -> Vec<Vec<Ipv4Addr>> {
+    let chains = (0..chain_count.min(agents.len()))
+        .map(|first| agents.iter().skip(first).step_by(chain_count).copied());
+    chains.map(Iterator::collect).collect()
+}
+
 /// Changes the order of the agents, best first, for a further attempt of a lookup: an
 /// agent of the chain before does not answer, and those behind it were not asked.
 fn reorder_for_attempt(agents: &mut [Ipv4Addr], attempt: u32) {
--- a/src/flow/balancer/balancer_openings.rs
+++ b/src/flow/balancer/balancer_openings.rs
@@ -57,8 +57,9 @@
             .map(|owner| owner.agent)
             .filter(|agent| ranked.contains(agent));
         if !is_copy {
-            // The confirmed owner of an earlier flow may not be that of the new one.
+            // What is known of an earlier flow says nothing of the new one.
             self.owners.remove(flow);
+            self.lookups.remove(flow);
         }
         let (trusted, suspected): (Vec<Ipv4Addr>, Vec<Ipv4Addr>) = previous
             .into_iter()
--- a/src/flow/balancer/owner_lookup.rs
+++ b/src/flow/balancer/owner_lookup.rs
@@ -28,7 +28,9 @@
 /// Maximum number of wide rounds a second; more would fill a thin link while many
 /// targets don't answer.
 const MAX_WIDE_ROUNDS: u32 = 5;
-/// The span over which wide rounds are counted.
+/// Maximum number of chains a second that attempts have besides their first one.
+const MAX_FURTHER_CHAINS: usize = 50;
+/// The span over which wide rounds and further chains are counted.
 const WIDE_WINDOW_MILLIS: SpanMillis = SpanMillis::new(1_000);
 
 /// How a round of a lookup asks agents.
@@ -61,6 +63,11 @@
     pub(crate) round: LookupRound,
     /// The agents of all rounds so far.
     pub(crate) asked_agents: Vec<Ipv4Addr>,
+    /// Agents that have answered in this lookup that they do not hold the flow.
+    pub(crate) denied_agents: Vec<Ipv4Addr>,
+    /// Agents that have answered so in earlier attempts. A flow stays where it is, so
+    /// they are asked again only before it is reset.
+    pub(crate) earlier_denied: Vec<Ipv4Addr>,
     /// The chains of the current round without a report; the last agent of each
     /// reports if no agent of its chain holds the flow.
     pub(crate) awaited_chains: Vec<Vec<Ipv4Addr>>,
@@ -85,6 +92,8 @@
             attempt: 0,
             round: LookupRound::First,
             asked_agents: Vec::new(),
+            denied_agents: Vec::new(),
+            earlier_denied: Vec::new(),
             awaited_chains: Vec::new(),
             lookup_id: 0,
             rounds: 0,
@@ -109,6 +118,8 @@
     /// had time to end, this is a further attempt.
     pub(super) fn following(mut self, previous: &Self, now: ClockMillis) -> Self {
         self.unknown_since = previous.unknown_since;
+        self.earlier_denied = previous.known_denied().collect();
+        self.asked_agents.clone_from(&self.earlier_denied);
         let has_failed = previous.round == LookupRound::Wide || previous.wide_at() <= now;
         if has_failed {
             self.attempt = previous.attempt.saturating_add(1);
@@ -119,6 +130,23 @@
         self
     }
 
+    /// Counts agents that answered in earlier attempts as not asked.
+    pub(super) fn ask_denied_again(&mut self) {
+        let denied = std::mem::take(&mut self.earlier_denied);
+        self.asked_agents.retain(|agent| !denied.contains(agent));
+    }
+
+    /// Returns the number of agents of the chains without a report.
+    pub(super) fn unanswered_agents(&self) -> usize {
+        self.awaited_chains.iter().map(Vec::len).sum()
+    }
+
+    /// Returns the agents that are known not to hold the flow.
+    pub(super) fn known_denied(&self) -> impl Iterator<Item = Ipv4Addr> {
+        let denied = self.earlier_denied.iter().chain(&self.denied_agents);
+        denied.copied()
+    }
+
     /// Returns the agents that passed the packet on before `agent` got it, if it is one
     /// of a chain without a report.
     pub(super) fn agents_before(&self, agent: Ipv4Addr) -> &[Ipv4Addr] {
@@ -164,6 +192,8 @@
     ended_rounds: VecDeque<(ClockMillis, FlowKey, u32)>,
     /// When the current window of wide rounds began, and their number in it.
     wide_window: (ClockMillis, u32),
+    /// The same for chains that attempts have besides their first one.
+    chain_window: (ClockMillis, usize),
 }
 
 impl PendingLookups {
@@ -207,7 +237,8 @@
             .awaited_chains
             .iter()
             .position(|chain| chain.last() == Some(&agent))?;
-        lookup.awaited_chains.swap_remove(position);
+        let chain = lookup.awaited_chains.swap_remove(position);
+        lookup.denied_agents.extend(chain);
         if !lookup.awaited_chains.is_empty() {
             return None;
         }
@@ -249,6 +280,16 @@
         None
     }
 
+    /// Returns how many of `wanted` further chains an attempt may have, and counts them.
+    pub(crate) fn take_further_chains(&mut self, wanted: usize, now: ClockMillis) -> usize {
+        if now.since(self.chain_window.0) >= WIDE_WINDOW_MILLIS {
+            self.chain_window = (now, 0);
+        }
+        let allowed = wanted.min(MAX_FURTHER_CHAINS - self.chain_window.1);
+        self.chain_window.1 += allowed;
+        allowed
+    }
+
     /// Removes and returns the next lookup whose agents with an ended target had time
     /// for an answer and did not all give one.
     pub(crate) fn take_unanswered(&mut self, now: ClockMillis) -> Option<OwnerLookup> {
--- a/src/flow/tests/broken_chains.rs
+++ b/src/flow/tests/broken_chains.rs
@@ -4,6 +4,7 @@
 use std::{collections::HashMap, net::Ipv4Addr};
 
 use super::{
+    agent,
     balancer_verdicts::{START, balancer, known_targets, report, service, targets},
     flow, from_caller,
 };
@@ -118,7 +119,7 @@
             if is_retransmission
                 && let FlowVerdict::Forward { .. } = flows.handle_packet(&data, &[1], at(now))
             {
-                sent += 1;
+                sent += 1 + flows.take_further_chains().len();
             }
         }
         for lookup in flows.expire_lookups(at(now)) {
@@ -170,3 +171,92 @@
     let verdict = send_data(&mut flows, at(200));
     assert!(matches!(verdict, FlowVerdict::Forward { .. }));
 }
+
+/// Answers a wide round for all agents but `silent`.
+fn answer_wide_round(flows: &mut BalancerFlows, silent: Ipv4Addr) {
+    let wide = flows.expire_lookups(at(100));
+    for (agent, header) in &wide[0].hops {
+        if *agent != silent {
+            let not_held = FlowReport {
+                lookup_id: header.lookup_id,
+                ..report(1, *agent, ReportKind::NotHeld)
+            };
+            assert_eq!(
+                flows.handle_report(&not_held, at(110)),
+                ReportAction::Nothing
+            );
+        }
+    }
+}
+
+/// Issue 36: the agent of an open flow was being restarted when all agents were asked.
+/// The flow's next packets were dropped for 0.6 s, then they took chains that ended before
+/// that agent, and for more than two seconds they reached other targets only.
+#[test]
+fn only_agents_that_have_not_answered_get_the_next_packets_of_a_flow() {
+    let owner = agent(7);
+    let mut flows = balancer_of_twelve();
+    send_data(&mut flows, START);
+    answer_wide_round(&mut flows, owner);
+    for millis in [300, 700, 1_500] {
+        let verdict = send_data(&mut flows, at(millis));
+        let FlowVerdict::Forward { to, header } = verdict else {
+            panic!("not forwarded after {millis} ms: {verdict:?}");
+        };
+        assert_eq!(to, owner, "after {millis} ms");
+        assert!(header.candidates().is_empty());
+        assert_eq!(flows.take_further_chains(), []);
+        flows.sweep(at(millis));
+    }
+}
+
+/// The answers of earlier attempts only shorten a search: a flow is reset after all agents
+/// have answered in one attempt.
+#[test]
+fn agents_that_answered_in_an_earlier_attempt_are_asked_again_before_a_reset() {
+    let last = agent(7);
+    let mut flows = balancer_of_twelve();
+    send_data(&mut flows, START);
+    answer_wide_round(&mut flows, last);
+    let FlowVerdict::Forward { to, header } = send_data(&mut flows, at(700)) else {
+        panic!("not forwarded");
+    };
+    let not_held = |agent, lookup_id| FlowReport {
+        lookup_id,
+        ..report(1, agent, ReportKind::NotHeld)
+    };
+    let action = flows.handle_report(&not_held(to, header.lookup_id), at(710));
+    let ReportAction::Forward { hops, .. } = action else {
+        panic!("nothing is asked: {action:?}");
+    };
+    let [(first, header)] = hops[..] else {
+        panic!("several chains: {hops:?}");
+    };
+    let mut asked = vec![first];
+    asked.extend_from_slice(header.candidates());
+    assert_eq!(asked.len(), usize::from(TARGETS) - 1);
+    assert!(!asked.contains(&last));
+    let end = *asked.last().expect("an agent");
+    let action = flows.handle_report(&not_held(end, header.lookup_id), at(720));
+    assert!(matches!(action, ReportAction::Reset(_)));
+}
+
+/// With several chains, an agent that is down hides a part of the others only.
+#[test]
+fn a_further_attempt_takes_several_chains() {
+    let mut flows = balancer_of_twelve();
+    send_data(&mut flows, START);
+    let FlowVerdict::Forward { to, header } = send_data(&mut flows, at(200)) else {
+        panic!("not forwarded");
+    };
+    let mut chains = vec![(to, header)];
+    chains.extend(flows.take_further_chains());
+    assert_eq!(chains.len(), 4);
+    let mut asked: Vec<Ipv4Addr> = chains
+        .iter()
+        .flat_map(|(to, header)| [*to].into_iter().chain(header.candidates().iter().copied()))
+        .collect();
+    asked.sort_unstable();
+    asked.dedup();
+    assert_eq!(asked.len(), usize::from(TARGETS));
+}
--- a/src/flow/tests/moved_flows.rs
+++ b/src/flow/tests/moved_flows.rs
@@ -254,6 +254,8 @@
                 match self.balancer.handle_packet(&data, &[1], at(now)) {
                     FlowVerdict::Forward { to, header } => {
                         self.forward(port, &[(to, header)], now);
+                        let further = self.balancer.take_further_chains();
+                        self.forward(port, &further, now);
                     }
                     FlowVerdict::Reset(..) => self.trace(port).was_reset = true,
                     FlowVerdict::Wait | FlowVerdict::Park(_) => {}
@@ -288,7 +290,9 @@
         match action {
             ReportAction::Nothing => {}
             ReportAction::Forward { hops, .. } => self.forward(port, hops, now),
-            ReportAction::Reset(reset) => self.trace(reset.reset.flow.caller.port()).was_reset = true,
+            ReportAction::Reset(reset) => {
+                self.trace(reset.reset.flow.caller.port()).was_reset = true;
+            }
         }
     }
 
@@ -373,16 +377,25 @@
     flows
 }
 
-/// Sends a packet of a flow; returns its chain and the number of its lookup.
+/// Sends a packet of a flow; returns the agents that it may reach, in the order in which
+/// they were dealt to chains, and the number of its lookup.
 fn send(flows: &mut BalancerFlows, port: u16, now: u64) -> (Vec<Ipv4Addr>, u32) {
     let data = from_caller(flow(port), PacketFlags::ACKNOWLEDGE);
-    match flows.handle_packet(&data, &[1], at(now)) {
-        FlowVerdict::Forward { to, header } => {
-            let rest = header.candidates().iter().copied();
-            (std::iter::once(to).chain(rest).collect(), header.lookup_id)
-        }
+    let (to, header) = match flows.handle_packet(&data, &[1], at(now)) {
+        FlowVerdict::Forward { to, header } => (to, header),
         other => panic!("not forwarded: {other:?}"),
+    };
+    let mut chains = vec![(to, header)];
+    chains.extend(flows.take_further_chains());
+    let mut agents: Vec<(usize, Ipv4Addr)> = Vec::new();
+    for (to, header) in &chains {
+        let rest = header.candidates().iter().copied();
+        agents.extend(std::iter::once(*to).chain(rest).enumerate());
     }
+    // A stable sort: those at the same place of their chains stay in the order of chains.
+    agents.sort_by_key(|(place, _)| *place);
+    let order = agents.into_iter().map(|(_, agent)| agent).collect();
+    (order, header.lookup_id)
 }
 
 /// An agent of the chain is down: those behind it were never asked.
