A batch that a full disk refused is written again from the last finished one

Cause: before each attempt, five a second, the whole folder was read again and verified. A damaged old record, of which the replica has everything in memory, failed every attempt for good. Whole records of a short write were read back as if they had been synced, and the batch was appended after them, once more with each attempt.

Evidence: a seam around the file operations that change the folder refuses them from the n-th on, cuts writes short, lets the second attempt fail at each operation as well, and then gives room (all kinds of batches, three kinds of full disks).

Ruled out by the same tests on: a full disk alone made no batch fail for good, and no folder look damaged or without identity, at a start or later, whether it renames and removes files or not.

Why it works: the end of the last finished batch is known; a retry cuts the newest segment there and writes the batch as a whole. Files left by an interrupted creation are replaced, removals may be repeated, and nothing is read. A refused batch is logged once a minute.

--- a/src/control/journal/atomic_file.rs
+++ b/src/control/journal/atomic_file.rs
@@ -2,13 +2,17 @@
 
 use std::{
     fs::{self, File},
-    io::{ErrorKind, Write},
+    io::ErrorKind,
     path::Path,
 };
 
 use serde::{Serialize, de::DeserializeOwned};
 
-use super::{JournalError, journal_error::DamageFault};
+use super::{
+    JournalError,
+    disk_operation::{create_file, rename, sync_all, write_all},
+    journal_error::DamageFault,
+};
 
 /// The first bytes of a file; the last digit is the format version.
 const MAGIC: [u8; 8] = *b"CYCFILE1";
@@ -21,12 +25,10 @@
 pub(crate) fn replace_file<T: Serialize>(path: &Path, value: &T) -> Result<(), JournalError> {
     let content = encode(path, value)?;
     let temporary = path.with_extension(TEMPORARY_EXTENSION);
-    let mut file = File::create(&temporary).map_err(JournalError::storage("create", &temporary))?;
-    file.write_all(&content)
-        .map_err(JournalError::storage("write", &temporary))?;
-    file.sync_all()
-        .map_err(JournalError::storage("sync", &temporary))?;
-    fs::rename(&temporary, path).map_err(JournalError::storage("rename", &temporary))?;
+    let file = create_file(&temporary).map_err(JournalError::storage("create", &temporary))?;
+    write_all(&file, &content).map_err(JournalError::storage("write", &temporary))?;
+    sync_all(&file).map_err(JournalError::storage("sync", &temporary))?;
+    rename(&temporary, path).map_err(JournalError::storage("rename", &temporary))?;
     sync_folder(path)
 }
 
@@ -34,7 +36,7 @@
 pub(super) fn sync_folder(path: &Path) -> Result<(), JournalError> {
     let folder = path.parent().unwrap_or(path);
     File::open(folder)
-        .and_then(|file| file.sync_all())
+        .and_then(|file| sync_all(&file))
         .map_err(JournalError::storage("sync", folder))
 }
 
--- a/src/control/journal/commit_mark.rs
+++ b/src/control/journal/commit_mark.rs
@@ -1,11 +1,14 @@
 use std::{
     fs::{self, File, OpenOptions},
     io::ErrorKind,
-    os::unix::fs::FileExt,
     path::{Path, PathBuf},
 };
 
-use super::{JournalError, atomic_file::sync_folder};
+use super::{
+    JournalError,
+    atomic_file::sync_folder,
+    disk_operation::{open_or_create, sync_data, write_all_at},
+};
 use crate::control::replica::LogIndex;
 
 const MARK_FILE_NAME: &str = "commit-mark";
@@ -57,8 +60,8 @@
         };
         let slot = (self.write_count % 2) * SLOT_SPACING_BYTES;
         self.write_count += 1;
-        file.write_all_at(&encode(index), slot)
-            .and_then(|()| file.sync_data())
+        write_all_at(&file, &encode(index), slot)
+            .and_then(|()| sync_data(&file))
             .map_err(JournalError::storage("write", &self.path))?;
         self.file = Some(file);
         Ok(())
@@ -66,11 +69,7 @@
 
     fn open(&self) -> Result<File, JournalError> {
         let existed = self.path.exists();
-        let file = OpenOptions::new()
-            .create(true)
-            .truncate(false)
-            .write(true)
-            .open(&self.path)
+        let file = open_or_create(&self.path, OpenOptions::new().truncate(false))
             .map_err(JournalError::storage("open", &self.path))?;
         if !existed {
             sync_folder(&self.path)?;
--- a/src/control/journal/folder_lock.rs
+++ b/src/control/journal/folder_lock.rs
@@ -1,9 +1,9 @@
 use std::{
-    fs::{File, TryLockError},
+    fs::{File, OpenOptions, TryLockError},
     path::Path,
 };
 
-use super::JournalError;
+use super::{JournalError, disk_operation::open_or_create};
 
 const LOCK_FILE_NAME: &str = "lock";
 
@@ -17,11 +17,7 @@
     /// Locks the folder. Fails if another process holds the lock.
     pub(crate) fn acquire(folder: &Path) -> Result<Self, JournalError> {
         let path = folder.join(LOCK_FILE_NAME);
-        let file = File::options()
-            .create(true)
-            .truncate(false)
-            .write(true)
-            .open(&path)
+        let file = open_or_create(&path, OpenOptions::new().truncate(false))
             .map_err(JournalError::storage("open", &path))?;
         match file.try_lock() {
             Ok(()) => Ok(Self { _file: file }),
--- a/src/control/journal/mod.rs
+++ b/src/control/journal/mod.rs
@@ -3,6 +3,7 @@
 
 mod atomic_file;
 mod commit_mark;
+mod disk_operation;
 mod folder_lock;
 mod journal_error;
 mod log_record;
--- a/src/control/journal/recovery.rs
+++ b/src/control/journal/recovery.rs
@@ -9,6 +9,7 @@
     JournalError,
     atomic_file::{TEMPORARY_EXTENSION, read_file, replace_file, sync_folder},
     commit_mark::CommitMark,
+    disk_operation::remove_file,
     journal_error::DamageFault,
     segment_file::{SegmentFile, segment_number},
 };
@@ -44,7 +45,7 @@
             .extension()
             .is_some_and(|extension| extension == TEMPORARY_EXTENSION)
         {
-            fs::remove_file(&path).map_err(JournalError::storage("remove", &path))?;
+            remove_file(&path).map_err(JournalError::storage("remove", &path))?;
         } else if let Some(number) = segment_number(&path) {
             segment_paths.push((number, path));
         } else if path
@@ -99,8 +100,9 @@
     folder: &Path,
     segments: &mut Vec<SegmentFile>,
 ) -> Result<(), JournalError> {
-    while let Some(segment) = segments.pop() {
+    while let Some(segment) = segments.last() {
         segment.remove()?;
+        segments.pop();
     }
     sync_folder(&folder.join(HARD_STATE_FILE_NAME))
 }
@@ -115,7 +117,7 @@
             .extension()
             .is_some_and(|extension| extension == SNAPSHOT_EXTENSION);
         if is_snapshot && other < path {
-            fs::remove_file(&other).map_err(JournalError::storage("remove", &other))?;
+            remove_file(&other).map_err(JournalError::storage("remove", &other))?;
         }
     }
     Ok(())
--- a/src/control/journal/replica_journal.rs
+++ b/src/control/journal/replica_journal.rs
@@ -1,12 +1,10 @@
-use std::{
-    fs,
-    path::{self, Path, PathBuf},
-};
+use std::path::{self, Path, PathBuf};
 
 use super::{
     JournalError,
     atomic_file::{replace_file, sync_folder},
     commit_mark::CommitMark,
+    disk_operation::create_folders,
     folder_lock::FolderLock,
     recovery::{HARD_STATE_FILE_NAME, read_folder, remove_segments, write_snapshot},
     segment_file::SegmentFile,
@@ -18,15 +16,14 @@
 
 /// The data folder of a replica.
 ///
-/// A failed write closes it: the content of the disk is then unknown, so nothing more may
-/// be acknowledged until the folder is read again.
+/// A failed write closes it: the batch may be on disk in part, so nothing more may be
+/// acknowledged until it is written again.
 #[derive(Debug)]
 pub(crate) struct ReplicaJournal {
     folder: PathBuf,
     segments: Vec<SegmentFile>,
     segment_bytes: usize,
     closed: bool,
-    disk: DiskId,
     mark: CommitMark,
     _lock: FolderLock,
 }
@@ -48,7 +45,6 @@
             segments: content.segments,
             segment_bytes: SEGMENT_BYTES,
             closed: false,
-            disk: content.recovered.hard_state.disk,
             mark: CommitMark::new(folder),
             _lock: lock,
         };
@@ -62,18 +58,17 @@
         self
     }
 
-    /// Reads the folder again after a failed write, and allows further writes.
+    /// Writes a batch again after its write has failed.
     ///
-    /// The failed batch has to be written again; that replaces the parts already on disk.
+    /// It is written from the end of the last finished batch on, in place of the parts
+    /// that have reached the disk.
     ///
     /// # Errors
     ///
-    /// Fails when the folder can't be read; it then stays closed.
-    pub(crate) fn reopen(&mut self) -> Result<(), JournalError> {
-        let content = read_folder(&self.folder, self.disk)?;
-        self.segments = content.segments;
+    /// Fails when the disk is still full or broken; the folder is then closed again.
+    pub(crate) fn retry_batch(&mut self, batch: &DiskBatch) -> Result<(), JournalError> {
         self.closed = false;
-        Ok(())
+        self.write_batch(batch)
     }
 
     /// Writes and syncs a batch.
@@ -88,6 +83,9 @@
         }
         self.closed = true;
         self.persist_batch(batch)?;
+        if let Some(segment) = self.segments.last_mut() {
+            segment.finish_batch();
+        }
         self.closed = false;
         Ok(())
     }
@@ -117,15 +115,14 @@
             .segments
             .last()
             .map_or(1, |segment| segment.number() + 1);
-        match self.segments.last_mut() {
-            Some(segment) if segment.length() < self.segment_bytes => segment.append(entries),
-            _ => {
-                let mut segment = SegmentFile::create(&self.folder, number)?;
-                segment.append(entries)?;
-                self.segments.push(segment);
-                Ok(())
-            }
+        let newest = self.segments.last();
+        if newest.is_none_or(|segment| segment.is_full(self.segment_bytes)) {
+            let segment = SegmentFile::create(&self.folder, number)?;
+            self.segments.push(segment);
         }
+        self.segments
+            .last_mut()
+            .map_or(Ok(()), |segment| segment.append(entries))
     }
 
     /// Removes the oldest segments that hold no entry after `compacted_index`, but never the newest.
@@ -133,7 +130,8 @@
         while let [first, _, ..] = self.segments.as_slice()
             && first.last_index() <= compacted_index
         {
-            self.segments.remove(0).remove()?;
+            first.remove()?;
+            self.segments.remove(0);
         }
         Ok(())
     }
@@ -146,6 +144,6 @@
         .ancestors()
         .take_while(|ancestor| !ancestor.exists())
         .collect();
-    fs::create_dir_all(&folder).map_err(JournalError::storage("create", &folder))?;
+    create_folders(&folder).map_err(JournalError::storage("create", &folder))?;
     missing.into_iter().try_for_each(sync_folder)
 }
--- a/src/control/journal/segment_file.rs
+++ b/src/control/journal/segment_file.rs
@@ -1,12 +1,15 @@
 use std::{
     fs::{self, File, OpenOptions},
-    io::Write,
+    io::ErrorKind,
     path::{Path, PathBuf},
 };
 
 use super::{
     JournalError,
     atomic_file::sync_folder,
+    disk_operation::{
+        create_file, remove_file, set_length, sync_all, sync_data, write_all, write_all_at,
+    },
     journal_error::DamageFault,
     log_record::{ParsedRecord, encode_record, parse_record},
 };
@@ -25,7 +28,12 @@
     file: File,
     path: PathBuf,
     number: u64,
+    /// The bytes of the header and of finished batches.
     length: usize,
+    /// The bytes that the current batch has written and synced after them.
+    appended: usize,
+    /// Whether there may be bytes of an unfinished batch after them.
+    unfinished: bool,
     last_index: LogIndex,
 }
 
@@ -39,24 +47,21 @@
 }
 
 impl SegmentFile {
-    /// Creates an empty segment, and syncs it with its directory entry.
+    /// Creates an empty segment, and syncs it with its directory entry. A file that an
+    /// interrupted creation has left is replaced.
     pub(super) fn create(folder: &Path, number: u64) -> Result<Self, JournalError> {
         let path = segment_path(folder, number);
-        let mut file = OpenOptions::new()
-            .create_new(true)
-            .append(true)
-            .open(&path)
-            .map_err(JournalError::storage("create", &path))?;
-        file.write_all(&segment_header(number))
-            .map_err(JournalError::storage("write", &path))?;
-        file.sync_all()
-            .map_err(JournalError::storage("sync", &path))?;
+        let file = create_file(&path).map_err(JournalError::storage("create", &path))?;
+        write_all(&file, &segment_header(number)).map_err(JournalError::storage("write", &path))?;
+        sync_all(&file).map_err(JournalError::storage("sync", &path))?;
         sync_folder(&path)?;
         Ok(Self {
             file,
             path,
             number,
             length: SEGMENT_HEADER_BYTES,
+            appended: 0,
+            unfinished: false,
             last_index: LogIndex::ZERO,
         })
     }
@@ -73,7 +78,7 @@
         let bytes = fs::read(path).map_err(JournalError::storage("read", path))?;
         if bytes.len() < SEGMENT_HEADER_BYTES {
             if is_newest {
-                fs::remove_file(path).map_err(JournalError::storage("remove", path))?;
+                remove_file(path).map_err(JournalError::storage("remove", path))?;
                 sync_folder(path)?;
                 return Ok(None);
             }
@@ -83,14 +88,11 @@
             return Err(JournalError::damaged(path, 0, DamageFault::Header));
         }
         let (entries, length) = read_entries(path, &bytes, is_newest)?;
-        let file = OpenOptions::new()
-            .append(true)
-            .open(path)
-            .map_err(JournalError::storage("open", path))?;
+        let file = open_file(path)?;
         let torn_bytes = bytes.len() - length;
         if torn_bytes > 0 {
-            file.set_len(length as u64)
-                .and_then(|()| file.sync_all())
+            set_length(&file, length)
+                .and_then(|()| sync_all(&file))
                 .map_err(JournalError::storage("cut", path))?;
         }
         let last_index = entries.iter().map(|entry| entry.index).max();
@@ -99,6 +101,8 @@
             path: path.to_owned(),
             number,
             length,
+            appended: 0,
+            unfinished: false,
             last_index: last_index.unwrap_or_default(),
         };
         let content = SegmentContent {
@@ -108,7 +112,8 @@
         Ok(Some((segment, content)))
     }
 
-    /// Appends entries with a single sync.
+    /// Appends the entries of a batch with a single sync, in place of what an unfinished
+    /// batch has left.
     pub(super) fn append(&mut self, entries: &[LogEntry]) -> Result<(), JournalError> {
         let mut buffer = Vec::new();
         for entry in entries {
@@ -118,19 +123,47 @@
             }
             self.last_index = self.last_index.max(entry.index);
         }
-        self.file
-            .write_all(&buffer)
+        if self.unfinished {
+            self.cut_unfinished()?;
+        }
+        self.unfinished = true;
+        write_all_at(&self.file, &buffer, self.length as u64)
             .map_err(JournalError::storage("write", &self.path))?;
-        self.file
-            .sync_data()
-            .map_err(JournalError::storage("sync", &self.path))?;
-        self.length += buffer.len();
+        sync_data(&self.file).map_err(JournalError::storage("sync", &self.path))?;
+        self.appended = buffer.len();
         Ok(())
     }
 
-    /// Removes the file.
-    pub(super) fn remove(self) -> Result<(), JournalError> {
-        fs::remove_file(&self.path).map_err(JournalError::storage("remove", &self.path))
+    /// Keeps what the current batch has appended.
+    pub(super) fn finish_batch(&mut self) {
+        if self.appended > 0 {
+            self.length += std::mem::take(&mut self.appended);
+            self.unfinished = false;
+        }
+    }
+
+    /// Cuts off what an unfinished batch has left. A part of it may be only in memory, so
+    /// that it can't be kept.
+    fn cut_unfinished(&mut self) -> Result<(), JournalError> {
+        self.file = open_file(&self.path)?;
+        let metadata = self.file.metadata();
+        let found = metadata.map_err(JournalError::storage("read", &self.path))?;
+        if found.len() < self.length as u64 {
+            let fault = DamageFault::Length;
+            return Err(JournalError::damaged(&self.path, self.length, fault));
+        }
+        self.appended = 0;
+        set_length(&self.file, self.length).map_err(JournalError::storage("cut", &self.path))
+    }
+
+    /// Removes the file, unless it has been removed.
+    pub(super) fn remove(&self) -> Result<(), JournalError> {
+        match remove_file(&self.path) {
+            Err(error) if error.kind() != ErrorKind::NotFound => {
+                Err(JournalError::storage("remove", &self.path)(error))
+            }
+            Ok(()) | Err(_) => Ok(()),
+        }
     }
 
     /// Returns the segment's number.
@@ -138,9 +171,12 @@
         self.number
     }
 
-    /// Returns the length of the file in bytes.
-    pub(super) fn length(&self) -> usize {
-        self.length
+    /// Returns whether the next batch belongs to a new segment.
+    ///
+    /// A segment without a finished batch is never full, so that a batch which failed there
+    /// is written there again.
+    pub(super) fn is_full(&self, segment_bytes: usize) -> bool {
+        self.length > SEGMENT_HEADER_BYTES && self.length >= segment_bytes
     }
 
     /// Returns the largest index of its entries, zero if it has none.
@@ -149,6 +185,13 @@
     }
 }
 
+fn open_file(path: &Path) -> Result<File, JournalError> {
+    OpenOptions::new()
+        .write(true)
+        .open(path)
+        .map_err(JournalError::storage("open", path))
+}
+
 fn read_entries(
     path: &Path,
     bytes: &[u8],
--- a/src/control/journal/tests/mod.rs
+++ b/src/control/journal/tests/mod.rs
@@ -2,7 +2,9 @@
 
 mod commit_mark;
 mod damage;
+pub(super) mod disk_plan;
 mod folder;
+mod full_disk;
 mod measures;
 
 use std::{fs, path::PathBuf};
@@ -64,6 +66,13 @@
     }
 }
 
+fn commit_batch(commit: u64) -> DiskBatch {
+    DiskBatch {
+        commit: Some(LogIndex::new(commit)),
+        ..DiskBatch::default()
+    }
+}
+
 fn snapshot_batch(index: u64, term: u64, replaces_log: bool, compacted_index: u64) -> DiskBatch {
     DiskBatch {
         snapshot: Some(GroupSnapshot {
--- a/src/control/replica_shell/disk_writer.rs
+++ b/src/control/replica_shell/disk_writer.rs
@@ -15,6 +15,8 @@
 
 /// Pause before a failed write or a failed start is tried again.
 const RETRY_MILLIS: SpanMillis = SpanMillis::new(200);
+/// Failed attempts from one log line about a batch to the next, a minute's.
+const REFUSALS_PER_LINE: u32 = 300;
 
 /// Writes batches on a thread of its own, because a sync may block for long.
 #[derive(Debug)]
@@ -129,12 +131,12 @@
             if self.policy == DiskFaultPolicy::Stop {
                 return Err(error);
             }
-            if refusals == 0 {
+            if refusals.is_multiple_of(REFUSALS_PER_LINE) {
                 log_event!(error, ControlEvent::DiskRefused, %error);
             }
             refusals += 1;
             thread::sleep(RETRY_MILLIS.duration());
-            result = journal.reopen().and_then(|()| journal.write_batch(batch));
+            result = journal.retry_batch(batch);
         }
         if refusals > 0 {
             log_event!(info, ControlEvent::DiskRecovered, refusals);
