Refused writes of the commit mark leave one slot valid

What operators would see: a replica that restarts together with the others after its disk was full has no routes until a leader is elected.

Cause: each refused attempt went to the next of the two slots. Two short writes tore both, and the mark of what is committed was lost.

Why it works: the next slot is used only after a write has succeeded, so that the attempts of one batch write the same one.

--- a/src/control/journal/commit_mark.rs
+++ b/src/control/journal/commit_mark.rs
@@ -59,10 +59,11 @@
             None => self.open()?,
         };
         let slot = (self.write_count % 2) * SLOT_SPACING_BYTES;
-        self.write_count += 1;
         write_all_at(&file, &encode(index), slot)
             .and_then(|()| sync_data(&file))
             .map_err(JournalError::storage("write", &self.path))?;
+        // Until then a retry writes the same slot, so that the other one stays valid.
+        self.write_count += 1;
         self.file = Some(file);
         Ok(())
     }
--- a/src/control/journal/tests/full_disk.rs
+++ b/src/control/journal/tests/full_disk.rs
@@ -128,6 +128,7 @@
     assert!(is_old || Some(found.hard_state) == batch.hard_state);
     let is_old = found.snapshot == before.snapshot;
     assert!(is_old || found.snapshot == batch.snapshot);
+    assert!(found.commit >= before.commit, "a lost commit mark");
     let start = found.snapshot.as_ref().map(|snapshot| snapshot.index);
     let start = start.unwrap_or_default();
     let replaced_from = batch.entries.first().map(|entry| entry.index);
