Tests: orders go on while disks are full one after another

Every order is acknowledged within 5 s (ack-ms) while a majority has room, and within a second from a second after the last disk has room; no voter is removed, and each replica applies everything.

Ruled out so far: stuck entries of the disk queue, pauses between elections that grow out of bounds, a follower that stays behind the compacted log.

--- a/src/control/replica/tests/mod.rs
+++ b/src/control/replica/tests/mod.rs
@@ -1,4 +1,5 @@
 mod failover;
+mod full_disks;
 mod group_simulator;
 mod group_start;
 mod history_checker;
--- a/src/control/replica/tests/timed_group.rs
+++ b/src/control/replica/tests/timed_group.rs
@@ -15,6 +15,8 @@
 };
 
 const STEP_MILLIS: SpanMillis = SpanMillis::new(1);
+/// Pause of the disk writer before a refused batch is tried again.
+const DISK_RETRY_MILLIS: SpanMillis = SpanMillis::new(200);
 
 /// How long things take, in milliseconds.
 #[derive(Debug, Clone)]
@@ -54,6 +56,8 @@
 struct NodeClock {
     inbox: VecDeque<Envelope>,
     sync_due_at: Option<ClockMillis>,
+    /// Syncs end only after the next attempt of the writer on a disk with room.
+    has_full_disk: bool,
     tick_due_at: ClockMillis,
     started_at: Option<ClockMillis>,
     pause_starts_at: ClockMillis,
@@ -116,6 +120,22 @@
         key
     }
 
+    /// Has a replica urge another one to lead.
+    pub(super) fn transfer_leadership(&mut self, node: usize) {
+        self.simulator.transfer_leadership(node);
+        self.schedule_outputs(node);
+    }
+
+    /// From now on the disk of a replica refuses every batch, also the one under way.
+    pub(super) fn fill_disk(&mut self, node: usize) {
+        self.clocks[node].has_full_disk = true;
+    }
+
+    /// The disk of a replica has room again; the writer notices with its next attempt.
+    pub(super) fn free_disk(&mut self, node: usize) {
+        self.clocks[node].has_full_disk = false;
+    }
+
     /// Stops every replica without notice.
     pub(super) fn lose_power(&mut self) {
         for node in 0..self.clocks.len() {
@@ -250,6 +270,9 @@
             if !clock.inbox.is_empty() {
                 ready.push(ReadyInput::Message);
             }
+            if clock.has_full_disk && clock.sync_due_at.is_some_and(|due_at| due_at <= now) {
+                clock.sync_due_at = Some(now.after(DISK_RETRY_MILLIS));
+            }
             if clock.sync_due_at.is_some_and(|due_at| due_at <= now) {
                 ready.push(ReadyInput::Sync);
             }
