An agent whose last answer is missing is never taken for gone with its target running

And with more than 16 ended targets, the others were asked along a chain: if that ended at a VM that is gone, only its last agent was asked a second time, and those before it counted as asked.

Change: an agent without an answer counts as gone only while its target is known as ended; all agents of an unanswered chain are asked a second time, each by itself.

--- a/src/flow/balancer/balancer_lookups.rs
+++ b/src/flow/balancer/balancer_lookups.rs
@@ -82,7 +82,11 @@
             HopHeader::new(services[0], self.own_address).with_lookup_id(self.last_lookup_id);
         let alone = match lookup.round {
             LookupRound::First | LookupRound::Others => 0,
-            LookupRound::Wide | LookupRound::Ended { .. } => next.len().min(WIDE_ROUND_AGENTS),
+            LookupRound::Wide | LookupRound::Ended { repeated: false } => {
+                next.len().min(WIDE_ROUND_AGENTS)
+            }
+            // An agent that is gone must not hide others from their last question.
+            LookupRound::Ended { repeated: true } => next.len(),
         };
         let (single, chained) = next.split_at(alone);
         let chains: Vec<Vec<Ipv4Addr>> = match lookup.round {
@@ -186,13 +190,20 @@
     pub(crate) fn expire_ended_rounds(&mut self, now: ClockMillis) -> Vec<ReportAction> {
         let mut actions = Vec::new();
         while let Some(mut lookup) = self.lookups.take_unanswered(now) {
+            let silent = std::mem::take(&mut lookup.awaited_chains);
+            let is_silent = |agent: &Ipv4Addr| silent.iter().any(|chain| chain.contains(agent));
             if lookup.round == (LookupRound::Ended { repeated: true }) {
+                // Those whose target runs again by now may hold the flow.
+                let services = self.targets.services.values();
+                let ended: HashSet<Ipv4Addr> = services
+                    .flat_map(|targets| targets.ended.iter().copied())
+                    .collect();
+                lookup
+                    .asked_agents
+                    .retain(|agent| !is_silent(agent) || ended.contains(agent));
                 actions.push(self.send_next_round(lookup, now));
                 continue;
             }
-            let silent = std::mem::take(&mut lookup.awaited_chains);
-            let is_silent =
-                |agent: &Ipv4Addr| silent.iter().any(|chain| chain.last() == Some(agent));
             lookup.asked_agents.retain(|agent| !is_silent(agent));
             lookup.round = LookupRound::Ended { repeated: true };
             actions.push(self.send_or_end(lookup, now));
--- a/src/flow/tests/unheard_agents.rs
+++ b/src/flow/tests/unheard_agents.rs
@@ -90,12 +90,8 @@
     let mut partial = known_targets(HashMap::from([(service(), first)]));
     partial.complete = false;
     flows.set_targets(partial);
-    let data = from_caller(flow(1), PacketFlags::ACKNOWLEDGE);
-    let FlowVerdict::Forward { to, header } = flows.handle_packet(&data, &[1], START) else {
-        panic!("not forwarded");
-    };
-    let last = header.candidates().last().copied().unwrap_or(to);
-    let ended_round = answer(&mut flows, last, header.lookup_id);
+    let (last, lookup_id) = look_up(&mut flows);
+    let ended_round = answer(&mut flows, last, lookup_id);
     assert_eq!(agents_of(&ended_round), [agent(5)]);
     let mut all = targets(&[1, 2, 3, 4], &[1, 2, 3, 4]);
     all.ended = vec![agent(5), agent(6)];
@@ -112,15 +108,8 @@
     let mut first = targets(&[1, 2], &[1, 2]);
     first.ended = vec![agent(5)];
     let mut flows = balancer_of(first);
-    let data = from_caller(flow(1), PacketFlags::ACKNOWLEDGE);
-    let FlowVerdict::Forward { to, header } = flows.handle_packet(&data, &[1], START) else {
-        panic!("not forwarded");
-    };
-    let last = header.candidates().last().copied().unwrap_or(to);
-    assert_eq!(
-        agents_of(&answer(&mut flows, last, header.lookup_id)),
-        [agent(5)]
-    );
+    let (last, lookup_id) = look_up(&mut flows);
+    assert_eq!(agents_of(&answer(&mut flows, last, lookup_id)), [agent(5)]);
     assert_eq!(flows.expire_ended_rounds(at(50)).len(), 1);
     let mut all = targets(&[1, 2, 3], &[1, 2, 3]);
     all.ended = vec![agent(5)];
@@ -142,12 +131,8 @@
     let mut first = targets(&[1, 2], &[1, 2]);
     first.ended = vec![agent(5)];
     let mut flows = balancer_of(first);
-    let data = from_caller(flow(1), PacketFlags::ACKNOWLEDGE);
-    let FlowVerdict::Forward { to, header } = flows.handle_packet(&data, &[1], START) else {
-        panic!("not forwarded");
-    };
-    let last = header.candidates().last().copied().unwrap_or(to);
-    answer(&mut flows, last, header.lookup_id);
+    let (last, lookup_id) = look_up(&mut flows);
+    answer(&mut flows, last, lookup_id);
     let again = targets(&[1, 2, 5], &[1, 2, 5]);
     flows.set_targets(known_targets(HashMap::from([(service(), again)])));
     let actions = flows.expire_ended_rounds(at(50));
@@ -156,6 +141,50 @@
     assert_eq!(flows.expire_ended_rounds(at(150)), []);
 }
 
+/// The same with one that runs again after its agent was asked a second time.
+#[test]
+fn an_ended_target_that_runs_again_after_the_second_question_is_waited_for() {
+    let mut first = targets(&[1, 2], &[1, 2]);
+    first.ended = vec![agent(5)];
+    let mut flows = balancer_of(first);
+    let (last, lookup_id) = look_up(&mut flows);
+    answer(&mut flows, last, lookup_id);
+    assert_eq!(flows.expire_ended_rounds(at(50)).len(), 1);
+    let again = targets(&[1, 2, 5], &[1, 2, 5]);
+    flows.set_targets(known_targets(HashMap::from([(service(), again)])));
+    let actions = flows.expire_ended_rounds(at(100));
+    assert_eq!(agents_of(&actions[0]), [agent(5)]);
+}
+
+/// A VM that is gone ended a chain of agents of ended targets, and those before the last
+/// one counted as asked.
+#[test]
+fn each_agent_of_an_unanswered_chain_is_asked_by_itself() {
+    let mut first = targets(&[1, 2], &[1, 2]);
+    first.ended = (10..30).map(agent).collect();
+    let mut flows = balancer_of(first);
+    let (last, lookup_id) = look_up(&mut flows);
+    let round = answer(&mut flows, last, lookup_id);
+    for number in 10..26 {
+        answer(&mut flows, agent(number), lookup_id_of(&round));
+    }
+    let actions = flows.expire_ended_rounds(at(50));
+    let mut asked = agents_of(&actions[0]);
+    asked.sort_unstable();
+    assert_eq!(asked, [26, 27, 28, 29].map(agent));
+    assert!(matches!(&actions[0], ReportAction::Forward { hops, .. } if hops.len() == 4));
+}
+
+/// Looks flow 1 up; returns the last agent of the chain and the number of the round.
+fn look_up(flows: &mut BalancerFlows) -> (Ipv4Addr, u32) {
+    let data = from_caller(flow(1), PacketFlags::ACKNOWLEDGE);
+    let FlowVerdict::Forward { to, header } = flows.handle_packet(&data, &[1], START) else {
+        panic!("not forwarded");
+    };
+    let last = header.candidates().last().copied().unwrap_or(to);
+    (last, header.lookup_id)
+}
+
 /// Reports that the chain that ends at `agent` does not hold flow 1.
 fn answer(flows: &mut BalancerFlows, agent: Ipv4Addr, lookup_id: u32) -> ReportAction {
     let report = FlowReport {
