The fourth attempt of a lookup goes by ranking again

Seen in trials after, not by callers: packets of a flow whose own agent was restarted for 1 s while it moved reached only other targets for 3 s.

Cause: the retransmission after 1.4 s, the first one after the restart, asked agents in the middle first and those not heard of last. The restarted agent was not heard of, and agents that are gone stood before it.

Not mended, and worse than before: restarts that take longer. The other orders bring packets to other targets while the own agent is down, where the first chain stopped at it.

--- a/src/flow/balancer/balancer_lookups.rs
+++ b/src/flow/balancer/balancer_lookups.rs
@@ -28,6 +28,8 @@
 /// Number of agents that a chain of the second round, or of a further attempt, passes
 /// one after the other.
 const CHAIN_AGENTS: usize = MAX_CANDIDATES + 1;
+/// Number of attempts after which the orders of the agents begin anew.
+const ATTEMPT_ORDERS: u32 = 3;
 
 impl BalancerFlows {
     /// Starts a round of a lookup. The first round is one chain of agents, the second
@@ -57,11 +59,10 @@
         next.sort_by_key(|agent| {
             self.suspects.contains_key(agent) || self.targets.is_silent(*agent)
         });
-        let is_further_attempt = lookup.attempt > 0;
         let mut chain_count = 1;
         if lookup.round == LookupRound::First {
             let mut limit = FIRST_ROUND_AGENTS;
-            if is_further_attempt {
+            if lookup.attempt > 0 {
                 if next.len() <= MAX_WIDE_TARGETS {
                     let wanted = next.len().clamp(1, ATTEMPT_CHAINS) - 1;
                     chain_count += self.lookups.take_further_chains(wanted, now);
@@ -70,7 +71,8 @@
             }
             next.truncate(limit);
         }
-        if is_further_attempt && matches!(lookup.round, LookupRound::First | LookupRound::Others) {
+        let is_chained = matches!(lookup.round, LookupRound::First | LookupRound::Others);
+        if is_chained && !takes_ranking(lookup.attempt) {
             // The agent that ended the chain before is one that was not heard of since.
             next.sort_by_key(|agent| !self.heard_agents.contains(*agent, now));
         }
@@ -297,15 +299,19 @@
     chains.map(Iterator::collect).collect()
 }
 
+/// Returns whether an attempt asks the agents by their ranking: the first one, and one
+/// by which the owner's own agent may have been restarted.
+fn takes_ranking(attempt: u32) -> bool {
+    attempt.is_multiple_of(ATTEMPT_ORDERS)
+}
+
 /// Changes the order of the agents, best first, for a further attempt of a lookup: an
 /// agent of the chain before does not answer, and those behind it were not asked.
 fn reorder_for_attempt(agents: &mut [Ipv4Addr], attempt: u32) {
     let first_round = agents.len().min(FIRST_ROUND_AGENTS);
-    match attempt % 4 {
+    match attempt % ATTEMPT_ORDERS {
         0 => {}
         1 => agents[..first_round].reverse(),
-        2 => agents.rotate_left(first_round),
-        // Those in the middle may be behind an agent that is down either way.
-        _ => agents[..first_round].rotate_left(first_round / 2),
+        _ => agents.rotate_left(first_round),
     }
 }
