Wide rounds leave few agents without an answer

All agents of a chain that does not report may hold the flow, and are asked again. They have four agents now; a wide round of 37 targets is 22 packets instead of 17.

--- a/src/flow/balancer/balancer_lookups.rs
+++ b/src/flow/balancer/balancer_lookups.rs
@@ -18,6 +18,9 @@
 const FIRST_ROUND_AGENTS: usize = 9;
 /// Number of agents that are each asked by themselves once a chain has not answered.
 const WIDE_ROUND_AGENTS: usize = 16;
+/// Number of agents of the other chains of a wide round: few, since all agents of a chain
+/// without a report may hold the flow.
+const WIDE_CHAIN_AGENTS: usize = 4;
 /// Number of targets beyond which no wide round is sent: the chains of a service of
 /// hundreds of targets take longer than the wait for one, and after an outage wide
 /// rounds filled links of 2 Mbit/s.
@@ -94,7 +97,11 @@
         let chains: Vec<Vec<Ipv4Addr>> = match lookup.round {
             LookupRound::First => deal_chains(&next, chain_count),
             LookupRound::Others | LookupRound::Wide | LookupRound::Ended { .. } => {
-                let chains = single.chunks(1).chain(chained.chunks(CHAIN_AGENTS));
+                let chain_agents = match lookup.round {
+                    LookupRound::Wide => WIDE_CHAIN_AGENTS,
+                    _ => CHAIN_AGENTS,
+                };
+                let chains = single.chunks(1).chain(chained.chunks(chain_agents));
                 chains.map(<[Ipv4Addr]>::to_vec).collect()
             }
         };
