A balancer resets no open flow on a route that it has not heard of

Found by the review: a balancer whose routes are current by its own knowledge, but a poll behind another one, reset packets of a flow that the other had opened on a new route. A replica that has restarted may call itself caught up by a heartbeat alone and list older routes for a moment, and its own VM's balancer watches it.

Packets that open no flow are parked now, unless this balancer saw the route being removed in the last flow age; then the flow is reset as before. Openings are refused as before: there is no flow to end. The price: after a restart, a balancer leaves packets on routes removed earlier without an answer.

--- a/src/flow/balancer/balancer_flows.rs
+++ b/src/flow/balancer/balancer_flows.rs
@@ -207,6 +207,12 @@
         let flow = packet.caller_flow();
         let Some(choice) = self.table.choose(flow.listener, flow.stable_hash(), now) else {
             self.owners.remove(flow);
+            if !packet.is_opening() && !self.table.has_removed(flow.listener) {
+                // Another balancer may have opened the flow on a route that this one has
+                // not heard of yet.
+                self.parked.park(flow, bytes, now);
+                return FlowVerdict::Park(RefusalCause::NotReady);
+            }
             return self.refuse(packet, bytes, RefusalCause::NoRoute, now);
         };
         if packet.is_opening() {
--- a/src/flow/tests/unheard_agents.rs
+++ b/src/flow/tests/unheard_agents.rs
@@ -18,8 +18,8 @@
     clock::{ClockMillis, SpanMillis},
     directory::{DirectoryPosition, TargetDirectory, TargetView},
     flow::{
-        BalancerFlows, FlowReport, FlowVerdict, PacketFlags, ReportAction, ReportKind,
-        ServiceTargets,
+        BalancerFlows, FlowReport, FlowVerdict, PacketFlags, RefusalCause, ReportAction,
+        ReportKind, ServiceTargets,
     },
     listener::{ListenerTable, ServiceTag},
 };
@@ -175,6 +175,39 @@
     assert!(matches!(&actions[0], ReportAction::Forward { hops, .. } if hops.len() == 4));
 }
 
+/// A flow that another balancer had opened on a new route was reset by one whose routes
+/// were behind.
+#[test]
+fn an_open_flow_on_a_route_that_is_not_known_yet_is_not_reset() {
+    let mut table = ListenerTable::new(FLOW_AGE);
+    table.replace(&manifest(1, Vec::new()), START);
+    let mut flows = BalancerFlows::new(BALANCER, table, FLOW_AGE);
+    flows.set_current(true);
+    let data = from_caller(flow(1), PacketFlags::ACKNOWLEDGE);
+    let parked = FlowVerdict::Park(RefusalCause::NotReady);
+    assert_eq!(flows.handle_packet(&data, &[1], START), parked);
+    assert_eq!(flows.drain_parked(START).len(), 1);
+    // An opening can be refused: it has no flow yet.
+    let opening = from_caller(flow(2), PacketFlags::OPEN);
+    let verdict = flows.handle_packet(&opening, &[1], START);
+    assert!(matches!(
+        verdict,
+        FlowVerdict::Reset(_, RefusalCause::NoRoute)
+    ));
+}
+
+#[test]
+fn an_open_flow_on_a_removed_route_is_reset() {
+    let mut flows = balancer_of(targets(&[1], &[1]));
+    flows.table_mut().replace(&manifest(2, Vec::new()), START);
+    let data = from_caller(flow(1), PacketFlags::ACKNOWLEDGE);
+    let verdict = flows.handle_packet(&data, &[1], START);
+    assert!(matches!(
+        verdict,
+        FlowVerdict::Reset(_, RefusalCause::NoRoute)
+    ));
+}
+
 /// Looks flow 1 up; returns the last agent of the chain and the number of the round.
 fn look_up(flows: &mut BalancerFlows) -> (Ipv4Addr, u32) {
     let data = from_caller(flow(1), PacketFlags::ACKNOWLEDGE);
--- a/src/listener/listener_table.rs
+++ b/src/listener/listener_table.rs
@@ -37,6 +37,8 @@
     flow_age: SpanMillis,
     /// When the manifest in force was applied.
     replaced_at: Option<ClockMillis>,
+    /// When routes were removed, until the flows on them have expired.
+    removed_at: HashMap<SocketAddrV4, ClockMillis>,
 }
 
 impl ListenerTable {
@@ -48,6 +50,7 @@
             entries: HashMap::new(),
             flow_age,
             replaced_at: None,
+            removed_at: HashMap::new(),
         }
     }
 
@@ -78,6 +81,11 @@
             };
             self.entries.insert(route.address, entry);
         }
+        let flow_age = self.flow_age;
+        self.removed_at
+            .retain(|_, removed_at| now.since(*removed_at) < flow_age);
+        let removed = previous.into_keys().map(|address| (address, now));
+        self.removed_at.extend(removed);
         true
     }
 
@@ -89,6 +97,12 @@
             .is_none_or(|replaced_at| now.since(replaced_at) < self.flow_age)
     }
 
+    /// Returns whether a route to `address` was removed while this table was in use. One
+    /// that it never had may be newer than the manifest in force.
+    pub(crate) fn has_removed(&self, address: SocketAddrV4) -> bool {
+        self.removed_at.contains_key(&address)
+    }
+
     /// Returns the services for a flow to `address`, `None` without a route;
     /// `flow_hash` selects one by weight for a new flow.
     pub(crate) fn choose(
