Copies of directories are tried again at growing pauses

After a restart of all, each replica asked all others for their whole directories every 0.2 s until one had settled.

--- a/src/fleet/directory_copy.rs
+++ b/src/fleet/directory_copy.rs
@@ -15,7 +15,9 @@
     event::log_event,
 };
 
-/// The pause before the other replicas are asked again, of which none had settled.
+/// The first pause before the other replicas are asked again, of which none had settled.
+/// Each next one is twice as long: after a restart of all, whole directories of hundreds of
+/// agents would fill a thin link.
 const RETRY_PAUSE_MILLIS: SpanMillis = SpanMillis::new(200);
 
 /// Copies the directory of another replica into that of a replica that has just started.
@@ -52,6 +54,7 @@
 
     /// Asks one replica after the other until the directory has settled.
     pub(super) async fn run(self) {
+        let mut pause = RETRY_PAUSE_MILLIS;
         loop {
             let mut untried = self.group.contacts();
             untried.retain(|contact| *contact != self.own_address);
@@ -65,7 +68,8 @@
                 }
                 untried.retain(|contact| *contact != replica);
             }
-            sleep(RETRY_PAUSE_MILLIS.duration()).await;
+            sleep(pause.duration()).await;
+            pause = pause.saturating_mul(2);
             let now = self.clock.now();
             if self.directory.with_directory(|known| known.is_settled(now)) {
                 return;
