--- a/src/directory/target_directory.rs
+++ b/src/directory/target_directory.rs
@@ -27,7 +27,7 @@
 const ENDED_RETENTION_MILLIS: SpanMillis = SpanMillis::new(60_000);
 /// Time after its start at which a replica has heard from every running agent.
 const SETTLE_MILLIS: SpanMillis = SpanMillis::new(2_500);
-/// Time after its start at which it has heard from those that it does not expect: one
+/// Time after its start at which it has heard from agents that are not in its file: one
 /// announcement interval plus a margin for a late announcement.
 const UNEXPECTED_MILLIS: SpanMillis = SpanMillis::new(600);
 /// How long announcements of an agent's earlier run are ignored after a newer run
@@ -145,8 +145,8 @@
         running.map(|entry| entry.record.agent).collect()
     }
 
-    /// Returns the incarnation of an agent's target, if the target has announced itself
-    /// and the agent this to this replica.
+    /// Returns the incarnation of an agent's target as the agent announced it to this
+    /// replica.
     pub(crate) fn incarnation_of(&self, agent: Ipv4Addr) -> Option<IncarnationId> {
         let entry = self.entries.get(&agent).filter(|entry| entry.heard)?;
         entry.record.incarnation
