review: case 2, a target that drains after its clock jumped back gets requests on

Claim: the node beside a target acknowledges and ignores all pings of a boot whose 'born' is lower than that of the boot before, so a draining target gets new requests (DRAIN).

--- a/review/standins/src/caller.rs
+++ b/review/standins/src/caller.rs
@@ -117,7 +117,6 @@
     pub src: SocketAddrV4,
     pub listener: SocketAddrV4,
     pub end: End,
-    pub ended_at: Instant,
 }
 
 /// A requester's address with its socket.
@@ -207,7 +206,6 @@
             src,
             listener,
             end,
-            ended_at: Instant::now(),
         };
         self.attempts
             .lock()
@@ -227,14 +225,13 @@
         let seq = u32::from(src.port()) << 8 | 0x5000_0000;
         let start = Instant::now();
         let mut peer_seq = None;
-        for (copy, at) in COPIES.iter().enumerate() {
+        for copy in 0..COPIES.len() {
             let packet = Packet::new(src, listener, SYN, seq, copy as u32);
             self.send(&packet);
             let until = match COPIES.get(copy + 1) {
                 Some(next) => start + Duration::from_millis(*next),
                 None => start + OPENING_LIMIT,
             };
-            let _ = at;
             match next_packet(packets, until) {
                 Some(packet) if packet.is(RST) => return End::Refused,
                 Some(packet) if packet.is(SYN) && packet.sound => {
--- a/review/standins/src/drain_after_clock_step.rs
+++ b/review/standins/src/drain_after_clock_step.rs
@@ -19,7 +19,7 @@
 const CONTACT_WINDOW: Duration = Duration::from_millis(4_000);
 const SERVICE: &str = "barge-control";
 
-pub fn now_ms() -> u64 {
+fn now_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |since| since.as_millis() as u64)
 }
@@ -85,7 +85,7 @@
             record,
         )?);
     }
-    // A request on a flow of its own every 25 ms, from here to the end.
+    // A request on a flow of its own every 10 ms, from here to the end.
     let quiet = Arc::new(AtomicBool::new(false));
     let (load, ended, is_quiet) = (callers.clone(), Arc::clone(&stop), Arc::clone(&quiet));
     let loader = std::thread::spawn(move || {
@@ -102,7 +102,7 @@
                 Duration::from_millis(3_000),
             );
             number += 1;
-            sleep(Duration::from_millis(25));
+            sleep(Duration::from_millis(10));
         }
     });
     sleep(Duration::from_secs(2));
@@ -142,9 +142,8 @@
     while Instant::now() < acked + DRAIN + Duration::from_secs(5) {
         sleep(Duration::from_millis(10));
     }
-    let left = target;
-    left.leave();
     let left_at = Instant::now();
+    target.leave();
     sleep(Duration::from_secs(4));
     stop.store(true, Ordering::SeqCst);
     let _ = loader.join();
@@ -182,15 +181,27 @@
         .iter()
         .filter(|run| run.id == "i-51-b" && run.at > acked + DRAIN)
         .count();
-    let unanswered = attempts
+    // Requests that the leaving target began so late and that nobody answers any more.
+    let lost = runs
         .iter()
-        .filter(|attempt| !matches!(attempt.end, End::Answered { status: 200, sound: true }))
-        .filter(|attempt| attempt.sent_at > acked + DRAIN && attempt.sent_at < left_at)
+        .filter(|run| run.id == "i-51-b" && run.at > acked + DRAIN && run.at < left_at)
+        .filter(|run| {
+            let attempt = attempts
+                .iter()
+                .find(|attempt| Some(&attempt.id) == run.request.as_ref());
+            attempt.is_none_or(|attempt| {
+                attempt.end
+                    != End::Answered {
+                        status: 200,
+                        sound: true,
+                    }
+            })
+        })
         .count();
     record.say(&format!(
         "requests: {}; openings at the leaving target later than {} ms after the \
-         acknowledgement: {}; requests that ran there so late: {late_runs}; requests sent in \
-         that time without an answer: {unanswered}",
+         acknowledgement: {}; requests that ran there so late: {late_runs}, of them without \
+         an answer: {lost}",
         attempts.len(),
         DRAIN.as_millis(),
         late.len()
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 
 mod caller;
 mod drain_after_clock_step;
+mod first_config;
 mod http;
 mod packet;
 mod record;
@@ -26,6 +27,7 @@
     };
     let held = match case.as_str() {
         "drain-after-clock-step" => drain_after_clock_step::run(&folder, &record, trouble),
+        "first-config" => first_config::run(&folder, &record, trouble),
         _ => None,
     };
     match held {
--- a/review/standins/src/target.rs
+++ b/review/standins/src/target.rs
@@ -46,7 +46,6 @@
 #[derive(Debug, Clone)]
 pub struct Taken {
     pub at: Instant,
-    pub target: String,
     pub id: String,
     pub flow: Flow,
     /// The id of the request; `None` for an opening.
@@ -74,7 +73,6 @@
     sent_at: Option<Instant>,
     tries: u32,
     is_running: bool,
-    finished: bool,
 }
 
 /// A running target; it ends when `crash` is called.
@@ -84,7 +82,6 @@
     record: Record,
     stop: Arc<AtomicBool>,
     draining: Arc<AtomicBool>,
-    sequence: Arc<AtomicU64>,
     /// When the first ping with the state `draining` was acknowledged.
     pub drain_acked: Arc<Mutex<Option<Instant>>>,
     threads: Vec<JoinHandle<()>>,
@@ -109,7 +106,6 @@
         health.set_nonblocking(true).ok()?;
         let stop = Arc::new(AtomicBool::new(false));
         let draining = Arc::new(AtomicBool::new(false));
-        let sequence = Arc::new(AtomicU64::new(0));
         let drain_acked = Arc::new(Mutex::new(None));
         record.note(&format!(
             "target {} starts as {id}, born {born}",
@@ -135,7 +131,6 @@
             place: place.clone(),
             id: id.to_owned(),
             born,
-            sequence: Arc::clone(&sequence),
             draining: Arc::clone(&draining),
             drain_acked: Arc::clone(&drain_acked),
             stop: Arc::clone(&stop),
@@ -148,7 +143,6 @@
             record: record.clone(),
             stop,
             draining,
-            sequence,
             drain_acked,
             threads,
             ledger: ledger.clone(),
@@ -162,10 +156,6 @@
         self.draining.store(true, Ordering::SeqCst);
     }
 
-    pub fn pings(&self) -> u64 {
-        self.sequence.load(Ordering::SeqCst)
-    }
-
     /// Says that the target is gone and ends it.
     pub fn leave(self) {
         let path = format!("/cyclamenrouter/instances/{}", self.id);
@@ -222,7 +212,6 @@
     place: Place,
     id: String,
     born: u64,
-    sequence: Arc<AtomicU64>,
     draining: Arc<AtomicBool>,
     drain_acked: Arc<Mutex<Option<Instant>>>,
     stop: Arc<AtomicBool>,
@@ -233,9 +222,10 @@
     fn run(self) {
         let path = format!("/cyclamenrouter/instances/{}", self.id);
         let mut was_draining = false;
+        let mut sequence = 0_u64;
         while !self.stop.load(Ordering::SeqCst) {
             let draining = self.draining.load(Ordering::SeqCst);
-            let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+            sequence += 1;
             let state = if draining { "draining" } else { "ready" };
             let body = format!(
                 "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
@@ -317,7 +307,6 @@
     fn taken(&self, flow: Flow, request: Option<String>) -> Taken {
         Taken {
             at: Instant::now(),
-            target: self.place.name.clone(),
             id: self.id.clone(),
             flow,
             request,
@@ -347,7 +336,6 @@
                         sent_at: None,
                         tries: 0,
                         is_running: false,
-                        finished: false,
                     },
                 );
             }
@@ -480,7 +468,6 @@
         );
         state.response.extend_from_slice(text.as_bytes());
         state.is_running = false;
-        state.finished = true;
         state.sent_at = Some(Instant::now());
         state.tries = 0;
         self.send_response(flow);
