--- a/review/standins/src/caller.rs
+++ b/review/standins/src/caller.rs
@@ -40,7 +40,8 @@
     pub fn start(all: &[Ipv4Addr], stop: &Arc<AtomicBool>, record: &Record) -> Self {
         let rotation = Arc::new(Mutex::new(Vec::new()));
         for ip in all.iter().copied() {
-            let (rotation, stop, record) = (Arc::clone(&rotation), Arc::clone(stop), record.clone());
+            let (rotation, stop, record) =
+                (Arc::clone(&rotation), Arc::clone(stop), record.clone());
             thread::spawn(move || {
                 let mut misses = 2;
                 while !stop.load(Ordering::SeqCst) {
--- a/review/standins/src/drain_after_clock_step.rs
+++ b/review/standins/src/drain_after_clock_step.rs
@@ -78,12 +78,7 @@
     sleep(Duration::from_secs(6));
     let mut callers = Vec::new();
     for host in [101, 102, 103, 104] {
-        callers.push(Caller::bind(
-            site.block.ip(host),
-            &routers,
-            &stop,
-            record,
-        )?);
+        callers.push(Caller::bind(site.block.ip(host), &routers, &stop, record)?);
     }
     // A request on a flow of its own every 10 ms, from here to the end.
     let quiet = Arc::new(AtomicBool::new(false));
@@ -109,7 +104,9 @@
 
     // The target starts while the time of day of its machine is ahead.
     let step = if trouble { CLOCK_STEP_MS } else { 0 };
-    record.note(&format!("the clock of the machine of target-51 is {step} ms ahead"));
+    record.note(&format!(
+        "the clock of the machine of target-51 is {step} ms ahead"
+    ));
     let first = Target::start(&places[0], "i-51-a", now_ms() + step, &ledger, record)?;
     sleep(Duration::from_millis(900));
     record.note("the clock of the machine of target-51 is right again");
--- a/review/standins/src/first_config.rs
+++ b/review/standins/src/first_config.rs
@@ -96,7 +96,11 @@
     }
     for number in 0..100 {
         let caller = &callers[number % callers.len()];
-        caller.spawn_request(listener, &format!("q{number}"), Duration::from_millis(3_000));
+        caller.spawn_request(
+            listener,
+            &format!("q{number}"),
+            Duration::from_millis(3_000),
+        );
         sleep(Duration::from_millis(50));
     }
     sleep(Duration::from_secs(4));
--- a/review/standins/src/packet.rs
+++ b/review/standins/src/packet.rs
@@ -64,9 +64,12 @@
             u32::from(self.flags & !BOUNCED),
         ];
         let data = self.data.iter().map(|byte| u32::from(*byte));
-        parts.into_iter().chain(data).fold(0x5eed, |sum: u32, part| {
-            sum.wrapping_mul(16_777_619).wrapping_add(part ^ 0x9e37) | 1
-        })
+        parts
+            .into_iter()
+            .chain(data)
+            .fold(0x5eed, |sum: u32, part| {
+                sum.wrapping_mul(16_777_619).wrapping_add(part ^ 0x9e37) | 1
+            })
     }
 
     pub fn encode(&self) -> Vec<u8> {
@@ -90,8 +93,9 @@
             return None;
         }
         let u16_at = |at: usize| u16::from_le_bytes([bytes[at], bytes[at + 1]]);
-        let u32_at =
-            |at: usize| u32::from_le_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]]);
+        let u32_at = |at: usize| {
+            u32::from_le_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]])
+        };
         let mut packet = Self {
             src: SocketAddrV4::new(Ipv4Addr::from_bits(u32_at(8)), u16_at(0)),
             dst: SocketAddrV4::new(Ipv4Addr::from_bits(u32_at(4)), u16_at(2)),
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -9,10 +9,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{
-    http::{call, operator_call},
-    record::Record,
-};
+use crate::{http::operator_call, record::Record};
 
 pub const PACKETS: u16 = 8_172;
 pub const READY: u16 = 8_167;
@@ -22,8 +19,6 @@
 pub const INTERNAL: u16 = 7_720;
 /// The interval of the targets' pings.
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
-/// How long a kill of a process may take to show.
-const END_LIMIT: Duration = Duration::from_secs(8);
 
 /// A block of loopback addresses that no other run uses.
 pub struct Block {
@@ -61,7 +56,6 @@
 /// One machine with one process of the project.
 pub struct Node {
     pub name: String,
-    pub host: u8,
     role: &'static str,
     settings: PathBuf,
     child: Option<Child>,
@@ -85,47 +79,6 @@
         self.child = Some(child);
         Some(())
     }
-
-    pub fn signal(&self, name: &str, record: &Record) {
-        if let Some(child) = &self.child {
-            record.note(&format!("{} gets SIG{name}", self.name));
-            let _ = Command::new("kill")
-                .arg(format!("-{name}"))
-                .arg(child.id().to_string())
-                .status();
-        }
-    }
-
-    pub fn kill(&mut self, record: &Record) {
-        if let Some(mut child) = self.child.take() {
-            record.note(&format!("{} is killed", self.name));
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    /// Sends SIGTERM and waits for the end, with SIGKILL after the grace period.
-    pub fn terminate(&mut self, record: &Record) {
-        self.signal("TERM", record);
-        if let Some(mut child) = self.child.take() {
-            let end = Instant::now() + END_LIMIT;
-            while Instant::now() < end {
-                if matches!(child.try_wait(), Ok(Some(_))) {
-                    return;
-                }
-                sleep(Duration::from_millis(20));
-            }
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    /// Returns whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.child
-            .as_mut()
-            .is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
-    }
 }
 
 impl Drop for Node {
@@ -240,7 +193,6 @@
         let settings = self.write_settings(&name, role, host, fields)?;
         let mut node = Node {
             name,
-            host,
             role,
             settings,
             child: None,
@@ -263,34 +215,6 @@
         Some(())
     }
 
-    pub fn start(&mut self, node: usize) -> Option<()> {
-        let (folder, record) = (self.folder.clone(), self.record.clone());
-        self.nodes[node].start(&folder, &record)
-    }
-
-    pub fn kill(&mut self, node: usize) {
-        let record = self.record.clone();
-        self.nodes[node].kill(&record);
-    }
-
-    pub fn terminate(&mut self, node: usize) {
-        let record = self.record.clone();
-        self.nodes[node].terminate(&record);
-    }
-
-    /// Returns whether a machine answers the readiness probe with 200.
-    pub fn is_ready(&self, host: u8) -> bool {
-        let to = self.block.at(host, READY);
-        let answer = call(
-            to,
-            "GET",
-            "/cyclamenrouter/ready",
-            "",
-            Duration::from_millis(400),
-        );
-        matches!(answer, Some((200, _, _)))
-    }
-
     /// Sends a config to the machines in turn until it is acknowledged.
     pub fn put_config(&self, hosts: &[u8], body: &str, limit: Duration) -> Option<()> {
         let end = Instant::now() + limit;
--- a/review/standins/src/target.rs
+++ b/review/standins/src/target.rs
@@ -151,8 +151,10 @@
 
     /// Says from the next ping on, which is sent at once, that the target leaves.
     pub fn drain(&self) {
-        self.record
-            .note(&format!("target {} ({}) begins to drain", self.place.name, self.id));
+        self.record.note(&format!(
+            "target {} ({}) begins to drain",
+            self.place.name, self.id
+        ));
         self.draining.store(true, Ordering::SeqCst);
     }
 
@@ -201,9 +203,8 @@
         let _ = stream.set_read_timeout(Some(Duration::from_millis(20)));
         let mut buffer = [0; 1_024];
         if matches!(stream.read(&mut buffer), Ok(length) if length > 0) {
-            let _ = stream.write_all(
-                b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok",
-            );
+            let _ = stream
+                .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok");
         }
     }
 }
