--- a/review/standins/src/first_config.rs
+++ b/review/standins/src/first_config.rs
@@ -1,4 +1,4 @@
-//! The first config of a new deployment is acknowledged; requests follow.
+//! The first start of a deployment: the operator sends the first config, and requests follow.
 
 use std::{
     path::Path,
@@ -21,6 +21,8 @@
 const SERVICE: &str = "barge-control";
 const CONFIG_APPLY: Duration = Duration::from_millis(3_000);
 const CONTACT_WINDOW: Duration = Duration::from_millis(4_000);
+/// How long the operator sends the first config; usually it is acknowledged within a second.
+const FIRST_ACK_LIMIT: Duration = Duration::from_secs(45);
 
 fn now_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -40,9 +42,27 @@
     )
 }
 
+/// What is unusual about a first start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Oddity {
+    /// The first config has the version 0.
+    VersionZero,
+    /// One of the three seeds is an entry machine without a disk.
+    SeedWithoutDisk,
+}
+
 /// Returns whether the rule held; `None` if the case couldn't run.
-pub fn run(folder: &Path, record: &Record, trouble: bool) -> Option<bool> {
-    let mut site = Site::new(folder, record.clone(), &[1, 2, 3])?;
+pub fn run(folder: &Path, record: &Record, oddity: Oddity, trouble: bool) -> Option<bool> {
+    let kind = oddity;
+    let oddity = trouble.then_some(oddity);
+    let seeds = match oddity {
+        Some(Oddity::SeedWithoutDisk) => [1, 2, 4],
+        Some(Oddity::VersionZero) | None => [1, 2, 3],
+    };
+    record.note(&format!(
+        "the machines 1 to 3 have a disk; the seeds are {seeds:?}"
+    ));
+    let mut site = Site::new(folder, record.clone(), &seeds)?;
     let entries = [1_u8, 2, 3, 4, 5];
     for host in entries {
         site.add_entry(host, host <= 3)?;
@@ -64,11 +84,15 @@
         targets.push(Target::start(&place, &id, now_ms(), &ledger, record)?);
     }
     let listener = site.block.at(200, 8_443);
-    let version = if trouble { 0 } else { 1 };
+    let version = u64::from(oddity != Some(Oddity::VersionZero));
     let body = config(version, listener);
-    site.put_config(&entries, &body, Duration::from_secs(20))?;
+    let started = Instant::now();
+    let is_acked = site.put_config(&entries, &body, FIRST_ACK_LIMIT).is_some();
     let acked = Instant::now();
-    record.say(&format!("version {version} is acknowledged"));
+    record.say(&format!(
+        "version {version}: acknowledged {is_acked}, after {} ms",
+        started.elapsed().as_millis()
+    ));
     let read = operator_call(
         site.block.at(2, CONTROL),
         "GET",
@@ -128,5 +152,9 @@
         "requests: {}; served: {served}; handled as if the route were not there: {unopened}",
         attempts.len()
     ));
-    (!attempts.is_empty()).then_some(unopened == 0)
+    let held = match kind {
+        Oddity::VersionZero => unopened == 0,
+        Oddity::SeedWithoutDisk => is_acked && served > 0,
+    };
+    (!attempts.is_empty()).then_some(held)
 }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -12,6 +12,7 @@
 
 use std::{env, path::PathBuf, process::ExitCode};
 
+use first_config::Oddity;
 use record::Record;
 
 fn main() -> ExitCode {
@@ -27,7 +28,8 @@
     };
     let held = match case.as_str() {
         "drain-after-clock-step" => drain_after_clock_step::run(&folder, &record, trouble),
-        "first-config" => first_config::run(&folder, &record, trouble),
+        "first-config" => first_config::run(&folder, &record, Oddity::VersionZero, trouble),
+        "first-seeds" => first_config::run(&folder, &record, Oddity::SeedWithoutDisk, trouble),
         _ => None,
     };
     match held {
