--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,7 @@
+#!/bin/bash
+# Exit code: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+[ -x target/release/cyclamen-node ] && [ -x target/review/release/review-standins ] || exit 2
+target/review/release/review-standins core-replaced "$folder" review/1/record.txt
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,6 +2,7 @@
 //! held and 2 if the case couldn't run.
 
 mod caller;
+mod core_replaced;
 mod drain_after_clock_step;
 mod first_config;
 mod http;
@@ -27,6 +28,7 @@
         return ExitCode::from(2);
     };
     let held = match case.as_str() {
+        "core-replaced" => core_replaced::run(&folder, &record, trouble),
         "drain-after-clock-step" => drain_after_clock_step::run(&folder, &record, trouble),
         "first-config" => first_config::run(&folder, &record, Oddity::VersionZero, trouble),
         "first-seeds" => first_config::run(&folder, &record, Oddity::SeedWithoutDisk, trouble),
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -81,6 +81,27 @@
     }
 }
 
+impl Node {
+    /// Ends the process at once.
+    pub fn kill(&mut self, record: &Record) {
+        if let Some(mut child) = self.child.take() {
+            record.note(&format!("{} is killed", self.name));
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Tells the process that its settings file has changed.
+    fn hang_up(&self) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill")
+                .arg("-HUP")
+                .arg(child.id().to_string())
+                .status();
+        }
+    }
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -99,6 +120,8 @@
     seeds: Vec<u8>,
     /// More lines for the settings of every machine, after its own top-level fields.
     tables: String,
+    /// Whether the whole site starts for the first time.
+    bootstrap: bool,
 }
 
 impl Site {
@@ -110,6 +133,7 @@
             record,
             nodes: Vec::new(),
             seeds: seeds.to_vec(),
+            bootstrap: true,
             tables: "[fault-tolerance]\nmachines = 1\nzones = 0\nregions = 0\n\
                      [zones]\nfjord-a = \"vestland\"\nfjord-b = \"vestland\"\nsund = \"vestland\"\n\
                      [bounds]\nseed-lag-s = 3\nreuse-after-s = 2\ncontact-window-ms = 4000\n\
@@ -142,7 +166,7 @@
         let text = format!(
             "node-name = \"{name}\"\nrole = \"{role}\"\nserves = {serves}\nip = \"{ip}\"\n\
              zone = \"{}\"\nregion = \"vestland\"\ninternal-ports = [{INTERNAL}, {}]\n\
-             seeds = [{}]\nbootstrap = true\nheartbeat-interval-ms = {}\n\
+             seeds = [{}]\nbootstrap = {}\nheartbeat-interval-ms = {}\n\
              contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"flows\"]\n\
              config_mode = \"highest\"\nhash = \"steady\"\ndeploy-mode = \"agent\"\n{fields}\
              [bind-addrs]\ndatagram-addr = \"{ip}:{PACKETS}\"\nready-addr = \"{ip}:{READY}\"\n\
@@ -152,6 +176,7 @@
             Self::zone(host),
             INTERNAL + 15,
             seeds.join(","),
+            self.bootstrap,
             HEARTBEAT.as_millis(),
             self.tables,
         );
@@ -203,7 +228,8 @@
     }
 
     /// Turns `bootstrap` off in all settings, for later starts.
-    pub fn end_bootstrap(&self) -> Option<()> {
+    pub fn end_bootstrap(&mut self) -> Option<()> {
+        self.bootstrap = false;
         for node in &self.nodes {
             let text = fs::read_to_string(&node.settings).ok()?;
             fs::write(
@@ -215,6 +241,36 @@
         Some(())
     }
 
+    /// Writes other seeds into the settings of all machines and tells their processes.
+    pub fn change_seeds(&mut self, seeds: &[u8]) -> Option<()> {
+        let quoted = |seeds: &[u8]| {
+            let seeds = seeds
+                .iter()
+                .map(|seed| format!("\"{}\"", self.block.at(*seed, CONTROL)));
+            seeds.collect::<Vec<_>>().join(",")
+        };
+        let (old, new) = (quoted(&self.seeds), quoted(seeds));
+        for node in &self.nodes {
+            let text = fs::read_to_string(&node.settings).ok()?;
+            fs::write(&node.settings, text.replace(&old, &new)).ok()?;
+            node.hang_up();
+        }
+        self.record
+            .note(&format!("the seeds are the machines {seeds:?} now"));
+        self.seeds = seeds.to_vec();
+        Some(())
+    }
+
+    pub fn start(&mut self, node: usize) -> Option<()> {
+        let (folder, record) = (self.folder.clone(), self.record.clone());
+        self.nodes[node].start(&folder, &record)
+    }
+
+    pub fn kill(&mut self, node: usize) {
+        let record = self.record.clone();
+        self.nodes[node].kill(&record);
+    }
+
     /// Sends a config to the machines in turn until it is acknowledged.
     pub fn put_config(&self, hosts: &[u8], body: &str, limit: Duration) -> Option<()> {
         let end = Instant::now() + limit;
