--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -275,6 +275,7 @@
     pub fn put_config(&self, hosts: &[u8], body: &str, limit: Duration) -> Option<()> {
         let end = Instant::now() + limit;
         let mut turn = 0;
+        let mut pause = Duration::from_millis(150);
         while Instant::now() < end {
             let host = hosts[turn % hosts.len()];
             turn += 1;
@@ -287,7 +288,8 @@
             if let Some((200, _)) = answer {
                 return Some(());
             }
-            sleep(Duration::from_millis(150));
+            sleep(pause);
+            pause = (pause * 2).min(Duration::from_secs(1));
         }
         None
     }
--- a/review/standins/src/target.rs
+++ b/review/standins/src/target.rs
@@ -112,8 +112,10 @@
             place.name
         ));
         let mut threads = Vec::new();
-        let ended = Arc::clone(&stop);
-        threads.push(thread::spawn(move || serve_health(&health, &ended)));
+        let (ended, leaves) = (Arc::clone(&stop), Arc::clone(&draining));
+        threads.push(thread::spawn(move || {
+            serve_health(&health, &ended, &leaves)
+        }));
         let server = Server {
             socket,
             place: place.clone(),
@@ -194,7 +196,8 @@
     }
 }
 
-fn serve_health(listener: &TcpListener, stop: &AtomicBool) {
+/// Answers health checks with 200 while the target isn't leaving.
+fn serve_health(listener: &TcpListener, stop: &AtomicBool, draining: &AtomicBool) {
     while !stop.load(Ordering::SeqCst) {
         let Ok((mut stream, _)) = listener.accept() else {
             sleep(Duration::from_millis(10));
@@ -203,8 +206,14 @@
         let _ = stream.set_read_timeout(Some(Duration::from_millis(20)));
         let mut buffer = [0; 1_024];
         if matches!(stream.read(&mut buffer), Ok(length) if length > 0) {
-            let _ = stream
-                .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok");
+            let status = if draining.load(Ordering::SeqCst) {
+                "503 Leaving"
+            } else {
+                "200 OK"
+            };
+            let answer =
+                format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+            let _ = stream.write_all(answer.as_bytes());
         }
     }
 }
