Seeds without a disk take part in forming the control group

Cause: a replica formed the group once every seed had reported an empty disk. A seed without a disk runs no replica and never reports; one that comes back without `bootstrap` must not report, as its disk may have replaced that of a running group. Replicas that are no seeds formed no group at all.

Ruled out: further reports in the same roll call.

Change: the seeds, with a disk or without, agree on the founders by single-decree Paxos over UDP (`control::formation`, without I/O). An acceptor that may have forgotten votes only after the others have told it what they remember; answers name the incarnations they know, so that none from before a loss counts. All founders start their log with the same entry. If no VM has a disk, the seeds keep the group in memory. The listed groups of `cyclamen-control` form as before.

--- a/src/control/control_settings.rs
+++ b/src/control/control_settings.rs
@@ -9,7 +9,7 @@
 use super::{
     PeerSettings,
     replica::{GroupAdmission, ReplicaId},
-    replica_shell::{DiskFaultPolicy, PeerAddress, ReplicaOptions},
+    replica_shell::{DiskFaultPolicy, PeerAddress, ReplicaOptions, ReplicaStorage},
 };
 use crate::{
     key::FailureDomain,
@@ -70,7 +70,7 @@
             listen: self.link_listen,
             peers: peers.collect(),
             ports: None,
-            folder: self.data_folder.join(LOG_FOLDER),
+            storage: ReplicaStorage::Folder(self.data_folder.join(LOG_FOLDER)),
             admission: GroupAdmission::Listed,
             disk_fault_policy: DiskFaultPolicy::Stop,
         }
--- a/src/control/journal/mod.rs
+++ b/src/control/journal/mod.rs
@@ -13,7 +13,7 @@
 
 pub(crate) use atomic_file::{read_file, replace_file};
 pub use journal_error::{DamageFault, JournalError};
-pub(crate) use replica_journal::ReplicaJournal;
+pub(crate) use replica_journal::{ReplicaJournal, create_folder};
 
 #[cfg(test)]
 mod tests;
--- a/src/control/journal/replica_journal.rs
+++ b/src/control/journal/replica_journal.rs
@@ -138,7 +138,7 @@
 }
 
 /// Creates a folder and its missing parents, and syncs their directory entries.
-fn create_folder(folder: &Path) -> Result<(), JournalError> {
+pub(crate) fn create_folder(folder: &Path) -> Result<(), JournalError> {
     let folder = path::absolute(folder).map_err(JournalError::storage("find", folder))?;
     let missing: Vec<&Path> = folder
         .ancestors()
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod control_run;
 mod control_settings;
 pub(crate) mod feed;
+pub(crate) mod formation;
 pub(crate) mod journal;
 pub(crate) mod lease;
 mod peer_settings;
--- a/src/control/replica/formation.rs
+++ b/src/control/replica/formation.rs
@@ -8,7 +8,7 @@
     candidate_state::CoreRole,
     limits::{EMPTY_PEER_MILLIS, JOIN_RETRY_MILLIS, MAX_JOIN_REQUESTS, REJOIN_MILLIS},
 };
-use crate::clock::ClockMillis;
+use crate::{clock::ClockMillis, control::formation::GroupProposal};
 
 impl ReplicaCore {
     /// Requests admission, or forms the group, while this replica has no leader and
@@ -25,7 +25,7 @@
         }
         self.next_join_at = now.after(JOIN_RETRY_MILLIS);
         if self.hard_state.group.is_none() && self.can_form_group(now) {
-            self.form_group(now);
+            self.form_listed_group(now);
             return;
         }
         for to in self.peers.others.clone() {
@@ -39,12 +39,9 @@
         self.peers.admission.is_open() && now.since(self.leader_contact_at) >= REJOIN_MILLIS
     }
 
-    /// Replaces the peers to ask for admission.
-    ///
-    /// A replica that may still form the group keeps the peers that it would form
-    /// it with.
+    /// Replaces the peers to ask for admission; those of a listed group stay.
     pub(super) fn update_peers(&mut self, replicas: Vec<ReplicaId>) {
-        if self.hard_state.group.is_none() && self.peers.admission.may_form_group() {
+        if self.peers.admission.is_listed() {
             return;
         }
         let own = self.peers.own;
@@ -55,7 +52,7 @@
     /// Returns whether every listed peer has recently reported an empty disk and
     /// this replica has the lowest identifier.
     fn can_form_group(&self, now: ClockMillis) -> bool {
-        self.peers.admission.may_form_group()
+        self.peers.admission.is_listed()
             && self.peers.others.iter().all(|replica| {
                 let empty = self.empty_peers.get(replica);
                 *replica > self.peers.own
@@ -63,7 +60,7 @@
             })
     }
 
-    fn form_group(&mut self, now: ClockMillis) {
+    fn form_listed_group(&mut self, now: ClockMillis) {
         let group = GroupId::new(self.rng.random());
         let mut member_ids = vec![self.member_id()];
         for (replica, (disk, _)) in &self.empty_peers {
@@ -74,22 +71,44 @@
                 });
             }
         }
+        self.start_log(group, GroupMembers::new(member_ids));
+        self.start_pre_vote(now);
+    }
+
+    /// Joins the group that the seeds have agreed on, if this replica is one of its
+    /// founders. All founders start with the same entry; one of them holds an election at
+    /// once.
+    pub(super) fn join_as_founder(&mut self, proposal: &GroupProposal, now: ClockMillis) {
+        let own = self.member_id();
+        let is_new = self.peers.admission.is_open() && self.hard_state.group.is_none();
+        if !is_new || !proposal.is_valid() || !proposal.founders.contains(&own) {
+            return;
+        }
+        self.start_log(proposal.group, proposal.members());
+        if proposal.replicas().min() == Some(own.replica) {
+            self.start_pre_vote(now);
+        } else {
+            self.schedule_election_retry(now);
+        }
+    }
+
+    /// Starts the log of a new group, in whose first term nobody is elected.
+    fn start_log(&mut self, group: GroupId, members: GroupMembers) {
         self.hard_state.group = Some(group);
         self.hard_state.term = TermNumber::new(1);
         self.hard_state.voted_for = Some(self.hard_state.disk);
         self.disk.save_hard_state(self.hard_state);
-        self.append_entry(EntryBody::Members(GroupMembers::new(member_ids)));
+        self.append_entry(EntryBody::Members(members));
         self.report(ReplicaReport::GroupFormed { group });
-        self.start_pre_vote(now);
     }
 
     /// Handles a join request: a leader queues it, a follower of an open group
-    /// forwards it, and a replica that may still form the group reports its empty
-    /// disk.
+    /// forwards it, and a replica that may still form a listed group reports its
+    /// empty disk.
     pub(super) fn handle_join_request(&mut self, message: &PeerMessage) {
         let from = message.from;
         if self.hard_state.group.is_none() {
-            if message.group.is_none() && self.peers.admission.may_form_group() {
+            if message.group.is_none() && self.peers.admission.is_listed() {
                 self.send(from, PeerBody::EmptyDiskResponse);
             }
             return;
--- a/src/control/replica/hard_state.rs
+++ b/src/control/replica/hard_state.rs
@@ -62,7 +62,6 @@
     }
 
     /// Creates the content of an empty data folder.
-    #[cfg(test)]
     pub(crate) const fn new(disk: DiskId) -> Self {
         Self {
             hard_state: HardState::new(disk),
--- a/src/control/replica/replica_core.rs
+++ b/src/control/replica/replica_core.rs
@@ -32,22 +32,18 @@
 pub(crate) enum GroupAdmission {
     /// The listed replicas form the group together; no others may join.
     Listed,
-    /// Any replica may join, and silent voters are removed automatically.
+    /// Any replica may join, and silent voters are removed automatically. The seeds agree
+    /// on the replicas that form the group.
     Open {
-        /// Whether this replica may form the group with the listed peers.
-        may_form_group: bool,
         /// Automatic removal leaves at least this many voters.
         min_voters: usize,
     },
 }
 
 impl GroupAdmission {
-    /// Returns whether this replica may take part in forming a group.
-    pub(super) fn may_form_group(self) -> bool {
-        match self {
-            Self::Listed => true,
-            Self::Open { may_form_group, .. } => may_form_group,
-        }
+    /// Returns whether the listed replicas form the group.
+    pub(super) fn is_listed(self) -> bool {
+        matches!(self, Self::Listed)
     }
 
     /// Returns whether replicas that are not listed may join.
@@ -149,6 +145,7 @@
             ReplicaEvent::MessageReceived(message) => self.receive(message, now),
             ReplicaEvent::PeerRefused(replica) => self.handle_refused_connection(replica, now),
             ReplicaEvent::PeersDiscovered(replicas) => self.update_peers(replicas),
+            ReplicaEvent::GroupAgreed(proposal) => self.join_as_founder(&proposal, now),
             ReplicaEvent::Proposed { key, payload } => self.propose(key, payload, now),
             ReplicaEvent::ReadRequested { key } => self.handle_read(key, now),
             ReplicaEvent::LeadershipTransferRequested => self.transfer_leadership(now),
--- a/src/control/replica/replica_event.rs
+++ b/src/control/replica/replica_event.rs
@@ -1,4 +1,5 @@
 use super::{EntryPayload, LogIndex, PeerMessage, ReplicaId, SyncToken};
+use crate::control::formation::GroupProposal;
 
 /// Correlates a proposal with its answer; chosen by the shell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -19,6 +20,8 @@
     PeerRefused(ReplicaId),
     /// Discovery has found these members of the group.
     PeersDiscovered(Vec<ReplicaId>),
+    /// The seeds have agreed on the group to form.
+    GroupAgreed(GroupProposal),
     /// A client proposes a change.
     Proposed {
         /// Correlates the answer.
--- a/src/control/replica/tests/group_simulator.rs
+++ b/src/control/replica/tests/group_simulator.rs
@@ -10,10 +10,11 @@
     clock::{ClockMillis, SpanMillis},
     control::{
         api::ReplicaRole,
+        formation::GroupProposal,
         replica::{
-            EntryPayload, GroupAdmission, PeerMessage, ProposalKey, ReadKey, ReplicaAction,
-            ReplicaCore, ReplicaEvent, ReplicaId, ReplicaPeers, ReplicaView, TICK_MILLIS,
-            replica_log::LogCompaction,
+            EntryPayload, GroupAdmission, GroupId, MemberId, PeerMessage, ProposalKey, ReadKey,
+            ReplicaAction, ReplicaCore, ReplicaEvent, ReplicaId, ReplicaPeers, ReplicaView,
+            TICK_MILLIS, replica_log::LogCompaction,
         },
     },
 };
@@ -34,8 +35,8 @@
     rng: StdRng,
     pub(super) history: HistoryChecker,
     compaction: LogCompaction,
-    /// The number of replicas that form an open group; `None` for a listed group.
-    founders: Option<usize>,
+    /// The open group that the first replicas form; `None` for a listed group.
+    agreed: Option<GroupProposal>,
     counted_node: Option<usize>,
     pub(super) messages: usize,
     pub(super) bytes: usize,
@@ -56,7 +57,7 @@
                 interval_entries: 8,
                 retained_entries: 3,
             },
-            founders: None,
+            agreed: None,
             counted_node: None,
             messages: 0,
             bytes: 0,
@@ -70,7 +71,18 @@
     /// Makes the group open: the first `founders` replicas form it, and the others
     /// know only them.
     pub(super) fn with_founders(mut self, founders: usize) -> Self {
-        self.founders = Some(founders);
+        let member_id = |(node, founder): (usize, &TestNode)| MemberId {
+            replica: replica_id(node),
+            disk: founder.disk.hard_state.disk,
+        };
+        self.agreed = Some(GroupProposal {
+            group: GroupId::new(self.rng.random()),
+            founders: (0..)
+                .zip(&self.nodes)
+                .take(founders)
+                .map(member_id)
+                .collect(),
+        });
         for node in 0..self.nodes.len() {
             self.crash(node, 0);
             self.restart(node);
@@ -103,24 +115,25 @@
         if self.nodes[node].core.is_some() {
             return;
         }
-        let known_replicas = self.founders.unwrap_or(self.nodes.len());
+        let seeds = self.agreed.as_ref().map(|agreed| agreed.founders.len());
+        let known_replicas = seeds.unwrap_or(self.nodes.len());
         let others = (0..known_replicas).filter(|other| *other != node);
         let recovered = self.nodes[node].disk.clone();
         let peers = ReplicaPeers {
             own: replica_id(node),
             others: others.map(replica_id).collect(),
-            admission: match self.founders {
+            admission: match self.agreed {
                 None => GroupAdmission::Listed,
-                Some(founders) => GroupAdmission::Open {
-                    may_form_group: node < founders && !self.nodes[node].lost_disk,
-                    min_voters: 3,
-                },
+                Some(_) => GroupAdmission::Open { min_voters: 3 },
             },
         };
         let core = ReplicaCore::new(peers, recovered, self.rng.random(), self.now)
             .with_compaction(self.compaction);
         self.nodes[node].core = Some(core);
         self.nodes[node].state.clear();
+        if let Some(agreed) = self.agreed.clone() {
+            self.handle(node, ReplicaEvent::GroupAgreed(agreed));
+        }
     }
 
     /// Adds replicas with empty disks; the others restart and know of them.
@@ -152,7 +165,6 @@
     pub(super) fn lose_disk(&mut self, node: usize) {
         self.crash(node, 0);
         self.nodes[node] = TestNode::new(&mut self.rng);
-        self.nodes[node].lost_disk = true;
     }
 
     /// Drops all messages from one replica to another.
--- a/src/control/replica/tests/test_node.rs
+++ b/src/control/replica/tests/test_node.rs
@@ -10,7 +10,6 @@
     pub(super) disk: RecoveredState,
     pub(super) pending_sync: Option<DiskBatch>,
     pub(super) state: BTreeMap<u64, Vec<u8>>,
-    pub(super) lost_disk: bool,
 }
 
 impl TestNode {
@@ -20,7 +19,6 @@
             disk: RecoveredState::new(DiskId::new(rng.random())),
             pending_sync: None,
             state: BTreeMap::new(),
-            lost_disk: false,
         }
     }
 
--- a/src/control/replica_shell/disk_writer.rs
+++ b/src/control/replica_shell/disk_writer.rs
@@ -18,10 +18,15 @@
 /// Failed attempts from one log line about a batch to the next, a minute's.
 const REFUSALS_PER_LINE: u32 = 300;
 
-/// Writes batches on a thread of its own, because a sync may block for long.
+/// Makes batches durable.
 #[derive(Debug)]
-pub(super) struct DiskWriter {
-    batches: mpsc::Sender<DiskBatch>,
+pub(super) enum DiskWriter {
+    /// On a thread of its own, because a sync may block for long.
+    Thread { batches: mpsc::Sender<DiskBatch> },
+    /// Not at all: the core holds everything in memory.
+    Memory {
+        synced: async_mpsc::UnboundedSender<SyncResult>,
+    },
 }
 
 /// A synced batch, or the failure that ended the writer.
@@ -54,13 +59,29 @@
         thread::Builder::new()
             .name("replica-disk".to_owned())
             .spawn(move || task.run(open_sender, &queue, &result_sender))?;
-        Ok((Self { batches }, DiskReports { opened, synced }))
+        Ok((Self::Thread { batches }, DiskReports { opened, synced }))
+    }
+
+    /// Creates the writer of a replica without a disk.
+    pub(super) fn in_memory(disk: DiskId) -> (Self, DiskReports) {
+        let (sender, synced) = async_mpsc::unbounded_channel();
+        let (open_sender, opened) = oneshot::channel();
+        // The receiver is in the returned reports.
+        let _ = open_sender.send(Ok(RecoveredState::new(disk)));
+        (
+            Self::Memory { synced: sender },
+            DiskReports { opened, synced },
+        )
     }
 
     /// Queues a batch.
     pub(super) fn write(&self, batch: DiskBatch) {
-        // If the thread has ended, it has already reported its failure.
-        let _ = self.batches.send(batch);
+        match self {
+            // If the thread has ended, it has already reported its failure.
+            Self::Thread { batches } => drop(batches.send(batch)),
+            // If the driver has ended, nobody waits for the batch.
+            Self::Memory { synced } => drop(synced.send(Ok(batch.token))),
+        }
     }
 }
 
--- a/src/control/replica_shell/mod.rs
+++ b/src/control/replica_shell/mod.rs
@@ -13,6 +13,8 @@
 
 pub(crate) use replica_driver::{RunningReplica, start_replica};
 pub(crate) use replica_handle::ReplicaHandle;
-pub(crate) use replica_options::{DiskFaultPolicy, PeerAddress, PeerPorts, ReplicaOptions};
+pub(crate) use replica_options::{
+    DiskFaultPolicy, PeerAddress, PeerPorts, ReplicaOptions, ReplicaStorage,
+};
 pub(crate) use replicated_state::ReplicatedState;
 pub use shell_error::ReplicaShellError;
--- a/src/control/replica_shell/replica_driver.rs
+++ b/src/control/replica_shell/replica_driver.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{
-    PeerPorts, ReplicaHandle, ReplicaOptions, ReplicaShellError, ReplicatedState,
+    PeerPorts, ReplicaHandle, ReplicaOptions, ReplicaShellError, ReplicaStorage, ReplicatedState,
     disk_writer::{DiskWriter, SyncResult},
     replica_handle::{ProposalAnswer, ReadAnswer, ReplicaCommand, overloaded, too_large},
     report_log::log_report,
@@ -59,8 +59,13 @@
     state: ReplicatedState,
     secret: SecretStore,
 ) -> Result<RunningReplica, ReplicaShellError> {
-    let (disk, reports) = DiskWriter::start(options.folder.clone(), options.disk_fault_policy)
-        .map_err(ReplicaShellError::Thread)?;
+    let (disk, reports) = match &options.storage {
+        ReplicaStorage::Folder(folder) => {
+            DiskWriter::start(folder.clone(), options.disk_fault_policy)
+                .map_err(ReplicaShellError::Thread)?
+        }
+        ReplicaStorage::Memory(disk) => DiskWriter::in_memory(*disk),
+    };
     let recovered = reports
         .opened
         .await
@@ -197,6 +202,7 @@
                 self.prune_links(&needed);
                 ReplicaEvent::PeersDiscovered(replicas)
             }
+            ReplicaCommand::FormGroup { proposal } => ReplicaEvent::GroupAgreed(proposal),
             ReplicaCommand::Read { answer } => {
                 let key = ReadKey(self.last_key);
                 self.reads.insert(key, answer);
--- a/src/control/replica_shell/replica_handle.rs
+++ b/src/control/replica_shell/replica_handle.rs
@@ -10,6 +10,7 @@
     clock::SpanMillis,
     control::{
         api::{CallRefusal, ReplicaRole, ReplicaStatus},
+        formation::GroupProposal,
         replica::{EntryPayload, MAX_ENTRY_BYTES, ReplicaId, ReplicaView, VotingStatus},
         store::LeaderView,
     },
@@ -53,6 +54,8 @@
     TransferLeadership,
     /// Ask these replicas for admission.
     UpdatePeers { replicas: Vec<ReplicaId> },
+    /// Form the group that the seeds have agreed on.
+    FormGroup { proposal: GroupProposal },
 }
 
 /// Sends commands to the replica; clones share it.
@@ -138,6 +141,15 @@
             .try_send(ReplicaCommand::UpdatePeers { replicas });
     }
 
+    /// Passes on the group that the seeds have agreed on; a replica that is one of its
+    /// founders and in no group forms it.
+    pub(crate) fn form_group(&self, proposal: GroupProposal) {
+        // If the queue is full, the replica registers with the seeds again.
+        let _ = self
+            .commands
+            .try_send(ReplicaCommand::FormGroup { proposal });
+    }
+
     /// Returns the latest published view.
     pub(crate) fn view(&self) -> ReplicaView {
         self.view.borrow().clone()
--- a/src/control/replica_shell/replica_options.rs
+++ b/src/control/replica_shell/replica_options.rs
@@ -1,6 +1,6 @@
 use std::{net::SocketAddrV4, path::PathBuf};
 
-use crate::control::replica::{GroupAdmission, ReplicaId, ReplicaPeers};
+use crate::control::replica::{DiskId, GroupAdmission, ReplicaId, ReplicaPeers};
 
 /// The addresses of another replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,6 +21,15 @@
     pub(crate) call_port: u16,
 }
 
+/// Where a replica keeps its state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum ReplicaStorage {
+    /// In a data folder.
+    Folder(PathBuf),
+    /// In memory, under an identity that ends with the process.
+    Memory(DiskId),
+}
+
 /// What a replica does when its disk fails.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum DiskFaultPolicy {
@@ -42,8 +51,7 @@
     pub(crate) peers: Vec<PeerAddress>,
     /// The ports of unlisted replicas, if replicas are identified by their address.
     pub(crate) ports: Option<PeerPorts>,
-    /// The data folder.
-    pub(crate) folder: PathBuf,
+    pub(crate) storage: ReplicaStorage,
     /// Which replicas may form and join the group.
     pub(crate) admission: GroupAdmission,
     pub(crate) disk_fault_policy: DiskFaultPolicy,
--- a/src/fleet/entry_handle.rs
+++ b/src/fleet/entry_handle.rs
@@ -1,7 +1,7 @@
 use std::{
     net::SocketAddrV4,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
 };
@@ -51,7 +51,8 @@
 /// The calls that operators and readiness probes make to an entry VM.
 #[derive(Debug, Clone)]
 pub struct EntryHandle {
-    replica: Option<LocalReplica>,
+    /// The replica, which starts later on a VM without a disk.
+    replica: Arc<OnceLock<LocalReplica>>,
     group: GroupView,
     operator_port: u16,
     ready: Arc<AtomicBool>,
@@ -61,7 +62,7 @@
 
 impl EntryHandle {
     pub(super) fn new(
-        replica: Option<LocalReplica>,
+        replica: Arc<OnceLock<LocalReplica>>,
         group: GroupView,
         operator_port: u16,
         ready: Arc<AtomicBool>,
@@ -97,7 +98,7 @@
     ) -> Result<(), ApplyRefusal> {
         let version = manifest.version;
         let stored = StoredManifest { manifest, document };
-        let result = match &self.replica {
+        let result = match self.replica.get() {
             Some(replica) => match replica.apply(&stored).await {
                 Ok(()) => Ok(()),
                 Err(refusal) => Err(Self::redirect(&refusal)
@@ -145,7 +146,7 @@
     }
 
     async fn commit_order(&self, order: &EvacuationOrder) -> Result<(), EvacuationRefusal> {
-        let Some(replica) = &self.replica else {
+        let Some(replica) = self.replica.get() else {
             return Err(self
                 .any_member()
                 .map_or(EvacuationRefusal::Unavailable, EvacuationRefusal::Redirect));
@@ -171,7 +172,7 @@
     }
 
     async fn confirmed_document(&self) -> Result<Vec<u8>, ReadRefusal> {
-        let Some(replica) = &self.replica else {
+        let Some(replica) = self.replica.get() else {
             return Err(self
                 .any_member()
                 .map_or(ReadRefusal::Unavailable, ReadRefusal::Redirect));
--- a/src/fleet/entry_maintenance.rs
+++ b/src/fleet/entry_maintenance.rs
@@ -88,7 +88,7 @@
                 }
             }
         }
-        if let Some(replica) = &self.replica {
+        if let Some(replica) = self.replica.get() {
             let members = replica.members();
             self.group
                 .set_leader(replica.leader(), self.settings.address);
@@ -97,6 +97,7 @@
             }
             replica.update_peers(&self.group.contacts());
         }
+        self.maintain_formation(now);
         self.maintain_journal(now);
         self.recall_processes(now);
         if now >= self.contact_at {
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -1,6 +1,6 @@
 use std::{
     net::{Ipv4Addr, SocketAddr, SocketAddrV4},
-    sync::{Arc, atomic::AtomicBool},
+    sync::{Arc, OnceLock, atomic::AtomicBool},
     time::Duration,
 };
 
@@ -15,10 +15,12 @@
     EntryHandle, FleetError, FleetEvent, FleetSettings, SettingsSource,
     agent_policy::AgentPolicy,
     directory_copy::DirectoryCopy,
+    entry_formation::EntryFormation,
     entry_journal::JournalFile,
     entry_sockets::{FleetSocket, open_socket},
     fleet_counters::EntryCounters,
     fleet_datagram::{FleetDatagram, MAX_DATAGRAM_BYTES},
+    formation_file::FormationProgress,
     group_view::GroupView,
     hint_file::{HintEvents, HintFile},
     inspect_server::start_inspections,
@@ -31,6 +33,7 @@
 };
 use crate::{
     clock::{ClockMillis, ProcessClock, SpanMillis},
+    control::{formation::FormationBody, replica::DiskId, replica_shell::ReplicaStorage},
     directory::{DirectoryPosition, TargetDirectory, TargetView},
     event::log_event,
     flow::{BalancerFlows, PacketCodec},
@@ -73,10 +76,13 @@
     pub(super) codec: Arc<dyn PacketCodec>,
     pub(super) settings_source: Arc<dyn SettingsSource>,
     pub(super) clock: ProcessClock,
+    operator_port: u16,
     pub(super) packet_socket: UdpSocket,
     pub(super) fleet_socket: FleetSocket,
     pub(super) group: GroupView,
-    pub(super) replica: Option<LocalReplica>,
+    /// The replica, which starts later on a VM without a disk.
+    pub(super) replica: Arc<OnceLock<LocalReplica>>,
+    pub(super) formation: EntryFormation,
     pub(super) directory: Option<SharedDirectory>,
     /// Which processes run, for the first second after a restart.
     pub(super) process_file: Option<HintFile<KnownProcesses>>,
@@ -119,29 +125,25 @@
         let group = GroupView::new(settings.seeds.clone());
         let packet_socket = open_socket(settings.packet_address, "packets of callers")?;
         let fleet_socket = FleetSocket::open(settings.listen_address(), settings.ports.datagrams)?;
-        let replica = match &settings.data_folder {
-            Some(folder) => Some(LocalReplica::start(&settings, operator_port, folder)?),
-            None => None,
-        };
+        let replica = Arc::new(OnceLock::new());
         let mut process_file = None;
         let mut journal_file = None;
-        let directory = match (&replica, &settings.data_folder) {
-            (Some(replica), Some(folder)) => {
-                let path = folder.join(PROCESS_FILE_NAME);
-                process_file = Some(HintFile::open(path, PROCESS_FILE_EVENTS));
-                journal_file = Some(JournalFile::open(folder, clock.now()));
-                let directory = TargetDirectory::new(rand::random(), clock.now());
-                let shared = SharedDirectory::new(directory);
-                let server = WatchServer::new(replica.clone(), shared.clone(), clock);
-                let address = SocketAddrV4::new(settings.listen_address(), settings.ports.watch);
-                server.start(address).await?;
-                Some(shared)
-            }
-            _ => None,
-        };
+        let mut directory = None;
+        if let Some(folder) = &settings.data_folder {
+            let path = folder.join(PROCESS_FILE_NAME);
+            process_file = Some(HintFile::open(path, PROCESS_FILE_EVENTS));
+            journal_file = Some(JournalFile::open(folder, clock.now()));
+            let storage = LocalReplica::storage_in(folder);
+            let local = LocalReplica::start(&settings, operator_port, storage)?;
+            let shared = SharedDirectory::new(TargetDirectory::new(rand::random(), clock.now()));
+            let server = WatchServer::new(local.clone(), shared.clone(), clock);
+            server.start(settings.watch_address()).await?;
+            directory = Some(shared);
+            let _ = replica.set(local);
+        }
         let ready = Arc::new(AtomicBool::new(false));
         let handle = EntryHandle::new(
-            replica.clone(),
+            Arc::clone(&replica),
             group.clone(),
             operator_port,
             Arc::clone(&ready),
@@ -159,6 +161,8 @@
             clock,
             packet_socket,
             fleet_socket,
+            formation: EntryFormation::open(&settings, clock.now()),
+            operator_port,
             group,
             replica,
             directory,
@@ -200,15 +204,9 @@
         );
         tokio::spawn(watch.run());
         if let Some(directory) = &self.directory {
-            let copy = DirectoryCopy::new(
-                self.settings.address,
-                self.settings.ports.watch,
-                self.group.clone(),
-                directory.clone(),
-                self.clock,
-            );
-            tokio::spawn(copy.run());
+            self.copy_directory(directory.clone());
         }
+        let mut formation_progress = self.formation.take_progress();
         let inspect = SocketAddrV4::new(
             self.settings.listen_address(),
             self.settings.ports.inspections,
@@ -220,7 +218,7 @@
             name = self.settings.name,
             address = %self.settings.address,
             domain = self.settings.domain,
-            replica = self.replica.is_some()
+            replica = self.replica.get().is_some()
         );
         let mut stop_at: Option<Instant> = None;
         loop {
@@ -230,6 +228,9 @@
                 _ = self.fleet_socket.readable() => self.receive_datagrams(),
                 Some(update) = updates.recv() => self.handle_update(update),
                 Some(inspection) = inspections.recv() => self.answer_inspection(inspection),
+                Some(progress) = next_progress(&mut formation_progress) => {
+                    self.handle_formation_progress(progress);
+                }
                 () = sleep_until(next_work_at) => self.run_due_work(),
                 () = wait_for_signal(&mut terminate), if stop_at.is_none() => {
                     stop_at = Some(self.begin_stop());
@@ -246,11 +247,51 @@
         Ok(())
     }
 
+    /// Starts a replica in memory on a VM without a disk that the group counts as a member:
+    /// no VM had a disk at the first start.
+    pub(super) fn start_memory_replica(&mut self) {
+        let is_member = self.group.members().contains(&self.settings.address);
+        if !is_member || self.settings.data_folder.is_some() || self.replica.get().is_some() {
+            return;
+        }
+        let founder = self.formation.memory_founder.take();
+        let disk = founder.map_or_else(|| DiskId::new(rand::random()), |member| member.disk);
+        let storage = ReplicaStorage::Memory(disk);
+        let replica = match LocalReplica::start(&self.settings, self.operator_port, storage) {
+            Ok(replica) => replica,
+            Err(error) => return log_event!(error, FleetEvent::SeatFailed, %error),
+        };
+        let now = self.clock.now();
+        let shared = SharedDirectory::new(TargetDirectory::new(rand::random(), now));
+        let server = WatchServer::new(replica.clone(), shared.clone(), self.clock);
+        let address = self.settings.watch_address();
+        tokio::spawn(async move {
+            if let Err(error) = server.start(address).await {
+                log_event!(error, FleetEvent::SeatFailed, %error);
+            }
+        });
+        self.copy_directory(shared.clone());
+        self.directory = Some(shared);
+        let _ = self.replica.set(replica);
+    }
+
+    /// Copies the directory of another replica in the background.
+    fn copy_directory(&self, directory: SharedDirectory) {
+        let copy = DirectoryCopy::new(
+            self.settings.address,
+            self.settings.ports.watch,
+            self.group.clone(),
+            directory,
+            self.clock,
+        );
+        tokio::spawn(copy.run());
+    }
+
     fn begin_stop(&mut self) -> Instant {
         log_event!(info, FleetEvent::StopBegun);
         self.stopping = true;
         self.update_ready();
-        if let Some(replica) = self.replica.clone() {
+        if let Some(replica) = self.replica.get().cloned() {
             tokio::spawn(async move { replica.transfer_leadership().await });
         }
         let longest = self.settings.grace.saturating_sub(SpanMillis::new(1_500));
@@ -292,13 +333,20 @@
                     self.reset_dead_flows(record.agent, incarnation);
                 }
                 self.send_members(from);
-                if let Some(replica) = &self.replica {
+                if let Some(replica) = self.replica.get() {
                     let policy = AgentPolicy::for_agent(record, replica.store());
                     self.fleet_socket
                         .send(record.agent, &FleetDatagram::Policy(policy));
                 }
             }
             FleetDatagram::LongFlows(list) => self.record_long_flows(list, now),
+            FleetDatagram::Formation(message) => {
+                if let FormationBody::Register { .. } = message.body {
+                    // A replica that is no founder asks the members for admission.
+                    self.send_members(from);
+                }
+                self.handle_formation_message(message.clone());
+            }
             // Only agents get policies.
             FleetDatagram::Policy(_) => {}
             FleetDatagram::Locate => {
@@ -325,6 +373,7 @@
     fn note_members(&mut self, members: &[Ipv4Addr], from: Ipv4Addr) {
         if self.group.update_members(members.to_vec()) {
             log_event!(info, FleetEvent::CoreFound, ?members, %from);
+            self.start_memory_replica();
         }
     }
 
@@ -395,6 +444,16 @@
     }
 }
 
+/// Waits for the next result of the formation's file; never returns without a file.
+async fn next_progress(
+    results: &mut Option<mpsc::UnboundedReceiver<FormationProgress>>,
+) -> Option<FormationProgress> {
+    match results {
+        Some(results) => results.recv().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits for a signal; never returns if the signal stream is closed.
 pub(super) async fn wait_for_signal(signals: &mut Signal) {
     if signals.recv().await.is_none() {
--- a/src/fleet/fleet_datagram.rs
+++ b/src/fleet/fleet_datagram.rs
@@ -4,6 +4,7 @@
 
 use super::agent_policy::AgentPolicy;
 use crate::{
+    control::formation::FormationMessage,
     directory::TargetRecord,
     flow::{FlowReport, LongFlowList},
 };
@@ -37,6 +38,8 @@
     Policy(AgentPolicy),
     /// An agent tells a replica of its target's long flows.
     LongFlows(LongFlowList),
+    /// Forms the group at the first start.
+    Formation(FormationMessage),
 }
 
 impl FleetDatagram {
--- a/src/fleet/fleet_settings.rs
+++ b/src/fleet/fleet_settings.rs
@@ -71,6 +71,11 @@
     pub const fn listen_address(&self) -> Ipv4Addr {
         *self.packet_address.ip()
     }
+
+    /// Returns the address for the feed of routes and targets.
+    pub(crate) const fn watch_address(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(self.listen_address(), self.ports.watch)
+    }
 }
 
 /// The settings of an agent.
--- a/src/fleet/group_view.rs
+++ b/src/fleet/group_view.rs
@@ -66,6 +66,16 @@
         changed
     }
 
+    /// Returns the addresses of the seeds.
+    pub(super) fn seeds(&self) -> Vec<Ipv4Addr> {
+        self.with_state(|state| state.seeds.iter().map(|seed| *seed.ip()).collect())
+    }
+
+    /// Returns whether a seed has this address.
+    pub(super) fn is_seed(&self, address: Ipv4Addr) -> bool {
+        self.with_state(|state| state.seeds.iter().any(|seed| *seed.ip() == address))
+    }
+
     /// Waits until the members change.
     pub(super) async fn members_changed(&self) {
         self.notify.notified().await;
--- a/src/fleet/local_replica.rs
+++ b/src/fleet/local_replica.rs
@@ -1,6 +1,6 @@
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
-    path::{Path, PathBuf},
+    path::Path,
 };
 
 use tokio::sync::watch;
@@ -9,9 +9,10 @@
 use crate::{
     control::{
         api::CallRefusal,
-        replica::{GroupAdmission, ReplicaId},
+        formation::GroupProposal,
+        replica::{GroupAdmission, MemberId, ReplicaId},
         replica_shell::{
-            DiskFaultPolicy, PeerAddress, PeerPorts, ReplicaHandle, ReplicaOptions,
+            DiskFaultPolicy, PeerAddress, PeerPorts, ReplicaHandle, ReplicaOptions, ReplicaStorage,
             ReplicatedState, RunningReplica, start_replica,
         },
     },
@@ -23,7 +24,8 @@
 /// The folder of the log within the data folder.
 const LOG_FOLDER: &str = "log";
 
-/// The control replica of this process, on a VM with a disk.
+/// The control replica of this process: on a VM with a disk, or on any seed if no VM had
+/// one at the first start.
 #[derive(Debug, Clone)]
 pub(super) struct LocalReplica {
     store: ListenerStore,
@@ -37,9 +39,9 @@
     pub(super) fn start(
         settings: &FleetSettings,
         operator_port: u16,
-        folder: &Path,
+        storage: ReplicaStorage,
     ) -> Result<Self, FleetError> {
-        let options = replica_options(settings, operator_port, folder.join(LOG_FOLDER));
+        let options = replica_options(settings, operator_port, storage);
         let secret = SecretStore::new(&default_secret())?;
         let store = ListenerStore::new();
         let (handle_sender, handle) = watch::channel(None);
@@ -60,6 +62,25 @@
         Ok(Self { store, handle })
     }
 
+    /// Returns the storage of a replica with this data folder.
+    pub(super) fn storage_in(folder: &Path) -> ReplicaStorage {
+        ReplicaStorage::Folder(folder.join(LOG_FOLDER))
+    }
+
+    /// Returns the member that this replica would found a group as; `None` if it is in
+    /// one or its data folder is not open yet.
+    pub(super) fn founder(&self) -> Option<MemberId> {
+        let view = self.handle()?.view();
+        view.group.is_none().then_some(view.member_id)
+    }
+
+    /// Forms the group that the seeds have agreed on, if this replica is a founder.
+    pub(super) fn form_group(&self, proposal: &GroupProposal) {
+        if let Some(handle) = self.handle() {
+            handle.form_group(proposal.clone());
+        }
+    }
+
     /// Returns the routes that this replica has applied.
     pub(super) fn store(&self) -> &ListenerStore {
         &self.store
@@ -169,10 +190,9 @@
 fn replica_options(
     settings: &FleetSettings,
     operator_port: u16,
-    folder: PathBuf,
+    storage: ReplicaStorage,
 ) -> ReplicaOptions {
     let seeds = settings.seeds.iter().map(|seed| *seed.ip());
-    let is_seed = seeds.clone().any(|seed| seed == settings.address);
     let peers = seeds
         .filter(|seed| *seed != settings.address)
         .map(|seed| PeerAddress {
@@ -191,10 +211,12 @@
             link_port: settings.ports.links,
             call_port: operator_port,
         }),
-        folder,
+        storage,
         admission: GroupAdmission::Open {
-            may_form_group: settings.bootstrap && is_seed,
-            min_voters: 2 * settings.tolerated_losses + 1,
+            min_voters: settings
+                .tolerated_losses
+                .saturating_mul(2)
+                .saturating_add(1),
         },
         disk_fault_policy: DiskFaultPolicy::Retry,
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod agent_policy;
 mod announced_figures;
 mod directory_copy;
+mod entry_formation;
 mod entry_handle;
 mod entry_journal;
 mod entry_maintenance;
@@ -19,6 +20,7 @@
 mod fleet_error;
 mod fleet_event;
 mod fleet_settings;
+mod formation_file;
 mod group_view;
 mod hint_file;
 mod inspect_server;
--- a/src/fleet/side_target.rs
+++ b/src/fleet/side_target.rs
@@ -13,6 +13,10 @@
 };
 use crate::{
     clock::ClockMillis,
+    control::{
+        formation::{FormationBody, FormationMessage},
+        replica::ReplicaId,
+    },
     directory::{ANNOUNCE_MILLIS, TargetAttributes, TargetRecord, TargetStatus},
     event::log_event,
     key::DomainTag,
@@ -107,6 +111,7 @@
         self.announce_at = now.after(pause);
         let contacts = self.contacts(now);
         self.announce_to(&contacts);
+        self.report_no_group();
         self.tell_long_flows(now);
         self.flows.sweep(now);
         self.counters.publish();
@@ -205,6 +210,22 @@
         members
     }
 
+    /// Tells the seeds that this process knows no group, though it has run since the first
+    /// start.
+    fn report_no_group(&self) {
+        if !self.settings.fleet.bootstrap || !self.group.members().is_empty() {
+            return;
+        }
+        let report = FleetDatagram::Formation(FormationMessage {
+            from: ReplicaId::at(self.settings.fleet.address),
+            electorate: 0,
+            body: FormationBody::NoGroupKnown,
+        });
+        for seed in self.group.seeds() {
+            self.fleet_socket.send(seed, &report);
+        }
+    }
+
     /// Rereads the seeds from the settings.
     pub(super) fn reread_seeds(&mut self) {
         if let Some(seeds) = self.settings_source.seeds()
--- a/src/fleet/tests/evacuations.rs
+++ b/src/fleet/tests/evacuations.rs
@@ -59,7 +59,13 @@
     let group = GroupView::new(Vec::new());
     group.update_members(members);
     let domains = vec!["fjord-a".to_owned()];
-    EntryHandle::new(None, group, OPERATOR_PORT, Arc::default(), domains)
+    EntryHandle::new(
+        Arc::default(),
+        group,
+        OPERATOR_PORT,
+        Arc::default(),
+        domains,
+    )
 }
 
 /// A misspelt domain must not count as evacuated.
