Replicas and entry VMs tell seeds of the control group that forgot it

What callers saw: three seeds without a disk that restart together never find the healthy control group again, nor does anybody who starts later.

Cause: a process that starts knows only its seeds, and seeds without a disk know nothing after a restart. Replicas notified silent processes only in the first second after their own start, and nobody else tells the seeds anything. Besides, any list of members replaced the one that was known, also one of a seed that was frozen while the group was replaced.

Ruled out: agents that tell the seeds, which at 11,000 nodes get more than 3 KB/s; processes that report their seeds to the replicas, which a replica that replaces another does not know.

An entry VM tells all its seeds once when it finds the group, and then one of those that its settings file names, every 3 s and 10 ms for each target. A list of members counts as further contacts unless its sender is on it or nobody is known; the sender follows the datagram, which older builds ignore.

--- a/src/fleet/entry_maintenance.rs
+++ b/src/fleet/entry_maintenance.rs
@@ -10,7 +10,8 @@
     EntryNode, FleetEvent,
     entry_node::{
         CONTACT_INTERVAL_MILLIS, DISCOVERY_INTERVAL_MILLIS, MAINTENANCE_INTERVAL_MILLIS,
-        MAX_CONTROL_AGE_MILLIS, SEEDS_REREAD_MILLIS,
+        MAX_CONTROL_AGE_MILLIS, RECALLS_PER_TURN, SEED_NOTICE_MILLIS,
+        SEED_NOTICE_MILLIS_PER_TARGET, SEEDS_REREAD_MILLIS,
     },
     fleet_counters::publish_gauge,
     fleet_datagram::FleetDatagram,
@@ -78,6 +79,7 @@
             if let Some(file) = &mut self.process_file {
                 if let Some(known) = file.poll_loaded() {
                     self.restart_notifier.start(&known, now);
+                    directory.expect_balancers(&known.balancers, now);
                     directory.update(|directory| {
                         directory.expect_agents(known.agents);
                         false
@@ -112,6 +114,13 @@
                 self.reread_seeds();
             }
         }
+        if now >= self.seed_notice_at {
+            self.notify_next_seed(now);
+        }
+        if !self.seeds_notified && !self.group.members().is_empty() {
+            self.seeds_notified = true;
+            self.notify_seeds(&self.group.seeds());
+        }
         self.flows.sweep(now);
         self.update_ready();
         self.counters.publish();
@@ -194,17 +203,54 @@
     }
 
     /// Asks the processes that ran before this replica started to contact it.
-    fn recall_processes(&self, now: ClockMillis) {
+    fn recall_processes(&mut self, now: ClockMillis) {
         let members = self.group.members();
         if members.is_empty() {
             return;
         }
-        let recall = FleetDatagram::Recall { members };
+        let sender = Some(self.settings.address);
+        let recall = FleetDatagram::Recall { members, sender };
         for process in self.restart_notifier.recipients(now) {
             if process != self.settings.address {
                 self.fleet_socket.send(process, &recall);
             }
         }
+        let Some(directory) = &self.directory else {
+            return;
+        };
+        for balancer in directory.take_recalls(RECALLS_PER_TURN, now) {
+            if balancer != self.settings.address {
+                self.fleet_socket.send(balancer, &recall);
+                if self.log_limiter.allows(FleetEvent::BalancerRecalled, now) {
+                    log_event!(info, FleetEvent::BalancerRecalled, %balancer);
+                }
+            }
+        }
+    }
+
+    /// Tells one seed in turn of the control group: it may have restarted beside seeds
+    /// that know none, and processes that start know only the seeds.
+    fn notify_next_seed(&mut self, now: ClockMillis) {
+        let targets = u64::try_from(self.view.len()).unwrap_or(u64::MAX);
+        let pause = SEED_NOTICE_MILLIS
+            .saturating_add(SEED_NOTICE_MILLIS_PER_TARGET.saturating_mul(targets));
+        self.seed_notice_at = now.after(pause);
+        self.reread_seeds();
+        let seeds = self.group.seeds();
+        self.seed_notices = self.seed_notices.wrapping_add(1);
+        if let Some(seed) = seeds.get(self.seed_notices % seeds.len().max(1)) {
+            self.notify_seeds(&[*seed]);
+        }
+    }
+
+    /// Tells seeds of the control group, if any is known.
+    fn notify_seeds(&self, seeds: &[Ipv4Addr]) {
+        let members = self.group.members();
+        for seed in seeds {
+            if *seed != self.settings.address && !members.contains(seed) {
+                self.send_members(*seed);
+            }
+        }
     }
 
     /// Rereads the seeds from the settings.
--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -60,6 +60,13 @@
 /// How often a balancer contacts every replica, so that each of them can recall it
 /// after a restart.
 pub(super) const CONTACT_INTERVAL_MILLIS: SpanMillis = SpanMillis::new(2_000);
+/// The most silent balancers that a replica recalls in one run of its maintenance.
+pub(super) const RECALLS_PER_TURN: usize = 3;
+/// How often a balancer tells a seed of the control group.
+pub(super) const SEED_NOTICE_MILLIS: SpanMillis = SpanMillis::new(3_000);
+/// What each known target adds to that interval, so that the seeds of a large deployment
+/// get no more notices than those of a small one.
+pub(super) const SEED_NOTICE_MILLIS_PER_TARGET: SpanMillis = SpanMillis::new(10);
 /// How long a stopping process still forwards packets: the network stops sending
 /// after two missed probes at two a second, and packets may be on their way.
 pub(super) const STOP_DELAY_MILLIS: SpanMillis = SpanMillis::new(1_300);
@@ -102,6 +109,11 @@
     pub(super) maintenance_at: ClockMillis,
     pub(super) seeds_reread_at: ClockMillis,
     pub(super) contact_at: ClockMillis,
+    pub(super) seed_notice_at: ClockMillis,
+    /// Whether all seeds have been told of the control group since this process found it.
+    pub(super) seeds_notified: bool,
+    /// The notices sent, which select the next seed.
+    pub(super) seed_notices: usize,
     pub(super) log_limiter: LogLimiter,
     pub(super) counters: EntryCounters,
     pub(super) frame_buffer: Vec<u8>,
@@ -178,6 +190,9 @@
             maintenance_at: clock.now(),
             seeds_reread_at: clock.now().after(SEEDS_REREAD_MILLIS),
             contact_at: clock.now(),
+            seed_notice_at: clock.now().after(SEED_NOTICE_MILLIS),
+            seeds_notified: false,
+            seed_notices: rand::random::<u8>().into(),
             log_limiter: LogLimiter::default(),
             counters: EntryCounters::default(),
             frame_buffer: Vec::with_capacity(MAX_PACKET_BYTES),
@@ -356,9 +371,11 @@
                 }
                 self.send_members(from);
             }
-            FleetDatagram::Located { members } => self.note_members(members, from),
-            FleetDatagram::Recall { members } => {
-                self.note_members(members, from);
+            FleetDatagram::Located { members, sender } => {
+                self.note_members(members, sender.unwrap_or(from));
+            }
+            FleetDatagram::Recall { members, sender } => {
+                self.note_members(members, sender.unwrap_or(from));
                 self.fleet_socket.send(from, &FleetDatagram::Locate);
             }
             FleetDatagram::Report(report) => {
@@ -371,8 +388,8 @@
     }
 
     fn note_members(&mut self, members: &[Ipv4Addr], from: Ipv4Addr) {
-        if self.group.update_members(members.to_vec()) {
-            log_event!(info, FleetEvent::CoreFound, ?members, %from);
+        if self.group.note_members(members, from) {
+            log_event!(info, FleetEvent::CoreFound, members = ?self.group.members(), %from);
             self.start_memory_replica();
         }
     }
@@ -381,8 +398,9 @@
     pub(super) fn send_members(&self, to: Ipv4Addr) {
         let members = self.group.members();
         if !members.is_empty() {
+            let sender = Some(self.settings.address);
             self.fleet_socket
-                .send(to, &FleetDatagram::Located { members });
+                .send(to, &FleetDatagram::Located { members, sender });
         }
     }
 
--- a/src/fleet/fleet_datagram.rs
+++ b/src/fleet/fleet_datagram.rs
@@ -24,6 +24,9 @@
     Located {
         /// Their addresses; empty if the sender knows none.
         members: Vec<Ipv4Addr>,
+        /// The sender, which follows the datagram; builds without it ignore it.
+        #[serde(skip)]
+        sender: Option<Ipv4Addr>,
     },
     /// An agent reports on a flow.
     Report(FlowReport),
@@ -32,6 +35,9 @@
     Recall {
         /// The members of the control group.
         members: Vec<Ipv4Addr>,
+        /// The sender, as in `Located`.
+        #[serde(skip)]
+        sender: Option<Ipv4Addr>,
     },
     /// A replica tells an agent what is in force for its target, in answer to its
     /// announcement.
@@ -46,8 +52,12 @@
     /// Encodes the datagram; `None` if it exceeds `MAX_DATAGRAM_BYTES`.
     pub(super) fn encode(&self) -> Option<Vec<u8>> {
         let mut bytes = postcard::to_stdvec(self).ok()?;
-        if let Self::Announce(record) = self {
-            bytes.extend(postcard::to_stdvec(&record.attributes).ok()?);
+        match self {
+            Self::Announce(record) => bytes.extend(postcard::to_stdvec(&record.attributes).ok()?),
+            Self::Located { sender, .. } | Self::Recall { sender, .. } => {
+                bytes.extend(postcard::to_stdvec(sender).ok()?);
+            }
+            _ => {}
         }
         (bytes.len() <= MAX_DATAGRAM_BYTES).then_some(bytes)
     }
@@ -55,10 +65,13 @@
     /// Decodes a datagram; `None` if the bytes are malformed.
     pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
         let (mut datagram, rest): (Self, &[u8]) = postcard::take_from_bytes(bytes).ok()?;
-        if let Self::Announce(record) = &mut datagram
-            && !rest.is_empty()
-        {
-            record.attributes = postcard::from_bytes(rest).ok()?;
+        match &mut datagram {
+            _ if rest.is_empty() => {}
+            Self::Announce(record) => record.attributes = postcard::from_bytes(rest).ok()?,
+            Self::Located { sender, .. } | Self::Recall { sender, .. } => {
+                *sender = postcard::from_bytes(rest).ok()?;
+            }
+            _ => {}
         }
         Some(datagram)
     }
--- a/src/fleet/fleet_event.rs
+++ b/src/fleet/fleet_event.rs
@@ -58,6 +58,7 @@
         FormationUnwritten = 6054 => "file of the group's formation not written; this seed does not help to form the group",
         FormationWaits = 6055 => "the group has not formed yet",
         GroupAgreed = 6056 => "the seeds have agreed on the group's founders",
+        BalancerRecalled = 6057 => "balancer silent; told of the control group",
         PolicyInForce = 6050 => "policy of the replicas in force at the agent",
         TargetSetAside = 6060 => "target set aside: too many of its requests fail",
         TargetTakenBack = 6061 => "target taken back: its failures have ended or others are worse",
--- a/src/fleet/group_view.rs
+++ b/src/fleet/group_view.rs
@@ -6,9 +6,14 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::key::is_vm_address;
+
 /// The number of replicas that keep the long flows of a target: one may lose its disk.
 const JOURNAL_COPIES: usize = 2;
 
+/// The most members that another process may name.
+const MAX_NAMED_MEMBERS: usize = 32;
+
 /// The members, leader and seeds of the control group that a process knows;
 /// clones share them.
 #[derive(Debug, Clone)]
@@ -21,6 +26,8 @@
 struct GroupState {
     seeds: Vec<SocketAddrV4>,
     members: Vec<Ipv4Addr>,
+    /// Members that a process named that is none itself; they may be outdated.
+    hearsay: Vec<Ipv4Addr>,
     leader: Option<Ipv4Addr>,
     /// The replica that answered last.
     watched: Option<Ipv4Addr>,
@@ -58,6 +65,7 @@
             }
             let changed = state.members != members;
             state.members = members;
+            state.hearsay.clear();
             changed
         });
         if changed {
@@ -66,6 +74,38 @@
         changed
     }
 
+    /// Notes the members that another process named. A member of the group knows them; what
+    /// others say counts only as further contacts, unless no member is known.
+    ///
+    /// Addresses that no VM can have are ignored. Returns whether the members changed.
+    pub(super) fn note_members(&self, named: &[Ipv4Addr], from: Ipv4Addr) -> bool {
+        let mut members: Vec<Ipv4Addr> = Vec::new();
+        for address in named
+            .iter()
+            .copied()
+            .filter(|address| is_vm_address(*address))
+        {
+            if members.len() < MAX_NAMED_MEMBERS && !members.contains(&address) {
+                members.push(address);
+            }
+        }
+        if members.contains(&from) || self.members().is_empty() {
+            return self.update_members(members);
+        }
+        let news = self.with_state(|state| {
+            members.retain(|member| !state.members.contains(member));
+            let news = members.iter().any(|member| !state.hearsay.contains(member));
+            if news {
+                state.hearsay = members;
+            }
+            news
+        });
+        if news {
+            self.notify.notify_waiters();
+        }
+        false
+    }
+
     /// Returns the addresses of the seeds.
     pub(super) fn seeds(&self) -> Vec<Ipv4Addr> {
         self.with_state(|state| state.seeds.iter().map(|seed| *seed.ip()).collect())
@@ -76,7 +116,7 @@
         self.with_state(|state| state.seeds.iter().any(|seed| *seed.ip() == address))
     }
 
-    /// Waits until the members change.
+    /// Waits until the members or further contacts change.
     pub(super) async fn members_changed(&self) {
         self.notify.notified().await;
     }
@@ -117,13 +157,14 @@
         })
     }
 
-    /// Returns the members and then the seeds that are not among them.
+    /// Returns the members, then the members named by others and the seeds.
     pub(super) fn contacts(&self) -> Vec<Ipv4Addr> {
         self.with_state(|state| {
             let mut contacts = state.members.clone();
-            for seed in &state.seeds {
-                if !contacts.contains(seed.ip()) {
-                    contacts.push(*seed.ip());
+            let seeds = state.seeds.iter().map(SocketAddrV4::ip);
+            for contact in state.hearsay.iter().chain(seeds) {
+                if !contacts.contains(contact) {
+                    contacts.push(*contact);
                 }
             }
             contacts
--- a/src/fleet/restart_notifier.rs
+++ b/src/fleet/restart_notifier.rs
@@ -2,7 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::clock::{ClockMillis, SpanMillis};
+use crate::{
+    clock::{ClockMillis, SpanMillis},
+    key::is_vm_address,
+};
 
 /// How long processes that ran before a restart are notified of the control
 /// group: VMs whose power returns together start within some tenths of a second.
@@ -30,7 +33,10 @@
 impl RestartNotifier {
     /// Starts to notify the processes that ran before this replica started.
     pub(super) fn start(&mut self, known: &KnownProcesses, now: ClockMillis) {
-        self.pending = known.agents.union(&known.balancers).copied().collect();
+        let processes = known.agents.union(&known.balancers).copied();
+        self.pending = processes
+            .filter(|process| is_vm_address(*process))
+            .collect();
         self.deadline = now.after(NOTIFY_MILLIS);
     }
 
--- a/src/fleet/side_node.rs
+++ b/src/fleet/side_node.rs
@@ -254,9 +254,11 @@
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         while let Some((length, from)) = self.fleet_socket.receive(&mut buffer) {
             match FleetDatagram::decode(&buffer[..length]) {
-                Some(FleetDatagram::Located { members }) => self.note_members(&members),
-                Some(FleetDatagram::Recall { members }) => {
-                    self.note_members(&members);
+                Some(FleetDatagram::Located { members, sender }) => {
+                    self.note_members(&members, sender, from);
+                }
+                Some(FleetDatagram::Recall { members, sender }) => {
+                    self.note_members(&members, sender, from);
                     if let SocketAddr::V4(replica) = from {
                         self.announce_to(&[*replica.ip()]);
                     }
@@ -289,12 +291,16 @@
         self.policy.evacuated.then_some(fleet.domain.as_str())
     }
 
-    fn note_members(&mut self, members: &[Ipv4Addr]) {
-        self.group_heard_at = self.clock.now();
-        if self.group.update_members(members.to_vec()) {
-            log_event!(info, FleetEvent::CoreFound, ?members);
+    fn note_members(&mut self, members: &[Ipv4Addr], sender: Option<Ipv4Addr>, from: SocketAddr) {
+        let SocketAddr::V4(from) = from else { return };
+        let from = sender.unwrap_or(*from.ip());
+        if members.contains(&from) {
+            self.group_heard_at = self.clock.now();
+        }
+        if self.group.note_members(members, from) {
+            log_event!(info, FleetEvent::CoreFound, members = ?self.group.members(), %from);
             // New members have not heard of this agent's target yet.
-            self.announce_at = self.group_heard_at;
+            self.announce_at = self.clock.now();
         }
     }
 }
--- a/src/fleet/tests/datagrams.rs
+++ b/src/fleet/tests/datagrams.rs
@@ -54,3 +54,25 @@
     bytes.push(7);
     assert_eq!(FleetDatagram::decode(&bytes), None);
 }
+
+/// Builds that don't name the sender of a list of members send lists that end before it, and
+/// read those that others send with it.
+#[test]
+fn members_without_a_sender_and_with_one_are_both_read() {
+    let members = vec![Ipv4Addr::new(10, 0, 0, 1), Ipv4Addr::new(10, 0, 0, 2)];
+    let sender = Some(Ipv4Addr::new(10, 0, 0, 2));
+    let named = FleetDatagram::Located {
+        members: members.clone(),
+        sender,
+    };
+    let bytes = named.encode().expect("encodes");
+    assert_eq!(FleetDatagram::decode(&bytes), Some(named));
+    let old: FleetDatagram = postcard::from_bytes(&bytes).expect("an old build reads it");
+    let unnamed = FleetDatagram::Located {
+        members,
+        sender: None,
+    };
+    assert_eq!(old, unnamed);
+    let old_bytes = postcard::to_stdvec(&old).expect("encodes");
+    assert_eq!(FleetDatagram::decode(&old_bytes), Some(unnamed));
+}
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -4,6 +4,7 @@
 mod callers_replica;
 mod datagrams;
 mod directory_copy;
+mod discovery;
 mod evacuations;
 mod target_probes;
 
--- a/src/fleet/watch_server.rs
+++ b/src/fleet/watch_server.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeSet,
     io,
     net::{Ipv4Addr, SocketAddrV4},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -71,6 +72,21 @@
         self.balancers().note_heard(balancer, now);
     }
 
+    /// Records that the connection of a balancer has ended.
+    fn note_disconnected(&self, balancer: Ipv4Addr) {
+        self.balancers().note_disconnected(balancer);
+    }
+
+    /// Adds balancers that ran before this replica started.
+    pub(super) fn expect_balancers(&self, balancers: &BTreeSet<Ipv4Addr>, now: ClockMillis) {
+        self.balancers().expect(balancers, now);
+    }
+
+    /// Returns at most `limit` silent balancers to recall now.
+    pub(super) fn take_recalls(&self, limit: usize, now: ClockMillis) -> Vec<Ipv4Addr> {
+        self.balancers().take_recalls(limit, now)
+    }
+
     fn balancers(&self) -> MutexGuard<'_, KnownBalancers> {
         self.balancers
             .lock()
@@ -149,7 +165,21 @@
     }
 
     /// Serves one watcher until it disconnects.
-    async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+    async fn serve(&self, stream: TcpStream) -> io::Result<()> {
+        let mut watcher = None;
+        let result = self.answer_polls(stream, &mut watcher).await;
+        if let Some(watcher) = watcher {
+            self.directory.note_disconnected(watcher);
+        }
+        result
+    }
+
+    /// Answers the polls of a connection until it ends; sets `watcher` to who polls.
+    async fn answer_polls(
+        &self,
+        mut stream: TcpStream,
+        watcher: &mut Option<Ipv4Addr>,
+    ) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut routes = self.replica.store().subscribe();
         let mut evacuations = self.replica.store().subscribe_evacuations();
@@ -157,6 +187,7 @@
         let mut told_leader = None;
         loop {
             let poll: WatchPoll = read_frame(&mut stream, FRAME_TIMEOUT_MILLIS.duration()).await?;
+            *watcher = Some(poll.watcher);
             self.directory.note_balancer(poll.watcher, self.clock.now());
             routes.mark_unchanged();
             evacuations.mark_unchanged();
