--- a/src/control/formation/tests/mod.rs
+++ b/src/control/formation/tests/mod.rs
@@ -1,4 +1,5 @@
 mod first_starts;
+mod forgotten_answers;
 mod formation_simulator;
 mod odd_messages;
 mod random_schedules;
