One odd number no longer holds off what a process states later

What callers saw: after one ping with a start time or a sequence number ahead of the target's own, an agent answered the target's pings with 200 and ignored them until it restarted. A target that drained got requests on.

Cause: the agent took the highest numbers it had heard as the truth, and acknowledged what it did not apply.

Ruled out: a bound on start times by the wall clock of the agent's VM, which would refuse every ping on a VM whose clock is wrong.

Change: `sequence::SequenceGuard` believes messages that follow each other once they have gone on for longer than messages may be delayed and nothing newer came; agents use it for pings (two heartbeats), replicas for announcements (2 s).

--- a/src/control/replica/limits.rs
+++ b/src/control/replica/limits.rs
@@ -37,6 +37,9 @@
 /// Time without an acknowledgement after which entries or a snapshot chunk are
 /// sent again.
 pub(crate) const RESEND_MILLIS: SpanMillis = SpanMillis::new(1_000);
+/// How far the term of a message may be ahead: a replica that was cut off for years, with
+/// ten elections a second, is behind by less.
+pub(crate) const MAX_TERM_STEP: u64 = 1 << 32;
 /// Interval between join requests.
 pub(crate) const JOIN_RETRY_MILLIS: SpanMillis = SpanMillis::new(500);
 /// How long a peer's report of an empty disk counts when a group is formed.
--- a/src/control/replica/message_dispatch.rs
+++ b/src/control/replica/message_dispatch.rs
@@ -3,6 +3,7 @@
 
 use super::{
     MemberId, PeerBody, PeerMessage, ReplicaCore, ReplicaReport, candidate_state::CoreRole,
+    limits::MAX_TERM_STEP,
 };
 use crate::clock::ClockMillis;
 
@@ -13,6 +14,10 @@
         if misaddressed || message.from.replica == self.peers.own {
             return;
         }
+        // A term that can't be true would end all elections: none could be higher.
+        if message.term.number() > self.hard_state.term.number().saturating_add(MAX_TERM_STEP) {
+            return;
+        }
         match message.body {
             PeerBody::JoinRequest => self.handle_join_request(&message),
             PeerBody::EmptyDiskResponse => self.handle_empty_disk(&message, now),
--- a/src/control/replica/tests/single_core.rs
+++ b/src/control/replica/tests/single_core.rs
@@ -248,3 +248,17 @@
     let view = replica.core.view(replica.now);
     assert_eq!(view.leader.map(|member_id| member_id.replica), Some(leader));
 }
+
+/// Guards against a message with an absurd term, after which no term is higher and nobody can
+/// be elected any more.
+#[test]
+fn an_absurd_term_is_not_adopted() {
+    let mut replica = SingleCore::new();
+    let heartbeat = PeerBody::Heartbeat {
+        commit: LogIndex::ZERO,
+        round: 1,
+    };
+    replica.receive(2, u64::MAX, heartbeat);
+    assert!(!replica.request_vote(3, u64::MAX));
+    assert!(replica.request_vote(3, 2));
+}
--- a/src/directory/target_directory.rs
+++ b/src/directory/target_directory.rs
@@ -11,6 +11,7 @@
     clock::{ClockMillis, SpanMillis},
     key::IncarnationId,
     listener::EvacuationSet,
+    sequence::{SequenceGuard, SequenceVerdict},
 };
 
 /// How often an agent announces its target.
@@ -33,6 +34,9 @@
 /// How long announcements of an agent's earlier run are ignored after a newer run
 /// was heard: longer than a datagram may be delayed.
 const EARLIER_RUN_MILLIS: SpanMillis = SpanMillis::new(5_000);
+/// How long announcements that look older than the newest one must go on, with none newer,
+/// until they are believed: the number of that one was wrong.
+const SEQUENCE_PATIENCE_MILLIS: SpanMillis = SpanMillis::new(2_000);
 /// Minimum number of live targets for the mass-silence check in `expire`.
 const MASS_SILENCE_MIN_TARGETS: usize = 4;
 
@@ -43,6 +47,8 @@
     /// Whether the agent has announced itself to this replica, or another replica told of
     /// it.
     heard: bool,
+    /// The announcements of the agent's current run.
+    sequence: SequenceGuard,
     /// The revision that added or last changed the record.
     revision: u64,
     /// The agent's run before the current one.
@@ -59,9 +65,12 @@
 impl DirectoryEntry {
     /// Returns whether an announcement is of an earlier run, or older than one
     /// heard before.
-    fn is_late(&self, record: &TargetRecord, now: ClockMillis) -> bool {
+    fn is_late(&mut self, record: &TargetRecord, now: ClockMillis) -> bool {
         if self.record.agent_run == record.agent_run {
-            return record.sequence <= self.record.sequence;
+            let verdict = self
+                .sequence
+                .judge(record.sequence, SEQUENCE_PATIENCE_MILLIS, now);
+            return verdict != SequenceVerdict::Newest;
         }
         self.earlier_run.is_some_and(|earlier_run| {
             earlier_run.agent_run == record.agent_run
@@ -127,7 +136,7 @@
         }
         update.unmask();
         for record in update.records {
-            if !self.entries.contains_key(&record.agent) {
+            if record.is_possible() && !self.entries.contains_key(&record.agent) {
                 self.set(record, None, now);
                 if let Some(entry) = self.entries.get_mut(&record.agent) {
                     entry.heard = false;
@@ -195,6 +204,9 @@
 
     /// Records an announcement; returns whether it changed the directory.
     pub(crate) fn announce(&mut self, record: TargetRecord, now: ClockMillis) -> bool {
+        if !record.is_possible() {
+            return false;
+        }
         self.expected.remove(&record.agent);
         let changed = self.apply_announcement(record, now);
         self.publish_settled(now) || changed
@@ -212,6 +224,7 @@
                     agent_run: old.agent_run,
                     replaced_at: now,
                 });
+                entry.sequence = SequenceGuard::new(record.sequence);
             }
             record = record.after_restart_of(&old);
             record.attributes = record.attributes.keeping_close_figures(&old.attributes);
@@ -305,13 +318,12 @@
         last_heard_at: ClockMillis,
     ) {
         self.revision += 1;
+        let known = self.entries.get(&record.agent);
         let entry = DirectoryEntry {
             record,
             last_heard_at,
-            heard: self
-                .entries
-                .get(&record.agent)
-                .is_none_or(|known| known.heard),
+            heard: known.is_none_or(|known| known.heard),
+            sequence: known.map_or(SequenceGuard::new(record.sequence), |known| known.sequence),
             revision: self.revision,
             earlier_run,
         };
--- a/src/directory/target_record.rs
+++ b/src/directory/target_record.rs
@@ -3,7 +3,16 @@
 use serde::{Deserialize, Serialize};
 
 use super::TargetAttributes;
-use crate::{key::IncarnationId, listener::ServiceTag};
+use crate::{
+    key::{IncarnationId, is_vm_address},
+    listener::ServiceTag,
+};
+
+/// By how many announcements the directories of two replicas may be apart: one that has
+/// not heard an agent for ten seconds, at ten announcements a second, drops it.
+const MAX_SEQUENCE_LAG: u64 = 100;
+/// The share of requests that can fail, in thousandths.
+const MAX_FAILURES_PERMILLE: u16 = 1_000;
 
 /// Whether a target accepts new flows, as announced by its agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,8 +88,17 @@
     }
 
     /// Returns whether this record is older than `other`, of the same run of the
-    /// agent.
+    /// agent. One that is older by more announcements than directories may be apart shows
+    /// that the number of the other one is wrong.
     pub(crate) fn is_older_than(&self, other: &Self) -> bool {
-        self.agent_run == other.agent_run && self.sequence < other.sequence
+        self.agent_run == other.agent_run
+            && self.sequence < other.sequence
+            && other.sequence - self.sequence <= MAX_SEQUENCE_LAG
+    }
+
+    /// Returns whether the agent can have announced this: its address is one of a VM and
+    /// its figures are within their ranges.
+    pub(crate) fn is_possible(&self) -> bool {
+        is_vm_address(self.agent) && self.attributes.failures <= MAX_FAILURES_PERMILLE
     }
 }
--- a/src/directory/target_view.rs
+++ b/src/directory/target_view.rs
@@ -78,6 +78,9 @@
         }
         let mut changed = Vec::new();
         for record in update.records {
+            if !record.is_possible() {
+                continue;
+            }
             let old = self.records.get(&record.agent);
             if old.is_some_and(|old| record.is_older_than(old)) {
                 continue;
--- a/src/directory/tests/mod.rs
+++ b/src/directory/tests/mod.rs
@@ -3,6 +3,7 @@
 mod directory_copies;
 mod evacuations;
 mod lookup_ranking;
+mod odd_records;
 mod published_figures;
 mod target_weights;
 mod weight_pace;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -45,7 +45,7 @@
 pub use fleet_settings::{FleetPorts, FleetSettings, SideSettings};
 pub use inspect_server::{InspectRequest, inspect_process};
 pub use settings_source::SettingsSource;
-pub use side_handle::{SideHandle, TargetNotice, TargetState};
+pub use side_handle::{NoticeOutcome, SideHandle, TargetNotice, TargetState};
 pub use side_node::SideNode;
 
 pub(crate) use fleet_event::FleetEvent;
--- a/src/fleet/side_handle.rs
+++ b/src/fleet/side_handle.rs
@@ -1,6 +1,5 @@
 use tokio::sync::{mpsc, oneshot};
 
-use super::target_tracker::NoticeVerdict;
 use crate::clock::SpanMillis;
 
 /// Whether a target accepts new flows, as it reports itself.
@@ -29,18 +28,30 @@
     pub slots: Option<u32>,
 }
 
+/// What an agent did with a call of its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoticeOutcome {
+    /// What the call says is in force.
+    InForce,
+    /// It is not: the call looks outdated, or the agent is stopping. A target that runs
+    /// calls again.
+    NotInForce,
+    /// The call can't be of this target; its sequence number can't follow the one before.
+    Odd,
+}
+
 /// A call of the target to its agent.
 #[derive(Debug)]
 pub(super) enum SideCommand {
     /// The target announces itself.
     Announce {
         notice: TargetNotice,
-        answer: oneshot::Sender<NoticeVerdict>,
+        answer: oneshot::Sender<NoticeOutcome>,
     },
     /// The target has ended.
     End {
         id: String,
-        answer: oneshot::Sender<NoticeVerdict>,
+        answer: oneshot::Sender<NoticeOutcome>,
     },
 }
 
@@ -51,21 +62,28 @@
 }
 
 impl SideHandle {
-    /// Passes an announcement to the agent; false if the agent is stopping.
-    ///
-    /// Once this returns true, the agent has handled it: a draining target gets
-    /// no new flow.
-    pub async fn announce(&self, notice: TargetNotice) -> bool {
-        let (answer, verdict) = oneshot::channel();
-        let command = SideCommand::Announce { notice, answer };
-        self.commands.send(command).await.is_ok() && verdict.await.is_ok()
+    /// Passes an announcement to the agent and returns once the agent has handled it: a
+    /// draining target whose announcement is in force gets no new flow.
+    pub async fn announce(&self, notice: TargetNotice) -> NoticeOutcome {
+        let (answer, outcome) = oneshot::channel();
+        self.call(SideCommand::Announce { notice, answer }, outcome)
+            .await
+    }
+
+    /// Tells the agent that the target called `id` has ended.
+    pub async fn note_ended(&self, id: String) -> NoticeOutcome {
+        let (answer, outcome) = oneshot::channel();
+        self.call(SideCommand::End { id, answer }, outcome).await
     }
 
-    /// Tells the agent that the target called `id` has ended; false if the agent
-    /// is stopping.
-    pub async fn note_ended(&self, id: String) -> bool {
-        let (answer, verdict) = oneshot::channel();
-        let command = SideCommand::End { id, answer };
-        self.commands.send(command).await.is_ok() && verdict.await.is_ok()
+    async fn call(
+        &self,
+        command: SideCommand,
+        outcome: oneshot::Receiver<NoticeOutcome>,
+    ) -> NoticeOutcome {
+        if self.commands.send(command).await.is_err() {
+            return NoticeOutcome::NotInForce;
+        }
+        outcome.await.unwrap_or(NoticeOutcome::NotInForce)
     }
 }
--- a/src/fleet/side_target.rs
+++ b/src/fleet/side_target.rs
@@ -6,7 +6,7 @@
     FleetEvent, SideNode,
     fleet_counters::{publish_figures, publish_gauge},
     fleet_datagram::FleetDatagram,
-    side_handle::SideCommand,
+    side_handle::{NoticeOutcome, SideCommand, TargetNotice},
     side_node::{CHANGE_REPEATS, GROUP_LOST_MILLIS, PROBE_INTERVAL_MILLIS, REPEAT_INTERVAL_MILLIS},
     target_probe::{ProbeOutcome, TargetProbe},
     target_tracker::NoticeVerdict,
@@ -238,27 +238,45 @@
     /// Handles a call of the target; it is answered once the agent has applied it.
     pub(super) fn handle_command(&mut self, command: SideCommand) {
         let now = self.clock.now();
-        let (verdict, answer) = match command {
-            SideCommand::Announce { notice, answer } => {
-                let verdict = self.tracker.apply_notice(notice.clone(), now);
-                if verdict == NoticeVerdict::Taken {
-                    self.note_target_heard(now);
-                    log_event!(info, FleetEvent::NoticeTaken, id = notice.id, sequence = notice.sequence, state = ?notice.state, warm_in = %notice.warm_up_left);
-                }
-                (verdict, answer)
-            }
+        let (outcome, answer) = match command {
+            SideCommand::Announce { notice, answer } => (self.apply_notice(&notice, now), answer),
             SideCommand::End { id, answer } => {
                 let verdict = self.tracker.note_ended(&id);
                 log_event!(info, FleetEvent::NoticeTaken, id, state = "ended", ?verdict);
-                (verdict, answer)
+                // Nothing is in force of a target that is not the current one.
+                (NoticeOutcome::InForce, answer)
             }
         };
-        if verdict == NoticeVerdict::Late {
-            log_event!(info, FleetEvent::NoticeIgnored, ?verdict);
-        }
         self.announce_change(now);
         // A target that has disconnected calls again.
-        let _ = answer.send(verdict);
+        let _ = answer.send(outcome);
+    }
+
+    fn apply_notice(&mut self, notice: &TargetNotice, now: ClockMillis) -> NoticeOutcome {
+        let verdict = self.tracker.apply_notice(notice.clone(), now);
+        let (id, sequence, state) = (&notice.id, notice.sequence, notice.state);
+        if verdict == NoticeVerdict::Taken {
+            self.note_target_heard(now);
+            log_event!(info, FleetEvent::NoticeTaken, id, sequence, ?state, warm_in = %notice.warm_up_left);
+            return NoticeOutcome::InForce;
+        }
+        let in_force = self.tracker.is_in_force(notice);
+        if self.log_limiter.allows(FleetEvent::NoticeIgnored, now) {
+            log_event!(
+                warn,
+                FleetEvent::NoticeIgnored,
+                id,
+                sequence,
+                ?state,
+                ?verdict,
+                in_force
+            );
+        }
+        match verdict {
+            NoticeVerdict::Odd => NoticeOutcome::Odd,
+            _ if in_force => NoticeOutcome::InForce,
+            _ => NoticeOutcome::NotInForce,
+        }
     }
 
     /// Clears the suspicion of a target that has announced itself.
--- a/src/fleet/target_tracker.rs
+++ b/src/fleet/target_tracker.rs
@@ -9,6 +9,7 @@
     directory::TargetStatus,
     flow::TargetLifecycle,
     key::IncarnationId,
+    sequence::{SequenceGuard, SequenceStreak, SequenceVerdict},
 };
 
 /// The announcements that a target may miss before it counts as silent.
@@ -18,13 +19,33 @@
 /// second that it waits for an acknowledgement.
 const FIRST_NOTICE_DELAY_MILLIS: SpanMillis = SpanMillis::new(1_000);
 
+/// The heartbeats for which announcements that look outdated must go on, with none newer,
+/// until they are believed.
+const RIVAL_HEARTBEATS: u64 = 2;
+
 /// Whether an announcement was applied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum NoticeVerdict {
     /// It was the newest one and is in force.
     Taken,
-    /// It was outdated and changed nothing.
+    /// It looked outdated and changed nothing.
     Late,
+    /// Its sequence number can't follow the one before, and it changed nothing.
+    Odd,
+}
+
+/// Announcements of an incarnation that looks like an earlier one, or that has ended.
+#[derive(Debug)]
+struct RivalIncarnation {
+    id: String,
+    started_at: u64,
+    streak: SequenceStreak,
+}
+
+impl RivalIncarnation {
+    fn is_of(&self, notice: &TargetNotice) -> bool {
+        self.id == notice.id && self.started_at == notice.started_at
+    }
 }
 
 /// Whether the outcome of a probe was applied.
@@ -44,6 +65,10 @@
     heartbeat: SpanMillis,
     max_silence: SpanMillis,
     latest_notice: Option<TargetNotice>,
+    /// The sequence numbers of the latest incarnation.
+    sequence: SequenceGuard,
+    /// What may be the current incarnation in spite of the latest notice.
+    rival: Option<RivalIncarnation>,
     ended: bool,
     heard_at: ClockMillis,
     /// Whether nothing listens at the target's address.
@@ -62,6 +87,8 @@
             heartbeat,
             max_silence: heartbeat.saturating_mul(MISSED_ANNOUNCEMENTS),
             latest_notice: None,
+            sequence: SequenceGuard::new(0),
+            rival: None,
             ended: false,
             heard_at: now,
             absent: false,
@@ -72,16 +99,18 @@
 
     /// Applies an announcement; one of an earlier incarnation, or with an old
     /// sequence number, changes nothing.
+    ///
+    /// Start times and sequence numbers may be wrong, so announcements that look outdated
+    /// are believed once they have gone on for `RIVAL_HEARTBEATS` and nothing newer came.
     pub(crate) fn apply_notice(&mut self, notice: TargetNotice, now: ClockMillis) -> NoticeVerdict {
-        if let Some(latest_notice) = &self.latest_notice {
-            let same_incarnation =
-                latest_notice.id == notice.id && latest_notice.started_at == notice.started_at;
-            let late = notice.started_at < latest_notice.started_at
-                || (same_incarnation && (self.ended || notice.sequence <= latest_notice.sequence));
-            if late {
-                return NoticeVerdict::Late;
-            }
+        let verdict = self.judge(&notice, now);
+        if verdict != NoticeVerdict::Taken {
+            return verdict;
+        }
+        if self.ended || !self.is_latest_incarnation(&notice) {
+            self.sequence = SequenceGuard::new(notice.sequence);
         }
+        self.rival = None;
         self.warm_up_until = now.after(notice.warm_up_left);
         self.heard_at = now;
         self.ended = false;
@@ -91,6 +120,63 @@
         NoticeVerdict::Taken
     }
 
+    fn judge(&mut self, notice: &TargetNotice, now: ClockMillis) -> NoticeVerdict {
+        let Some(latest_notice) = &self.latest_notice else {
+            return NoticeVerdict::Taken;
+        };
+        let patience = self.heartbeat.saturating_mul(RIVAL_HEARTBEATS);
+        if self.is_latest_incarnation(notice) && !self.ended {
+            return match self.sequence.judge(notice.sequence, patience, now) {
+                SequenceVerdict::Newest => NoticeVerdict::Taken,
+                SequenceVerdict::Stale => NoticeVerdict::Late,
+                SequenceVerdict::Odd => NoticeVerdict::Odd,
+            };
+        }
+        let may_be_later = notice.started_at >= latest_notice.started_at;
+        if may_be_later && !self.is_latest_incarnation(notice) {
+            return NoticeVerdict::Taken;
+        }
+        self.judge_rival(notice, patience, now)
+    }
+
+    fn judge_rival(
+        &mut self,
+        notice: &TargetNotice,
+        patience: SpanMillis,
+        now: ClockMillis,
+    ) -> NoticeVerdict {
+        let known = self.rival.as_ref().filter(|rival| rival.is_of(notice));
+        let streak = known.map_or_else(
+            || SequenceStreak::new(notice.sequence, now),
+            |rival| rival.streak.with_message(notice.sequence, now),
+        );
+        if streak.is_believed(patience, now) {
+            return NoticeVerdict::Taken;
+        }
+        self.rival = Some(RivalIncarnation {
+            id: notice.id.clone(),
+            started_at: notice.started_at,
+            streak,
+        });
+        NoticeVerdict::Late
+    }
+
+    /// Returns whether an announcement is of the latest incarnation.
+    fn is_latest_incarnation(&self, notice: &TargetNotice) -> bool {
+        self.latest_notice.as_ref().is_some_and(|latest_notice| {
+            latest_notice.id == notice.id && latest_notice.started_at == notice.started_at
+        })
+    }
+
+    /// Returns whether what an announcement says is in force, whether it was applied or an
+    /// earlier one said the same.
+    pub(crate) fn is_in_force(&self, notice: &TargetNotice) -> bool {
+        let latest_notice = self.latest_notice.as_ref();
+        let has_same_state =
+            latest_notice.is_some_and(|latest_notice| latest_notice.state == notice.state);
+        self.is_latest_incarnation(notice) && has_same_state && !self.ended
+    }
+
     /// Returns whether the target says that it is still slow after its start.
     pub(crate) fn is_warming(&self, now: ClockMillis) -> bool {
         now < self.warm_up_until
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -6,6 +6,7 @@
 mod directory_copy;
 mod discovery;
 mod evacuations;
+mod odd_notices;
 mod target_probes;
 
 use std::net::Ipv4Addr;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod proof;
 pub mod route;
 pub mod secret;
+mod sequence;
 pub mod settings;
 pub mod tls;
 pub mod tunnel;
