Split the datagrams and the late replica off the entry node

entry_node.rs had 480 lines: its loop, the handling of datagrams, and the start of a replica on a VM without a disk. The last two move to files of their own without a change.

--- a/src/fleet/entry_node.rs
+++ b/src/fleet/entry_node.rs
@@ -1,5 +1,5 @@
 use std::{
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    net::{Ipv4Addr, SocketAddrV4},
     sync::{Arc, OnceLock, atomic::AtomicBool},
     time::Duration,
 };
@@ -13,13 +13,10 @@
 
 use super::{
     EntryHandle, FleetError, FleetEvent, FleetSettings, SettingsSource,
-    agent_policy::AgentPolicy,
-    directory_copy::DirectoryCopy,
     entry_formation::EntryFormation,
     entry_journal::JournalFile,
     entry_sockets::{FleetSocket, open_socket},
     fleet_counters::EntryCounters,
-    fleet_datagram::{FleetDatagram, MAX_DATAGRAM_BYTES},
     formation_file::FormationProgress,
     group_view::GroupView,
     hint_file::{HintEvents, HintFile},
@@ -33,7 +30,6 @@
 };
 use crate::{
     clock::{ClockMillis, ProcessClock, SpanMillis},
-    control::{formation::FormationBody, replica::DiskId, replica_shell::ReplicaStorage},
     directory::{DirectoryPosition, TargetDirectory, TargetView},
     event::log_event,
     flow::{BalancerFlows, PacketCodec},
@@ -83,7 +79,7 @@
     pub(super) codec: Arc<dyn PacketCodec>,
     pub(super) settings_source: Arc<dyn SettingsSource>,
     pub(super) clock: ProcessClock,
-    operator_port: u16,
+    pub(super) operator_port: u16,
     pub(super) packet_socket: UdpSocket,
     pub(super) fleet_socket: FleetSocket,
     pub(super) group: GroupView,
@@ -262,46 +258,6 @@
         Ok(())
     }
 
-    /// Starts a replica in memory on a VM without a disk that the group counts as a member:
-    /// no VM had a disk at the first start.
-    pub(super) fn start_memory_replica(&mut self) {
-        let is_member = self.group.members().contains(&self.settings.address);
-        if !is_member || self.settings.data_folder.is_some() || self.replica.get().is_some() {
-            return;
-        }
-        let founder = self.formation.memory_founder.take();
-        let disk = founder.map_or_else(|| DiskId::new(rand::random()), |member| member.disk);
-        let storage = ReplicaStorage::Memory(disk);
-        let replica = match LocalReplica::start(&self.settings, self.operator_port, storage) {
-            Ok(replica) => replica,
-            Err(error) => return log_event!(error, FleetEvent::SeatFailed, %error),
-        };
-        let now = self.clock.now();
-        let shared = SharedDirectory::new(TargetDirectory::new(rand::random(), now));
-        let server = WatchServer::new(replica.clone(), shared.clone(), self.clock);
-        let address = self.settings.watch_address();
-        tokio::spawn(async move {
-            if let Err(error) = server.start(address).await {
-                log_event!(error, FleetEvent::SeatFailed, %error);
-            }
-        });
-        self.copy_directory(shared.clone());
-        self.directory = Some(shared);
-        let _ = self.replica.set(replica);
-    }
-
-    /// Copies the directory of another replica in the background.
-    fn copy_directory(&self, directory: SharedDirectory) {
-        let copy = DirectoryCopy::new(
-            self.settings.address,
-            self.settings.ports.watch,
-            self.group.clone(),
-            directory,
-            self.clock,
-        );
-        tokio::spawn(copy.run());
-    }
-
     fn begin_stop(&mut self) -> Instant {
         log_event!(info, FleetEvent::StopBegun);
         self.stopping = true;
@@ -324,86 +280,6 @@
         Instant::now() + next.since(now).duration().max(Duration::from_millis(1))
     }
 
-    fn receive_datagrams(&mut self) {
-        let mut buffer = [0; MAX_DATAGRAM_BYTES];
-        for _ in 0..PACKETS_PER_TURN {
-            let Some((length, from)) = self.fleet_socket.receive(&mut buffer) else {
-                return;
-            };
-            let SocketAddr::V4(from) = from else { continue };
-            if let Some(datagram) = FleetDatagram::decode(&buffer[..length]) {
-                self.handle_datagram(&datagram, *from.ip());
-            }
-        }
-    }
-
-    fn handle_datagram(&mut self, datagram: &FleetDatagram, from: Ipv4Addr) {
-        let now = self.clock.now();
-        match datagram {
-            FleetDatagram::Announce(record) => {
-                self.restart_notifier.note_heard(record.agent);
-                if let Some(directory) = &self.directory {
-                    directory.update(|directory| directory.announce(*record, now));
-                    let incarnation = directory.incarnation_of(record.agent);
-                    self.reset_dead_flows(record.agent, incarnation);
-                }
-                self.send_members(from);
-                if let Some(replica) = self.replica.get() {
-                    let policy = AgentPolicy::for_agent(record, replica.store());
-                    self.fleet_socket
-                        .send(record.agent, &FleetDatagram::Policy(policy));
-                }
-            }
-            FleetDatagram::LongFlows(list) => self.record_long_flows(list, now),
-            FleetDatagram::Formation(message) => {
-                if let FormationBody::Register { .. } = message.body {
-                    // A replica that is no founder asks the members for admission.
-                    self.send_members(from);
-                }
-                self.handle_formation_message(message.clone());
-            }
-            // Only agents get policies.
-            FleetDatagram::Policy(_) => {}
-            FleetDatagram::Locate => {
-                self.restart_notifier.note_heard(from);
-                if let Some(directory) = &self.directory {
-                    directory.note_balancer(from, now);
-                }
-                self.send_members(from);
-            }
-            FleetDatagram::Located { members, sender } => {
-                self.note_members(members, sender.unwrap_or(from));
-            }
-            FleetDatagram::Recall { members, sender } => {
-                self.note_members(members, sender.unwrap_or(from));
-                self.fleet_socket.send(from, &FleetDatagram::Locate);
-            }
-            FleetDatagram::Report(report) => {
-                self.handle_report(report, now);
-                if self.log_limiter.allows(FleetEvent::ReportTaken, now) {
-                    log_event!(info, FleetEvent::ReportTaken, flow = %report.flow, agent = %report.agent, kind = ?report.kind);
-                }
-            }
-        }
-    }
-
-    fn note_members(&mut self, members: &[Ipv4Addr], from: Ipv4Addr) {
-        if self.group.note_members(members, from) {
-            log_event!(info, FleetEvent::CoreFound, members = ?self.group.members(), %from);
-            self.start_memory_replica();
-        }
-    }
-
-    /// Sends the members of the control group to another process, if known.
-    pub(super) fn send_members(&self, to: Ipv4Addr) {
-        let members = self.group.members();
-        if !members.is_empty() {
-            let sender = Some(self.settings.address);
-            self.fleet_socket
-                .send(to, &FleetDatagram::Located { members, sender });
-        }
-    }
-
     fn handle_update(&mut self, update: WatchUpdate) {
         match update {
             WatchUpdate::Reply { replica, reply } => self.apply_reply(*reply, replica),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,12 +8,14 @@
 mod agent_policy;
 mod announced_figures;
 mod directory_copy;
+mod entry_datagrams;
 mod entry_formation;
 mod entry_handle;
 mod entry_journal;
 mod entry_maintenance;
 mod entry_node;
 mod entry_packets;
+mod entry_replica;
 mod entry_sockets;
 mod fleet_counters;
 mod fleet_datagram;
