Seeds whose answers agree decide, whatever a third one knows

A trial of what operators are told to do: two of three seeds forget before the group has formed, nobody forms one, and both are restarted with `bootstrap` on. No group formed then either (the new test, before the change).

Cause: the third seed knows the incarnations that had asked it for help, and an answer counted only if no answer at all disagreed with it. So the two could not decide without it, nor with it.

Ruled out: that two answers beside a third that disagrees could stem from before a loss. A seed that recovers has asked all others, so each pair with its old answer includes one whose state it has taken over, or one that disagrees.

Change: any replies that agree with each other decide, if there are enough.

After: the tests of `formation` pass.

--- a/src/control/formation/ballot_quorum.rs
+++ b/src/control/formation/ballot_quorum.rs
@@ -50,19 +50,39 @@
     }
 
     /// Returns replies that decide the ballot: enough of them, and none that its seed
-    /// has forgotten, as far as the others know.
+    /// has forgotten, as far as the others of them know.
     pub(crate) fn decided(&self) -> Option<Vec<&T>> {
-        let consistent: Vec<&(SeedView, T)> = self
+        let replies: Vec<(ReplicaId, &SeedView, &T)> = self
             .replies
             .iter()
-            .filter(|(seed, (view, _))| {
-                let others = self.replies.values();
-                let mut views = others.map(|(other, _)| other);
-                views.all(|other| other.agrees_with(**seed, view.own))
-            })
-            .map(|(_, reply)| reply)
+            .map(|(seed, (view, reply))| (*seed, view, reply))
             .collect();
-        (consistent.len() >= self.needed)
-            .then(|| consistent.into_iter().map(|(_, reply)| reply).collect())
+        self.select(&replies, &mut Vec::new())
+    }
+
+    /// Completes `selected` with replies from `rest` that agree with each other.
+    fn select<'a>(
+        &self,
+        rest: &[(ReplicaId, &'a SeedView, &'a T)],
+        selected: &mut Vec<(ReplicaId, &'a SeedView, &'a T)>,
+    ) -> Option<Vec<&'a T>> {
+        if selected.len() == self.needed {
+            return Some(selected.iter().map(|(_, _, reply)| *reply).collect());
+        }
+        if selected.len() + rest.len() < self.needed {
+            return None;
+        }
+        let (next, rest) = rest.split_first()?;
+        let agrees = selected.iter().all(|(seed, view, _)| {
+            view.agrees_with(next.0, next.1.own) && next.1.agrees_with(*seed, view.own)
+        });
+        if agrees {
+            selected.push(*next);
+            if let Some(replies) = self.select(rest, selected) {
+                return Some(replies);
+            }
+            selected.pop();
+        }
+        self.select(rest, selected)
     }
 }
--- a/src/control/formation/tests/first_starts.rs
+++ b/src/control/formation/tests/first_starts.rs
@@ -127,3 +127,33 @@
         assert_eq!(simulator.agreed.len(), 1, "seed {seed}");
     }
 }
+
+/// Guards against a group that two forgetful seeds form by themselves, and against operators
+/// who have no way on: with `bootstrap` the seeds start anew.
+#[test]
+fn a_majority_of_seeds_that_has_forgotten_waits_for_the_operator() {
+    let shape = site(&[Diskless, Diskless, Diskless], &[Disk, Disk, Disk], 1);
+    for seed in 0..SEEDS {
+        let mut simulator = FormationSimulator::new(shape.clone(), seed);
+        // No replica runs yet, so that the group can't form before the seeds forget.
+        for vm in 0..3 {
+            simulator.start(vm, true);
+        }
+        simulator.run(SpanMillis::new(300));
+        for vm in [0, 2] {
+            simulator.kill(vm);
+            simulator.start(vm, false);
+        }
+        for vm in 3..simulator.vms() {
+            simulator.start(vm, true);
+        }
+        simulator.run(FORMED_WITHIN_MILLIS.saturating_mul(4));
+        assert!(simulator.agreed.is_empty(), "seed {seed}");
+        for vm in [0, 2] {
+            simulator.kill(vm);
+            simulator.start(vm, true);
+        }
+        simulator.run(FORMED_WITHIN_MILLIS);
+        assert!(simulator.working_group().is_some(), "seed {seed}");
+    }
+}
