Only a process of the first start speaks for it to the only seed

Found by reading: a single seed that has forgotten counted any registration as a sign that no group exists. A replica that starts late in the life of a deployment registers as well, so that a seed that was told of the group by nobody for four seconds would have formed a second one with it.

Change: only `NoGroupKnown` counts, which processes send that were started with `bootstrap`; replicas of the first start send it besides their registration.

The new test was not run on the code before.

--- a/src/control/formation/formation_seed.rs
+++ b/src/control/formation/formation_seed.rs
@@ -59,8 +59,8 @@
     formed: Option<GroupProposal>,
     started_at: ClockMillis,
     retry_at: ClockMillis,
-    /// When a process that has run since the first start last said that it knows no group.
-    no_group_heard_at: Option<ClockMillis>,
+    /// Whether a process that has run since the first start said that it knows no group.
+    no_group_heard: bool,
     rng: StdRng,
     actions: Vec<FormationAction>,
 }
@@ -97,7 +97,7 @@
             formed: None,
             started_at: now,
             retry_at: now,
-            no_group_heard_at: None,
+            no_group_heard: false,
             rng,
             actions,
             settings,
@@ -131,10 +131,9 @@
         match message.body {
             FormationBody::Register { member, storage } if member.replica == from => {
                 self.registry.register(member, storage, now);
-                self.no_group_heard_at = Some(now);
                 self.tell_formed(member);
             }
-            FormationBody::NoGroupKnown => self.no_group_heard_at = Some(now),
+            FormationBody::NoGroupKnown => self.no_group_heard = true,
             body if message.electorate == self.electorate
                 && self.settings.seeds.contains(&from) =>
             {
@@ -207,7 +206,7 @@
     fn recover_memory(&mut self, now: ClockMillis) {
         let is_only_seed = self.settings.seeds.len() == 1;
         let is_quiet = now.since(self.started_at) >= QUIET_MILLIS;
-        if is_only_seed && is_quiet && self.no_group_heard_at.is_some() {
+        if is_only_seed && is_quiet && self.no_group_heard {
             self.acceptor.trust_empty_state();
             let state = self.acceptor.state().clone();
             self.actions.push(FormationAction::Persist(state));
--- a/src/control/formation/tests/first_starts.rs
+++ b/src/control/formation/tests/first_starts.rs
@@ -128,6 +128,19 @@
     }
 }
 
+/// Guards against a second group by the only seed, if it forgets late in the life of a
+/// deployment and a replica that starts then registers with it.
+#[test]
+fn a_replica_that_starts_later_does_not_make_the_only_seed_forget_the_group() {
+    for seed in 0..SEEDS {
+        let mut simulator = FormationSimulator::new(site(&[Diskless], &[Disk], 0), seed);
+        simulator.start(0, false);
+        simulator.start(1, false);
+        simulator.run(FORMED_WITHIN_MILLIS.saturating_mul(4));
+        assert!(simulator.agreed.is_empty(), "seed {seed}");
+    }
+}
+
 /// Guards against a group that two forgetful seeds form by themselves, and against operators
 /// who have no way on: with `bootstrap` the seeds start anew.
 #[test]
--- a/src/control/formation/tests/formation_simulator.rs
+++ b/src/control/formation/tests/formation_simulator.rs
@@ -316,20 +316,19 @@
         if has_joined || process.joined.is_some() {
             return;
         }
-        let body = match process.founder {
-            Some(member) if storage == StorageKind::Disk || !knows_group => {
-                FormationBody::Register { member, storage }
+        let founder = process.founder;
+        let founder = founder.filter(|_| storage == StorageKind::Disk || !knows_group);
+        let registration = founder.map(|member| FormationBody::Register { member, storage });
+        let report = (process.bootstrap && !knows_group).then_some(FormationBody::NoGroupKnown);
+        for body in registration.into_iter().chain(report) {
+            for seed in 0..self.seeds() {
+                let message = FormationMessage {
+                    from: replica_id(vm),
+                    electorate: 0,
+                    body: body.clone(),
+                };
+                self.send(vm, seed, &Content::Formation(message));
             }
-            None if process.bootstrap && !knows_group => FormationBody::NoGroupKnown,
-            _ => return,
-        };
-        for seed in 0..self.seeds() {
-            let message = FormationMessage {
-                from: replica_id(vm),
-                electorate: 0,
-                body: body.clone(),
-            };
-            self.send(vm, seed, &Content::Formation(message));
         }
     }
 
--- a/src/fleet/entry_formation.rs
+++ b/src/fleet/entry_formation.rs
@@ -155,18 +155,20 @@
             Some(replica) => replica.founder(),
             None => self.formation.memory_founder.filter(|_| !knows_group),
         };
-        let body = match founder {
-            Some(member) => FormationBody::Register {
-                member,
-                storage: self.storage_kind(),
-            },
-            None if self.settings.bootstrap && !knows_group => FormationBody::NoGroupKnown,
-            None => return,
-        };
+        if let Some(member) = founder {
+            let storage = self.storage_kind();
+            self.tell_seeds(&FormationBody::Register { member, storage }, now);
+        }
+        if self.settings.bootstrap && !knows_group {
+            self.tell_seeds(&FormationBody::NoGroupKnown, now);
+        }
+    }
+
+    fn tell_seeds(&mut self, body: &FormationBody, now: ClockMillis) {
         let message = FormationMessage {
             from: ReplicaId::at(self.settings.address),
             electorate: 0,
-            body,
+            body: body.clone(),
         };
         for seed in self.group.seeds() {
             if seed == self.settings.address {
