--- a/src/control/formation/tests/first_starts.rs
+++ b/src/control/formation/tests/first_starts.rs
@@ -3,7 +3,10 @@
 use rand::Rng;
 use rstest::rstest;
 
-use super::formation_simulator::{FormationSimulator, SiteShape, VmKind};
+use super::{
+    formation_simulator::FormationSimulator,
+    site_shape::{SiteShape, VmKind},
+};
 use crate::clock::SpanMillis;
 
 use VmKind::{Agent, Disk, Diskless};
--- a/src/control/formation/tests/formation_simulator.rs
+++ b/src/control/formation/tests/formation_simulator.rs
@@ -4,6 +4,7 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
+use super::site_shape::{Conditions, SiteShape, VmKind};
 use crate::{
     clock::{ClockMillis, SpanMillis},
     control::{
@@ -22,25 +23,6 @@
 /// Interval between the notices of an entry VM to one seed after the other.
 const SEED_NOTICE_MILLIS: SpanMillis = SpanMillis::new(3_000);
 
-/// What a VM of the simulation runs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum VmKind {
-    /// An entry VM with a disk.
-    Disk,
-    /// An entry VM without a disk.
-    Diskless,
-    /// A VM beside a target, with an agent.
-    Agent,
-}
-
-/// The VMs of a deployment; the first ones are the seeds.
-#[derive(Debug, Clone)]
-pub(super) struct SiteShape {
-    pub(super) seeds: Vec<VmKind>,
-    pub(super) others: Vec<VmKind>,
-    pub(super) tolerated_losses: usize,
-}
-
 struct Process {
     /// Whether it was started with `bootstrap` on.
     bootstrap: bool,
@@ -79,24 +61,6 @@
     Located(GroupId),
 }
 
-/// How messages and disks behave.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Conditions {
-    pub(super) max_delay: u64,
-    pub(super) max_sync: u64,
-    pub(super) loss: f64,
-    pub(super) duplicates: f64,
-}
-
-impl Conditions {
-    pub(super) const CALM: Self = Self {
-        max_delay: 20,
-        max_sync: 20,
-        loss: 0.0,
-        duplicates: 0.0,
-    };
-}
-
 pub(super) struct FormationSimulator {
     shape: SiteShape,
     kinds: Vec<VmKind>,
--- a/src/control/formation/tests/mod.rs
+++ b/src/control/formation/tests/mod.rs
@@ -3,3 +3,4 @@
 mod formation_simulator;
 mod odd_messages;
 mod random_schedules;
+mod site_shape;
--- a/src/control/formation/tests/random_schedules.rs
+++ b/src/control/formation/tests/random_schedules.rs
@@ -3,9 +3,12 @@
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 use rstest::rstest;
 
-use super::formation_simulator::{
-    Conditions, FormationSimulator, SiteShape,
-    VmKind::{self, Agent, Disk, Diskless},
+use super::{
+    formation_simulator::FormationSimulator,
+    site_shape::{
+        Conditions, SiteShape,
+        VmKind::{self, Agent, Disk, Diskless},
+    },
 };
 use crate::clock::SpanMillis;
 
--- a/src/control/replica/tests/group_simulator.rs
+++ b/src/control/replica/tests/group_simulator.rs
@@ -12,7 +12,7 @@
         api::ReplicaRole,
         formation::GroupProposal,
         replica::{
-            EntryPayload, GroupAdmission, GroupId, MemberId, PeerMessage, ProposalKey, ReadKey,
+            EntryPayload, GroupAdmission, GroupId, PeerMessage, ProposalKey, ReadKey,
             ReplicaAction, ReplicaCore, ReplicaEvent, ReplicaId, ReplicaPeers, ReplicaView,
             TICK_MILLIS, replica_log::LogCompaction,
         },
@@ -71,16 +71,10 @@
     /// Makes the group open: the first `founders` replicas form it, and the others
     /// know only them.
     pub(super) fn with_founders(mut self, founders: usize) -> Self {
-        let member_id = |(node, founder): (usize, &TestNode)| MemberId {
-            replica: replica_id(node),
-            disk: founder.disk.hard_state.disk,
-        };
         self.agreed = Some(GroupProposal {
             group: GroupId::new(self.rng.random()),
-            founders: (0..)
-                .zip(&self.nodes)
-                .take(founders)
-                .map(member_id)
+            founders: (0..founders)
+                .map(|node| self.nodes[node].member_id(replica_id(node)))
                 .collect(),
         });
         for node in 0..self.nodes.len() {
--- a/src/control/replica/tests/test_node.rs
+++ b/src/control/replica/tests/test_node.rs
@@ -2,7 +2,9 @@
 
 use rand::{Rng, rngs::StdRng};
 
-use crate::control::replica::{DiskBatch, DiskId, RecoveredState, ReplicaCore};
+use crate::control::replica::{
+    DiskBatch, DiskId, MemberId, RecoveredState, ReplicaCore, ReplicaId,
+};
 
 /// A replica with its disk; its state machine is a map of the applied changes.
 pub(super) struct TestNode {
@@ -22,6 +24,14 @@
         }
     }
 
+    /// Returns the member that the replica is on its disk.
+    pub(super) fn member_id(&self, replica: ReplicaId) -> MemberId {
+        MemberId {
+            replica,
+            disk: self.disk.hard_state.disk,
+        }
+    }
+
     pub(super) fn write(&mut self, batch: DiskBatch, max_entries: usize) {
         if let Some(state) = batch.hard_state {
             self.disk.hard_state = state;
