--- /dev/null
+++ b/review/standins-2/src/cases.rs
@@ -0,0 +1,17 @@
+//! The cases.
+
+use std::path::Path;
+
+use crate::{Outcome, record::Record};
+
+mod odd_ping;
+
+/// A case: runs against the program, with or without its disruption.
+pub type Case = fn(&Path, &Record, bool) -> Outcome;
+
+pub fn find(name: &str) -> Option<Case> {
+    match name {
+        "odd-ping" => Some(odd_ping::run),
+        _ => None,
+    }
+}
