review: case 7, a delayed ping of an earlier boot resets long flows after a planned restart

Claim: the first ping that a restarted node hears is believed, also if it is one of an earlier boot; core machines then reset the long flows of the living boot (FLOW, planned work).

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -4,6 +4,8 @@
 
 use crate::{Outcome, record::Record};
 
+mod common;
+mod late_ping;
 mod odd_ping;
 
 /// A case: runs against the program, with or without its disruption.
@@ -12,6 +14,7 @@
 pub fn find(name: &str) -> Option<Case> {
     match name {
         "odd-ping" => Some(odd_ping::run),
+        "late-ping" => Some(late_ping::run),
         _ => None,
     }
 }
