--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -5,6 +5,7 @@
 use crate::{Outcome, record::Record};
 
 mod common;
+mod late_end;
 mod late_ping;
 mod odd_ping;
 
@@ -14,6 +15,7 @@
 pub fn find(name: &str) -> Option<Case> {
     match name {
         "odd-ping" => Some(odd_ping::run),
+        "late-end" => Some(late_end::run),
         "late-ping" => Some(late_ping::run),
         _ => None,
     }
