--- a/review/standins-2/src/caller.rs
+++ b/review/standins-2/src/caller.rs
@@ -142,8 +142,10 @@
             };
             let is_system_reset = packet.flags == RST && !is_genuine;
             if !is_genuine && !is_system_reset {
-                self.record
-                    .line(format!("requester {}: a packet that nobody wrote so", self.own));
+                self.record.line(format!(
+                    "requester {}: a packet that nobody wrote so",
+                    self.own
+                ));
                 self.log.lock().expect("no panic").foreign += 1;
                 continue;
             }
@@ -231,7 +233,8 @@
             }
         }
         self.log.lock().expect("no panic").unopened += 1;
-        self.record.line(format!("opening of {} unanswered", flow.0));
+        self.record
+            .line(format!("opening of {} unanswered", flow.0));
         None
     }
 
--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -5,6 +5,8 @@
 use crate::{Outcome, record::Record};
 
 mod common;
+mod first_config;
+mod first_start;
 mod late_end;
 mod late_ping;
 mod odd_ping;
@@ -15,6 +17,8 @@
 pub fn find(name: &str) -> Option<Case> {
     match name {
         "odd-ping" => Some(odd_ping::run),
+        "first-config" => Some(first_config::run),
+        "first-start" => Some(first_start::run),
         "late-end" => Some(late_end::run),
         "late-ping" => Some(late_ping::run),
         _ => None,
--- a/review/standins-2/src/cases/common.rs
+++ b/review/standins-2/src/cases/common.rs
@@ -20,9 +20,8 @@
 pub const WORK: Duration = Duration::from_millis(120);
 const START_LIMIT: Duration = Duration::from_secs(15);
 
-/// Starts three core machines, one edge machine without a disk and the side machines, and
-/// sends the first config.
-pub fn start_site(program: &Path, record: &Record) -> Option<Site> {
+/// Starts three core machines, one edge machine without a disk and the side machines.
+pub fn start_machines(program: &Path, record: &Record) -> Option<Site> {
     let mut site = Site::new(program, &ENTRIES[..3], record)?;
     for (entry, zone) in ENTRIES.iter().zip(ZONES.iter().cycle()) {
         let has_disk = *entry <= 3;
@@ -32,8 +31,13 @@
         let service = "barge-control".to_owned();
         site.add(*side, Role::Side { service }, zone);
     }
-    let started = site.start_all();
-    if !started || !site.apply_config(&config(&site, 7), &ENTRIES, START_LIMIT) {
+    site.start_all().then_some(site)
+}
+
+/// Starts the machines and sends the first config.
+pub fn start_site(program: &Path, record: &Record) -> Option<Site> {
+    let mut site = start_machines(program, record)?;
+    if !site.apply_config(&config(&site, 7), &ENTRIES, START_LIMIT) {
         return None;
     }
     site.end_bootstrap();
@@ -78,14 +82,24 @@
     target.log.lock().expect("no panic").open.len()
 }
 
-/// Records what requesters have seen; returns how many orders ran and were not answered.
+/// Records each order, whether it was answered and how often it ran, and what requesters
+/// have seen in all; returns how many orders ran and were not answered.
 pub fn summarise(log: &CallerLog, targets: &[&Target], record: &Record) -> usize {
-    let ran = |id: &String| {
-        let runs = |target: &&Target| target.log.lock().expect("no panic").runs.contains_key(id);
-        targets.iter().any(runs)
+    let runs = |id: &String| -> u32 {
+        let runs_at = |target: &&Target| {
+            let log = target.log.lock().expect("no panic");
+            log.runs.get(id).copied().unwrap_or(0)
+        };
+        targets.iter().map(runs_at).sum()
     };
-    let requests = log.requests.iter();
-    let lost = requests.filter(|(id, _, answered)| !answered && ran(id)).count();
+    let mut lost = 0;
+    for (id, sent_at, answered) in &log.requests {
+        let runs = runs(id);
+        lost += usize::from(!answered && runs > 0);
+        record.line(format!(
+            "order {id}: sent at {sent_at:.3}, answered {answered}, run {runs} times"
+        ));
+    }
     record.line(format!(
         "answered {}, unanswered {}, refused {}, unopened {}, foreign {}, resets by the system \
          {}, orders that ran and were never answered {lost}",
@@ -112,4 +126,3 @@
         listener.ip()
     )
 }
-
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -35,12 +35,18 @@
 /// Ends all processes that any site has started.
 pub fn kill_all() {
     for process in PROCESSES.lock().expect("no panic").iter() {
-        let _ = Command::new("kill").arg("-KILL").arg(process.to_string()).status();
+        let _ = Command::new("kill")
+            .arg("-KILL")
+            .arg(process.to_string())
+            .status();
     }
 }
 
 fn forget(process: u32) {
-    PROCESSES.lock().expect("no panic").retain(|known| *known != process);
+    PROCESSES
+        .lock()
+        .expect("no panic")
+        .retain(|known| *known != process);
 }
 
 /// What a machine runs.
@@ -236,12 +242,6 @@
             .collect()
     }
 
-    /// Takes the data folder of a machine that does not run.
-    pub fn wipe(&self, host: u8) {
-        let _ = fs::remove_dir_all(self.data(host));
-        self.record.line(format!("machine {host}: disk lost"));
-    }
-
     /// Turns `bootstrap` off, for later starts.
     pub fn end_bootstrap(&mut self) {
         self.bootstrap = false;
@@ -278,7 +278,7 @@
     }
 
     /// Probes the edge nodes twice a second; two misses take one out of rotation.
-    fn spawn_probes(&self) {
+    pub fn spawn_probes(&self) {
         let entries: Vec<(SocketAddrV4, SocketAddrV4)> = self
             .machines
             .iter()
--- a/review/standins-2/src/target.rs
+++ b/review/standins-2/src/target.rs
@@ -234,10 +234,6 @@
         // Its sockets close within this time.
         thread::sleep(Duration::from_millis(120));
     }
-
-    pub fn holds(&self, flow: Flow) -> bool {
-        self.log.lock().expect("no panic").open.contains(&flow)
-    }
 }
 
 /// The part of a target that its threads share.
