review: the routers' stand-in uses all nodes if fewer than half are in rotation

It sent to no node when none was in rotation, against PROTOCOL.md, which made the requests of cases 6 and 9 go nowhere.

--- a/review/standins-2/src/cases/first_config.rs
+++ b/review/standins-2/src/cases/first_config.rs
@@ -42,11 +42,8 @@
         "read back: {:?}",
         read.map(|(status, body)| (status, body.chars().take(40).collect::<String>()))
     ));
-    if site.rotation.lock().expect("no panic").is_empty() {
-        record.line("no edge node is in rotation: the routers use all of them");
-        let nodes = ENTRIES.map(|entry| site.address(entry, PACKET_PORT));
-        *site.rotation.lock().expect("no panic") = nodes.to_vec();
-    }
+    let in_rotation = site.wait_for_rotation(ENTRIES.len(), Duration::from_secs(1));
+    record.line(format!("all edge nodes in rotation: {in_rotation}"));
     let log = Arc::new(Mutex::new(CallerLog::default()));
     let habit = CallerHabit {
         requests_per_flow: 1,
--- a/review/standins-2/src/cases/first_start.rs
+++ b/review/standins-2/src/cases/first_start.rs
@@ -86,7 +86,8 @@
     let nodes: Vec<u8> = WITH_DISK.into_iter().chain(WITHOUT_DISK).collect();
     let acknowledged = site.apply_config(&config(&site, 7), &nodes, ORDER_LIMIT);
     record.line(format!("first config acknowledged: {acknowledged}"));
-    site.wait_for_rotation(nodes.len(), Duration::from_secs(8));
+    let in_rotation = site.wait_for_rotation(nodes.len(), Duration::from_secs(8));
+    record.line(format!("all edge nodes in rotation: {in_rotation}"));
     let log = Arc::new(Mutex::new(CallerLog::default()));
     let habit = CallerHabit {
         requests_per_flow: 1,
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -74,6 +74,9 @@
     bootstrap: bool,
     record: Record,
     /// The packet addresses of the nodes in rotation.
+    ready: Arc<Mutex<Vec<SocketAddrV4>>>,
+    /// Those that the routers use: all nodes, if fewer than half are in rotation. The zones
+    /// count as one.
     pub rotation: Arc<Mutex<Vec<SocketAddrV4>>>,
     probing: Arc<AtomicBool>,
 }
@@ -102,6 +105,7 @@
             seeds: seeds.to_vec(),
             bootstrap: true,
             record: record.clone(),
+            ready: Arc::default(),
             rotation: Arc::default(),
             probing: Arc::new(AtomicBool::new(true)),
         })
@@ -290,21 +294,30 @@
                 )
             })
             .collect();
+        let all: Vec<SocketAddrV4> = entries.iter().map(|(_, packets)| *packets).collect();
+        *self.rotation.lock().expect("no panic") = all.clone();
         for (ready, packets) in entries {
             let (probing, rotation) = (Arc::clone(&self.probing), Arc::clone(&self.rotation));
+            let (all, ready_nodes) = (all.clone(), Arc::clone(&self.ready));
             thread::spawn(move || {
                 let mut misses = 2;
                 while probing.load(Ordering::SeqCst) {
                     let answer = call(ready, "GET", READY_PATH, "");
                     let is_ready = answer.is_some_and(|(status, ..)| status == 200);
                     misses = if is_ready { 0 } else { misses + 1 };
-                    let mut nodes = rotation.lock().expect("no panic");
+                    let mut nodes = ready_nodes.lock().expect("no panic");
                     let position = nodes.iter().position(|node| *node == packets);
                     match position {
                         None if is_ready => nodes.push(packets),
                         Some(position) if misses >= 2 => drop(nodes.remove(position)),
                         _ => {}
                     }
+                    let used = if nodes.len() * 2 < all.len() {
+                        &all
+                    } else {
+                        &*nodes
+                    };
+                    rotation.lock().expect("no panic").clone_from(used);
                     drop(nodes);
                     thread::sleep(Duration::from_millis(500));
                 }
@@ -316,7 +329,7 @@
     pub fn wait_for_rotation(&self, nodes: usize, limit: Duration) -> bool {
         let end = Instant::now() + limit;
         while Instant::now() < end {
-            if self.rotation.lock().expect("no panic").len() >= nodes {
+            if self.ready.lock().expect("no panic").len() >= nodes {
                 return true;
             }
             thread::sleep(Duration::from_millis(50));
