Routes of version 0 come into force like those of any other

Operators whose first config had version 0 got 200 and read it back from every VM, also after a kill of everything, but no entry VM became ready and no request was served. A config with a higher version mended it.

Cause: four places took version 0 for "no manifest".

Change: the table's version and a watcher's are Options. A poll tells which routes it wants (any, above a version, none) in a tail; the head keeps the number that builds without the tail compare with, and a poll without a tail wants what is above that number: an older watcher never puts version 0 into force, so it would be sent it again and again. Directory copies say that they want no routes in place of naming the highest version. A listener store has no revision any more; the registry takes its own.

The three tests of vm_site::first_configs failed (no entry VM ready with version 0), and so did listener::tests::a_first_manifest_of_version_zero_is_in_force and flow::tests::balancer_startup::a_balancer_with_routes_of_version_zero_is_ready. fleet::tests::watch_polls needs the new type and was not run before.

--- a/src/control/control_run.rs
+++ b/src/control/control_run.rs
@@ -66,7 +66,10 @@
         secret.clone(),
     )
     .await?;
-    let store = ControlStore::Replicated(replica.handle.clone());
+    let store = ControlStore::Replicated {
+        handle: replica.handle.clone(),
+        state: state.clone(),
+    };
     let service = ControlService::new(settings.name.clone(), address, state, store);
     let server = ControlServer::start(listener, service, secret)?;
     write_listening(&settings.data_folder, address).map_err(ControlError::DataFolder)?;
--- a/src/control/replica_shell/replica_driver.rs
+++ b/src/control/replica_shell/replica_driver.rs
@@ -102,7 +102,6 @@
         leader,
         call_addresses: Arc::new(call_addresses.collect()),
         ports: options.ports,
-        state: state.clone(),
     };
     let driver = ReplicaDriver {
         core,
--- a/src/control/replica_shell/replica_handle.rs
+++ b/src/control/replica_shell/replica_handle.rs
@@ -1,6 +1,6 @@
 use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc};
 
-use super::{PeerPorts, ReplicatedState};
+use super::PeerPorts;
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time::{Instant, sleep, timeout},
@@ -14,7 +14,6 @@
         replica::{EntryPayload, MAX_ENTRY_BYTES, ReplicaId, ReplicaView, VotingStatus},
         store::LeaderView,
     },
-    key::FeedRevision,
 };
 
 /// Time after which the outcome of a proposal counts as unknown.
@@ -67,7 +66,6 @@
     pub(super) leader: watch::Receiver<Option<ReplicaId>>,
     pub(super) call_addresses: Arc<BTreeMap<ReplicaId, SocketAddrV4>>,
     pub(super) ports: Option<PeerPorts>,
-    pub(super) state: ReplicatedState,
 }
 
 /// Returns the refusal of an overloaded replica.
@@ -102,18 +100,18 @@
         }
     }
 
-    /// Returns the revision of a state that includes every change acknowledged so far.
+    /// Confirms that the state includes every change acknowledged so far.
     ///
     /// # Errors
     ///
     /// Fails when no majority confirms it in time.
-    pub(crate) async fn confirm_read(&self) -> Result<FeedRevision, CallRefusal> {
+    pub(crate) async fn confirm_read(&self) -> Result<(), CallRefusal> {
         let (answer, receiver) = oneshot::channel();
         self.commands
             .try_send(ReplicaCommand::Read { answer })
             .map_err(|_| overloaded())?;
         match timeout(READ_TIMEOUT_MILLIS.duration(), receiver).await {
-            Ok(Ok(outcome)) => outcome.map(|()| self.state.revision()),
+            Ok(Ok(outcome)) => outcome,
             Ok(Err(_)) | Err(_) => Err(CallRefusal::NoQuorum),
         }
     }
--- a/src/control/replica_shell/replicated_state.rs
+++ b/src/control/replica_shell/replicated_state.rs
@@ -1,6 +1,5 @@
 use crate::{
     control::{state::StateError, store::StateHandle},
-    key::FeedRevision,
     listener::ListenerStore,
 };
 
@@ -37,11 +36,4 @@
             Self::Listeners(store) => store.restore(bytes),
         }
     }
-
-    pub(super) fn revision(&self) -> FeedRevision {
-        match self {
-            Self::Registry(state) => state.revision(),
-            Self::Listeners(store) => store.revision(),
-        }
-    }
 }
--- a/src/control/replica_shell/tests.rs
+++ b/src/control/replica_shell/tests.rs
@@ -4,14 +4,13 @@
 
 use tokio::sync::{mpsc, watch};
 
-use super::{ReplicaHandle, ReplicatedState};
+use super::ReplicaHandle;
 use crate::{
     clock::{ClockMillis, SpanMillis},
     control::replica::{
         DiskId, GroupAdmission, MemberId, RecoveredState, ReplicaCore, ReplicaId, ReplicaPeers,
         ReplicaView,
     },
-    listener::ListenerStore,
 };
 
 /// The pause until the next leader is known.
@@ -41,7 +40,6 @@
         leader,
         call_addresses: Arc::new(BTreeMap::new()),
         ports: None,
-        state: ReplicatedState::Listeners(ListenerStore::new()),
     };
     (handle, view_sender)
 }
--- a/src/control/store/control_store.rs
+++ b/src/control/store/control_store.rs
@@ -1,8 +1,8 @@
 use std::net::SocketAddrV4;
 
-use super::LeaderView;
 #[cfg(test)]
 use super::MemoryStore;
+use super::{LeaderView, StateHandle};
 use crate::{
     control::{
         api::{CallRefusal, ReplicaStatus},
@@ -19,7 +19,12 @@
     #[cfg(test)]
     Memory(MemoryStore),
     /// A replica of the control group.
-    Replicated(ReplicaHandle),
+    Replicated {
+        /// The replica.
+        handle: ReplicaHandle,
+        /// Its state.
+        state: StateHandle,
+    },
 }
 
 impl ControlStore {
@@ -37,7 +42,7 @@
         let outcome = match self {
             #[cfg(test)]
             Self::Memory(store) => std::future::ready(store.propose(&bytes)).await?,
-            Self::Replicated(handle) => handle.propose(bytes).await?,
+            Self::Replicated { handle, .. } => handle.propose(bytes).await?,
         };
         ControlOutcome::decode(&outcome).map_err(|_| CallRefusal::OutcomeUnknown)
     }
@@ -52,7 +57,10 @@
         match self {
             #[cfg(test)]
             Self::Memory(store) => std::future::ready(store.confirm_read()).await,
-            Self::Replicated(handle) => handle.confirm_read().await,
+            Self::Replicated { handle, state } => {
+                handle.confirm_read().await?;
+                Ok(state.revision())
+            }
         }
     }
 
@@ -61,7 +69,7 @@
         match self {
             #[cfg(test)]
             Self::Memory(_) => {}
-            Self::Replicated(handle) => handle.wait_for_leader().await,
+            Self::Replicated { handle, .. } => handle.wait_for_leader().await,
         }
     }
 
@@ -70,7 +78,7 @@
         match self {
             #[cfg(test)]
             Self::Memory(_) => LeaderView::Leading { term: 1 },
-            Self::Replicated(handle) => handle.leader_view(),
+            Self::Replicated { handle, .. } => handle.leader_view(),
         }
     }
 
@@ -83,7 +91,7 @@
                 role: crate::control::api::ReplicaRole::Leader,
                 durable_index: store.confirm_read().unwrap_or_default().count(),
             }],
-            Self::Replicated(handle) => handle.replicas(address),
+            Self::Replicated { handle, .. } => handle.replicas(address),
         }
     }
 }
--- a/src/fleet/directory_copy.rs
+++ b/src/fleet/directory_copy.rs
@@ -6,7 +6,7 @@
     FleetEvent,
     group_view::GroupView,
     watch_client::{REPLY_TIMEOUT_MILLIS, connect_any},
-    watch_frame::{WatchPoll, read_reply, write_frame},
+    watch_frame::{WantedRoutes, WatchPoll, read_reply, write_poll},
     watch_server::SharedDirectory,
 };
 use crate::{
@@ -82,10 +82,10 @@
         let poll = WatchPoll {
             watcher: self.own_address,
             // The routes come from the log.
-            routes_version: u64::MAX,
+            routes: WantedRoutes::None,
             position: DirectoryPosition::default(),
         };
-        write_frame(&mut stream, &poll, REPLY_TIMEOUT_MILLIS.duration()).await?;
+        write_poll(&mut stream, &poll, REPLY_TIMEOUT_MILLIS.duration()).await?;
         let reply = read_reply(&mut stream, REPLY_TIMEOUT_MILLIS.duration()).await?;
         // A replica that hears no leader may not hear the agents either.
         Ok(reply.targets.filter(|_| reply.caught_up))
--- a/src/fleet/local_replica.rs
+++ b/src/fleet/local_replica.rs
@@ -171,7 +171,7 @@
     /// Refuses when no majority confirms it in time.
     pub(super) async fn confirm_read(&self) -> Result<(), CallRefusal> {
         let handle = self.handle().ok_or(CallRefusal::NoQuorum)?;
-        handle.confirm_read().await.map(|_| ())
+        handle.confirm_read().await
     }
 
     /// Transfers leadership to another replica before this one stops, if one can
--- a/src/fleet/tests/directory_copy.rs
+++ b/src/fleet/tests/directory_copy.rs
@@ -16,7 +16,7 @@
     fleet::{
         directory_copy::DirectoryCopy,
         group_view::GroupView,
-        watch_frame::{WatchPoll, WatchReply, read_frame, write_reply},
+        watch_frame::{WantedRoutes, WatchReply, read_poll, write_reply},
         watch_server::SharedDirectory,
     },
     listener::ServiceTag,
@@ -68,7 +68,8 @@
             .await
             .unwrap()
             .unwrap();
-        let poll: WatchPoll = read_frame(&mut stream, FRAME_TIMEOUT).await.unwrap();
+        let poll = read_poll(&mut stream, FRAME_TIMEOUT).await.unwrap();
+        assert_eq!(poll.routes, WantedRoutes::None);
         assert_eq!(poll.position, DirectoryPosition::default());
         let is_settled = directory.with_directory(|directory| directory.is_settled(clock.now()));
         assert!(!is_settled);
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -8,6 +8,7 @@
 mod evacuations;
 mod odd_notices;
 mod target_probes;
+mod watch_polls;
 
 use std::net::Ipv4Addr;
 
--- a/src/fleet/watch_client.rs
+++ b/src/fleet/watch_client.rs
@@ -13,7 +13,7 @@
 
 use super::{
     group_view::GroupView,
-    watch_frame::{WatchPoll, WatchReply, read_reply, write_frame},
+    watch_frame::{WantedRoutes, WatchPoll, WatchReply, read_reply, write_poll},
     watch_server::LONG_POLL_MILLIS,
 };
 use crate::{clock::SpanMillis, directory::DirectoryPosition};
@@ -57,7 +57,8 @@
     port: u16,
     group: GroupView,
     updates: mpsc::Sender<WatchUpdate>,
-    routes_version: u64,
+    /// The version of the last routes received.
+    routes_version: Option<u64>,
     position: DirectoryPosition,
     /// Whether the watched directory had settled at that position.
     settled: bool,
@@ -76,7 +77,7 @@
             port,
             group,
             updates,
-            routes_version: 0,
+            routes_version: None,
             position: DirectoryPosition::default(),
             settled: false,
         }
@@ -122,7 +123,7 @@
                 }
             };
             if let Some(routes) = &reply.routes {
-                self.routes_version = routes.version;
+                self.routes_version = Some(routes.version);
             }
             if let Some(targets) = &reply.targets {
                 self.position = targets.position;
@@ -149,10 +150,12 @@
     async fn poll(&self, stream: &mut TcpStream) -> io::Result<WatchReply> {
         let poll = WatchPoll {
             watcher: self.own_address,
-            routes_version: self.routes_version,
+            routes: self
+                .routes_version
+                .map_or(WantedRoutes::Any, WantedRoutes::Above),
             position: self.position,
         };
-        write_frame(stream, &poll, REPLY_TIMEOUT_MILLIS.duration()).await?;
+        write_poll(stream, &poll, REPLY_TIMEOUT_MILLIS.duration()).await?;
         read_reply(stream, REPLY_TIMEOUT_MILLIS.duration()).await
     }
 }
--- a/src/fleet/watch_frame.rs
+++ b/src/fleet/watch_frame.rs
@@ -1,6 +1,6 @@
 use std::{io, net::Ipv4Addr, time::Duration};
 
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -15,19 +15,87 @@
 /// The largest frame in bytes; a manifest of 100,000 routes fits.
 const MAX_FRAME_BYTES: usize = 8 << 20;
 
+/// The routes that a poll asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) enum WantedRoutes {
+    /// Those in force, whatever their version: the watcher has none.
+    Any,
+    /// Those of a higher version than this one, which the watcher has.
+    Above(u64),
+    /// None: the watcher follows only the directory.
+    None,
+}
+
+impl WantedRoutes {
+    /// Returns whether the poll asks for routes of this version.
+    pub(super) fn includes(self, version: u64) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Above(known) => version > known,
+            Self::None => false,
+        }
+    }
+
+    /// Returns the version above which builds that read only the head of a poll send
+    /// routes; such a build sends none of version zero.
+    fn head_version(self) -> u64 {
+        match self {
+            Self::Any => 0,
+            Self::Above(known) => known,
+            Self::None => u64::MAX,
+        }
+    }
+}
+
 /// A watcher's request for everything newer than what it has.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct WatchPoll {
     /// The watcher's address.
     pub(super) watcher: Ipv4Addr,
-    /// The version of the routes in force at the watcher.
-    #[serde(rename = "version")]
-    pub(super) routes_version: u64,
+    /// The routes that it asks for.
+    pub(super) routes: WantedRoutes,
     /// How far the watcher has followed this replica's directory.
-    #[serde(rename = "place")]
     pub(super) position: DirectoryPosition,
 }
 
+/// The part of a poll that every build reads; the wanted routes follow it.
+#[derive(Debug, Serialize, Deserialize)]
+struct PollHead {
+    watcher: Ipv4Addr,
+    version: u64,
+    place: DirectoryPosition,
+}
+
+impl WatchPoll {
+    /// Encodes the poll.
+    pub(super) fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let head = PollHead {
+            watcher: self.watcher,
+            version: self.routes.head_version(),
+            place: self.position,
+        };
+        let mut payload = postcard::to_stdvec(&head)?;
+        payload.extend(postcard::to_stdvec(&self.routes)?);
+        Ok(payload)
+    }
+
+    /// Decodes a poll. Builds that send only its head never put routes of version zero
+    /// into force, so their zero asks for higher versions like any other number.
+    pub(super) fn decode(payload: &[u8]) -> Result<Self, postcard::Error> {
+        let (head, rest): (PollHead, &[u8]) = postcard::take_from_bytes(payload)?;
+        let routes = if rest.is_empty() {
+            WantedRoutes::Above(head.version)
+        } else {
+            postcard::from_bytes(rest)?
+        };
+        Ok(Self {
+            watcher: head.watcher,
+            routes,
+            position: head.place,
+        })
+    }
+}
+
 /// Everything newer than what the watcher has.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct WatchReply {
@@ -45,13 +113,13 @@
     pub(super) caught_up: bool,
 }
 
-/// Writes a length-prefixed value; fails after `limit`.
-pub(super) async fn write_frame<T: Serialize>(
+/// Writes a poll; fails after `limit`.
+pub(super) async fn write_poll(
     stream: &mut TcpStream,
-    value: &T,
+    poll: &WatchPoll,
     limit: Duration,
 ) -> io::Result<()> {
-    let payload = postcard::to_stdvec(value).map_err(io::Error::other)?;
+    let payload = poll.encode().map_err(io::Error::other)?;
     write_payload(stream, &payload, limit).await
 }
 
@@ -85,13 +153,10 @@
     timeout(limit, stream.write_all(&bytes)).await?
 }
 
-/// Reads a length-prefixed value; fails after `limit`.
-pub(super) async fn read_frame<T: DeserializeOwned>(
-    stream: &mut TcpStream,
-    limit: Duration,
-) -> io::Result<T> {
+/// Reads a poll; fails after `limit`.
+pub(super) async fn read_poll(stream: &mut TcpStream, limit: Duration) -> io::Result<WatchPoll> {
     let payload = read_payload(stream, limit).await?;
-    postcard::from_bytes(&payload).map_err(io::Error::other)
+    WatchPoll::decode(&payload).map_err(io::Error::other)
 }
 
 /// Reads a reply with the attributes of its records and the evacuated domains; fails
--- a/src/fleet/watch_server.rs
+++ b/src/fleet/watch_server.rs
@@ -16,12 +16,13 @@
     known_balancers::KnownBalancers,
     local_replica::LocalReplica,
     restart_notifier::KnownProcesses,
-    watch_frame::{WatchPoll, WatchReply, read_frame, write_reply},
+    watch_frame::{WatchPoll, WatchReply, read_poll, write_reply},
 };
 use crate::{
     clock::{ClockMillis, ProcessClock, SpanMillis},
     directory::TargetDirectory,
     key::IncarnationId,
+    listener::StoredManifest,
 };
 
 /// How long a poll waits for changes before it is answered without any.
@@ -143,6 +144,13 @@
                 purpose: "watchers",
                 cause,
             })?;
+        self.serve_watchers(listener);
+        Ok(())
+    }
+
+    /// Serves the watchers that connect to `listener`; it must be called within the
+    /// runtime.
+    pub(super) fn serve_watchers(self, listener: TcpListener) {
         tokio::spawn(async move {
             let permits = Arc::new(Semaphore::new(MAX_WATCHERS));
             loop {
@@ -161,7 +169,6 @@
                 });
             }
         });
-        Ok(())
     }
 
     /// Serves one watcher until it disconnects.
@@ -186,7 +193,7 @@
         let mut changes = self.directory.changes.subscribe();
         let mut told_leader = None;
         loop {
-            let poll: WatchPoll = read_frame(&mut stream, FRAME_TIMEOUT_MILLIS.duration()).await?;
+            let poll = read_poll(&mut stream, FRAME_TIMEOUT_MILLIS.duration()).await?;
             *watcher = Some(poll.watcher);
             self.directory.note_balancer(poll.watcher, self.clock.now());
             routes.mark_unchanged();
@@ -219,27 +226,32 @@
     }
 
     fn has_changes(&self, poll: &WatchPoll) -> bool {
-        self.replica.store().revision().count() > poll.routes_version
+        self.wanted_routes(poll).is_some()
             || self
                 .directory
                 .with_directory(|directory| directory.position())
                 != poll.position
     }
 
+    /// Returns the manifest in force if the watcher asks for it.
+    fn wanted_routes(&self, poll: &WatchPoll) -> Option<Arc<StoredManifest>> {
+        let stored = self.replica.store().current()?;
+        poll.routes
+            .includes(stored.manifest.version)
+            .then_some(stored)
+    }
+
     fn reply(&self, poll: &WatchPoll) -> WatchReply {
         self.apply_evacuations();
         let now = self.clock.now();
-        let stored = self.replica.store().current();
-        let routes = stored
-            .filter(|stored| stored.manifest.version > poll.routes_version)
-            .map(|stored| stored.manifest.clone());
+        let routes = self.wanted_routes(poll);
         let targets = self.directory.with_directory(|directory| {
             (directory.position() != poll.position)
                 .then(|| directory.changes_since(poll.position, now))
         });
         let leader = self.replica.leader();
         WatchReply {
-            routes,
+            routes: routes.map(|stored| stored.manifest.clone()),
             targets,
             members: self.replica.members(),
             leader,
--- a/src/flow/balancer/balancer_flows.rs
+++ b/src/flow/balancer/balancer_flows.rs
@@ -119,7 +119,7 @@
     /// balancer would do better.
     pub(crate) fn is_ready(&self) -> bool {
         let mut services = self.targets.services.values();
-        self.table.version() > 0
+        self.table.version().is_some()
             && (self.targets.any_evacuated || services.any(|targets| targets.accepting.len() > 0))
     }
 
@@ -350,7 +350,7 @@
         cause: RefusalCause,
         now: ClockMillis,
     ) -> FlowVerdict {
-        if self.current && self.table.version() > 0 {
+        if self.current && self.table.version().is_some() {
             return FlowVerdict::Reset(FlowReset::answering(packet), cause);
         }
         self.parked.park(packet.caller_flow(), bytes, now);
--- a/src/flow/tests/balancer_startup.rs
+++ b/src/flow/tests/balancer_startup.rs
@@ -63,6 +63,31 @@
     assert!(matches!(verdict, FlowVerdict::Forward { .. }));
 }
 
+/// Guards against a balancer that is not ready and parks openings for good although routes
+/// of version zero are in force.
+#[test]
+fn a_balancer_with_routes_of_version_zero_is_ready() {
+    let mut flows = started_balancer();
+    flows.set_current(true);
+    flows.set_targets(known_targets(HashMap::from([(
+        service(),
+        targets(&[1, 2], &[1, 2]),
+    )])));
+    assert!(!flows.is_ready());
+    assert!(
+        flows
+            .table_mut()
+            .replace(&manifest(0, vec![route(service())]), START)
+    );
+    assert!(flows.is_ready());
+    let verdict = flows.handle_packet(&opening(1), &[1], START);
+    assert!(matches!(verdict, FlowVerdict::Forward { .. }));
+    flows.table_mut().replace(&manifest(1, Vec::new()), START);
+    let verdict = flows.handle_packet(&opening(2), &[2], START);
+    let reset = matches!(verdict, FlowVerdict::Reset(_, RefusalCause::NoRoute));
+    assert!(reset, "{verdict:?}");
+}
+
 #[test]
 fn a_parked_packet_is_dropped_after_a_second() {
     let mut flows = started_balancer();
--- a/src/listener/listener_store.rs
+++ b/src/listener/listener_store.rs
@@ -6,7 +6,6 @@
 use crate::{
     control::{ControlEvent, StateError},
     event::log_event,
-    key::FeedRevision,
 };
 
 /// The outcome of an order that exceeds the bounds of the set; that of all other
@@ -146,15 +145,6 @@
         self.evacuations.borrow().clone()
     }
 
-    /// Returns the version in force as a revision, zero without a manifest.
-    pub(crate) fn revision(&self) -> FeedRevision {
-        let version = self
-            .lock()
-            .as_ref()
-            .map_or(0, |current| current.manifest.version);
-        FeedRevision::new(version)
-    }
-
     /// Returns a receiver that is notified of each manifest that comes into force.
     pub(crate) fn subscribe(&self) -> watch::Receiver<Option<Arc<StoredManifest>>> {
         self.changes.subscribe()
--- a/src/listener/listener_table.rs
+++ b/src/listener/listener_table.rs
@@ -32,7 +32,7 @@
 /// changed routes may still be on.
 #[derive(Debug, Clone)]
 pub(crate) struct ListenerTable {
-    version: u64,
+    version: Option<u64>,
     entries: HashMap<SocketAddrV4, TableEntry>,
     flow_age: SpanMillis,
     /// When the manifest in force was applied.
@@ -46,7 +46,7 @@
     /// `flow_age`, after which flows on them may be dropped.
     pub(crate) fn new(flow_age: SpanMillis) -> Self {
         Self {
-            version: 0,
+            version: None,
             entries: HashMap::new(),
             flow_age,
             replaced_at: None,
@@ -54,18 +54,22 @@
         }
     }
 
-    /// Returns the version in force, zero without a manifest.
-    pub(crate) fn version(&self) -> u64 {
+    /// Returns the version in force; `None` before the first manifest, whose version may
+    /// be zero.
+    pub(crate) fn version(&self) -> Option<u64> {
         self.version
     }
 
     /// Puts a manifest into force if its version is higher than the one in force;
     /// returns whether it was.
     pub(crate) fn replace(&mut self, manifest: &ListenerManifest, now: ClockMillis) -> bool {
-        if manifest.version <= self.version {
+        if self
+            .version
+            .is_some_and(|version| manifest.version <= version)
+        {
             return false;
         }
-        self.version = manifest.version;
+        self.version = Some(manifest.version);
         self.replaced_at = Some(now);
         let mut previous = std::mem::take(&mut self.entries);
         for route in &manifest.routes {
--- a/src/listener/tests/mod.rs
+++ b/src/listener/tests/mod.rs
@@ -53,7 +53,7 @@
     /// In whatever order and however often versions are applied, the highest one is
     /// in force, with the content that was applied first.
     #[test]
-    fn the_highest_version_wins(versions in proptest::collection::vec(1_u64..9, 1..24)) {
+    fn the_highest_version_wins(versions in proptest::collection::vec(0_u64..9, 1..24)) {
         let store = ListenerStore::new();
         let mut highest: Option<(u64, u8)> = None;
         for (content, version) in (0_u8..).zip(&versions) {
@@ -81,13 +81,26 @@
     }
 }
 
+/// Guards against a first manifest of version zero that counts as none.
+#[test]
+fn a_first_manifest_of_version_zero_is_in_force() {
+    let mut table = ListenerTable::new(FLOW_AGE);
+    assert!(table.may_lack_former_services(START));
+    assert!(table.replace(&manifest(0, vec![route(1, "tavole")]), START));
+    assert!(table.choose(address(1), 0, START).is_some());
+    assert!(!table.replace(&manifest(0, Vec::new()), START));
+    assert!(table.choose(address(1), 0, START).is_some());
+    assert!(table.replace(&manifest(1, Vec::new()), START));
+    assert!(table.has_removed(address(1)));
+}
+
 #[test]
 fn a_table_ignores_lower_and_equal_versions() {
     let mut table = ListenerTable::new(FLOW_AGE);
     assert!(table.replace(&manifest(5, vec![route(1, "tavole")]), START));
     assert!(!table.replace(&manifest(4, Vec::new()), START));
     assert!(!table.replace(&manifest(5, Vec::new()), START));
-    assert_eq!(table.version(), 5);
+    assert_eq!(table.version(), Some(5));
     assert!(table.choose(address(1), 0, START).is_some());
 }
 
