The cold limit of a config with version 0 reaches the agents

With a first config of version 0 that states what cold targets bear, agents let openings through without a limit.

Cause, the same as for the routes: AgentPolicy::merge takes a limit from a replica only if its manifest's version is above the agent's, which is 0 without a manifest.

Change: the version is an Option in the process. The message stays as it is, with 0 as the version without a manifest; a limit beside it shows that there is one. So an agent also takes it from a replica of an older build, and the message does not grow. Version 0 without a limit reads as no manifest, which means the same to an agent.

fleet::tests::evacuations::the_cold_limit_of_version_zero_is_in_force failed before and passes now.

--- a/src/fleet/tests/evacuations.rs
+++ b/src/fleet/tests/evacuations.rs
@@ -91,26 +91,14 @@
 
 #[test]
 fn a_policy_tells_an_agent_of_its_own_domain_and_service() {
-    let store = store_without("fjord-a");
-    let stored = StoredManifest {
-        manifest: ListenerManifest {
-            version: 7,
-            routes: Vec::new(),
-            idle: SpanMillis::new(15_000),
-            cold_limits: vec![ServiceColdLimit {
-                service: record().service,
-                limit: ColdLimit { per_second: 12 },
-            }],
-        },
-        document: Vec::new(),
-    };
-    store.apply(&stored.encode().expect("encodable"));
+    let store = store_with_limit(7, 12);
+    apply(&store, &EvacuationOrder::Evacuate("fjord-a".to_owned()));
     let policy = AgentPolicy::for_agent(&record(), &store);
     let expected = AgentPolicy {
         agent_run: 5,
         evacuation_revision: 1,
         evacuated: true,
-        manifest_version: 7,
+        manifest_version: Some(7),
         cold_limit: Some(ColdLimit { per_second: 12 }),
     };
     assert_eq!(policy, expected);
@@ -149,7 +137,7 @@
 #[test]
 fn the_cold_limit_has_a_version_of_its_own() {
     let limit = |version, per_second| AgentPolicy {
-        manifest_version: version,
+        manifest_version: Some(version),
         cold_limit: Some(ColdLimit { per_second }),
         ..AgentPolicy::default()
     };
@@ -164,7 +152,7 @@
     assert!(policy.evacuated);
     assert_eq!(policy.cold_limit, Some(ColdLimit { per_second: 12 }));
     let none = AgentPolicy {
-        manifest_version: 5,
+        manifest_version: Some(5),
         ..AgentPolicy::default()
     };
     policy.merge(&none);
@@ -172,6 +160,54 @@
     assert!(policy.evacuated);
 }
 
+/// Returns a store with a manifest that states a cold limit for the agent's service.
+fn store_with_limit(version: u64, per_second: u32) -> ListenerStore {
+    let store = ListenerStore::new();
+    let stored = StoredManifest {
+        manifest: ListenerManifest {
+            version,
+            routes: Vec::new(),
+            idle: SpanMillis::new(15_000),
+            cold_limits: vec![ServiceColdLimit {
+                service: record().service,
+                limit: ColdLimit { per_second },
+            }],
+        },
+        document: Vec::new(),
+    };
+    store.apply(&stored.encode().expect("encodable"));
+    store
+}
+
+/// Returns the policy of a replica as an agent reads it.
+fn received(store: &ListenerStore) -> AgentPolicy {
+    let datagram = FleetDatagram::Policy(AgentPolicy::for_agent(&record(), store));
+    let bytes = datagram.encode().expect("encodable");
+    match FleetDatagram::decode(&bytes) {
+        Some(FleetDatagram::Policy(policy)) => policy,
+        other => panic!("{other:?} is no policy"),
+    }
+}
+
+/// Guards against an agent that ignores the cold limit of a first manifest of version zero.
+#[test]
+fn the_cold_limit_of_version_zero_is_in_force() {
+    let mut policy = AgentPolicy {
+        agent_run: 5,
+        ..AgentPolicy::default()
+    };
+    assert!(!policy.merge(&received(&ListenerStore::new())));
+    assert!(policy.merge(&received(&store_with_limit(0, 12))));
+    assert_eq!(policy.cold_limit, Some(ColdLimit { per_second: 12 }));
+    // A replica that has no manifest yet, and one with another under the same number.
+    assert!(!policy.merge(&received(&ListenerStore::new())));
+    assert!(!policy.merge(&received(&store_with_limit(0, 30))));
+    assert_eq!(policy.cold_limit, Some(ColdLimit { per_second: 12 }));
+    assert!(policy.merge(&received(&store_with_limit(1, 30))));
+    assert!(!policy.merge(&received(&store_with_limit(0, 12))));
+    assert_eq!(policy.cold_limit, Some(ColdLimit { per_second: 30 }));
+}
+
 /// The address of an agent may be used by another one, of another domain.
 #[test]
 fn a_late_policy_for_another_run_is_ignored() {
@@ -203,7 +239,7 @@
         agent_run: u64::MAX,
         evacuation_revision: 10_000,
         evacuated: true,
-        manifest_version: 1_000_000,
+        manifest_version: Some(1_000_000),
         cold_limit: Some(ColdLimit { per_second: 1_000 }),
     };
     let bytes = FleetDatagram::Policy(policy).encode().expect("encodable");
