A measured speed of a target is never announced as not measured

Zero stands for a speed that has not been measured, and such targets get the usual share of new flows. A target that answered one request in 100 was measured as less than a tenth of an answer a second, which was rounded to zero: with too few targets to set one aside, it would get as much as a sound one.

Change: the meter returns an Option, and at least 1 once measured. flow::tests::target_figures::a_target_that_hardly_answers_counts_as_measured failed before (speed 0 after 400 requests) and passes now.

--- a/src/flow/agent/service_meter.rs
+++ b/src/flow/agent/service_meter.rs
@@ -116,18 +116,14 @@
     }
 
     /// Returns how many requests the target answers in a second with all of its
-    /// `slots` busy, in tenths; zero until that is known.
-    pub(super) fn speed(&self, slots: u32) -> u32 {
-        let Some(mut mean) = self.mean.after(MIN_ANSWERS) else {
-            return 0;
-        };
+    /// `slots` busy, in tenths and at least one; `None` until that is known.
+    pub(super) fn speed(&self, slots: u32) -> Option<u32> {
+        let mut mean = self.mean.after(MIN_ANSWERS)?;
         if let Some(before) = self.mean_before_failing {
-            let Some(before) = before.after(MIN_ANSWERS) else {
-                return 0;
-            };
-            mean = mean.max(before);
+            mean = mean.max(before.after(MIN_ANSWERS)?);
         }
         let speed = u64::from(slots) * TENTHS_PER_MICRO / mean.max(MIN_SERVICE_MICROS);
-        u32::try_from(speed).unwrap_or(u32::MAX)
+        // Announcements state zero for an unknown speed.
+        Some(u32::try_from(speed).unwrap_or(u32::MAX).max(1))
     }
 }
--- a/src/flow/agent/target_load.rs
+++ b/src/flow/agent/target_load.rs
@@ -214,7 +214,10 @@
     pub(crate) fn figures(&mut self, now: ClockMillis) -> TargetFigures {
         self.observe(now);
         TargetFigures {
-            speed: self.slots.map_or(0, |slots| self.meter.speed(slots)),
+            speed: self
+                .slots
+                .and_then(|slots| self.meter.speed(slots))
+                .unwrap_or(0),
             failures: self.failures.permille(now),
             pace_window: self.slots.and_then(|_| self.pace.window()),
         }
--- a/src/flow/tests/target_figures.rs
+++ b/src/flow/tests/target_figures.rs
@@ -269,3 +269,31 @@
         }
     }
 }
+
+/// Guards against a target that answers so seldom that its speed is rounded to zero, which
+/// stands for one that has not been measured and gets the usual share of flows.
+#[test]
+fn a_target_that_hardly_answers_counts_as_measured() {
+    let mut load = TargetLoad::default();
+    load.set_slots(Some(1));
+    let mut now = ClockMillis::ORIGIN;
+    let mut port = 1;
+    let mut request = |load: &mut TargetLoad, is_answered: bool| {
+        port += 1;
+        let key = flow(port);
+        load.apply_change(key, RequestChange::Complete, MAX_ANSWER_MILLIS, now);
+        now = now.after(SpanMillis::new(if is_answered { 50 } else { 1_000 }));
+        if is_answered {
+            load.finish(key, now);
+        }
+        load.figures(now).speed
+    };
+    for _ in 0..20 {
+        request(&mut load, true);
+    }
+    assert!(request(&mut load, true) > 0);
+    for number in 0..1_000 {
+        let speed = request(&mut load, number % 100 == 0);
+        assert!(speed > 0, "after {number} requests");
+    }
+}
