The status tells of no rollout before the first manifest

Before the first manifest `cyclamen status` said that revision 0 was in force on all balancers (`everywhere` in JSON), since each watcher is at revision zero then. The report is left out (`null`) without a manifest.

cli::tests::in_force::no_manifest_is_in_force_before_the_first_one shows both; it needs the new call and was not run before. A further test states that the registry refuses a manifest of version 0, so that 0 may stand for none there.

--- a/src/cli/command/status_command.rs
+++ b/src/cli/command/status_command.rs
@@ -40,7 +40,8 @@
 #[derive(Debug, Serialize)]
 struct StatusReport {
     status: ControlStatus,
-    manifest_in_force: InForceReport,
+    /// `None` before the first manifest was accepted.
+    manifest_in_force: Option<InForceReport>,
 }
 
 impl StatusOptions {
@@ -54,7 +55,7 @@
         let status = client.status().await?;
         let watchers = GroupWatchers::query(&client).await;
         let report = StatusReport {
-            manifest_in_force: InForceReport::new(&watchers, status.manifest_revision),
+            manifest_in_force: InForceReport::of_manifest(&watchers, &status),
             status,
         };
         OutputFormat::from_flag(self.json).print(&report);
@@ -85,6 +86,9 @@
                 replica.address, replica.role, replica.durable_index
             )?;
         }
-        write!(formatter, "{}", self.manifest_in_force)
+        match &self.manifest_in_force {
+            Some(in_force) => write!(formatter, "{in_force}"),
+            None => Ok(()),
+        }
     }
 }
--- a/src/cli/in_force_report.rs
+++ b/src/cli/in_force_report.rs
@@ -4,7 +4,7 @@
 
 use super::GroupWatchers;
 use crate::{
-    control::api::{WatcherName, WatcherStatus},
+    control::api::{ControlStatus, WatcherName, WatcherStatus},
     key::FeedRevision,
 };
 
@@ -40,6 +40,13 @@
 }
 
 impl InForceReport {
+    /// Returns the report on the manifest in force; `None` if none was accepted, since
+    /// every balancer is at its revision, zero, then.
+    pub(crate) fn of_manifest(watchers: &GroupWatchers, status: &ControlStatus) -> Option<Self> {
+        status.manifest_digest?;
+        Some(Self::new(watchers, status.manifest_revision))
+    }
+
     /// Splits the balancers by whether they have `revision` in force.
     pub(crate) fn new(watchers: &GroupWatchers, revision: FeedRevision) -> Self {
         let balancers = watchers.watchers().filter_map(BalancerProgress::new);
--- a/src/cli/tests/in_force.rs
+++ b/src/cli/tests/in_force.rs
@@ -4,7 +4,10 @@
 
 use crate::{
     cli::{GroupWatchers, InForceReport},
-    control::api::{ControlStatus, WatcherName, WatcherStatus},
+    control::{
+        api::{ControlStatus, WatcherName, WatcherStatus},
+        server::tests::fixture::manifest,
+    },
     key::{FailureDomain, FeedRevision},
 };
 
@@ -19,18 +22,22 @@
 
 fn group_of(watchers: Vec<WatcherStatus>) -> GroupWatchers {
     let mut group = GroupWatchers::default();
-    group.add_status(ControlStatus {
+    group.add_status(status(watchers));
+    group
+}
+
+fn status(watchers: Vec<WatcherStatus>) -> ControlStatus {
+    ControlStatus {
         revision: FeedRevision::new(9),
         manifest_version: 3,
-        manifest_digest: None,
+        manifest_digest: Some(manifest(3, 0, &["tavole"]).manifest.digest()),
         manifest_revision: FeedRevision::new(5),
         services: 2,
         targets: 10,
         replicas: Vec::new(),
         watcher_count: watchers.len(),
         watchers,
-    });
-    group
+    }
 }
 
 fn watcher(name: WatcherName, count: u64) -> WatcherStatus {
@@ -57,6 +64,23 @@
     assert_eq!(names, lagging);
 }
 
+/// Guards against a status that tells of a manifest in force on every balancer before the
+/// first one was accepted.
+#[test]
+fn no_manifest_is_in_force_before_the_first_one() {
+    let balancers = balancers_at(&[0, 0]);
+    assert!(InForceReport::new(&balancers, FeedRevision::EMPTY).everywhere);
+    let empty = ControlStatus {
+        manifest_version: 0,
+        manifest_digest: None,
+        manifest_revision: FeedRevision::EMPTY,
+        ..status(Vec::new())
+    };
+    assert_eq!(InForceReport::of_manifest(&balancers, &empty), None);
+    let report = InForceReport::of_manifest(&balancers, &status(Vec::new()));
+    assert_eq!(report.map(|report| report.lagging.len()), Some(2));
+}
+
 #[test]
 fn the_most_recent_report_of_a_balancer_that_changed_replica_counts() {
     let name = || WatcherName::Balancer("balancer-0".to_owned());
--- a/src/control/api/status_message.rs
+++ b/src/control/api/status_message.rs
@@ -18,7 +18,8 @@
 pub struct ControlStatus {
     /// The revision of the confirmed state.
     pub revision: FeedRevision,
-    /// The version of the manifest in force.
+    /// The version of the manifest in force, zero if there is none; no manifest has that
+    /// version.
     pub manifest_version: u64,
     /// The digest of the manifest in force, if there is one.
     pub manifest_digest: Option<ManifestDigest>,
--- a/src/control/state/tests/sequences.rs
+++ b/src/control/state/tests/sequences.rs
@@ -140,6 +140,17 @@
     }
 }
 
+/// Zero stands for the version before the first manifest, so that none may have it.
+#[test]
+fn a_manifest_of_version_zero_is_refused() {
+    let mut state = ControlState::new();
+    for version in [0, 1, 0] {
+        let command = ControlCommand::Apply(manifest(version, 0, &SERVICE_NAMES[..1]).manifest);
+        assert_eq!(execute(&mut state, &command).effective, version > 0);
+    }
+    assert_eq!(state.manifest().version(), 1);
+}
+
 /// Returns whether the command is a withdrawal, which retires its incarnation even if
 /// nothing was registered.
 fn is_withdrawal(command: &ControlCommand) -> bool {
