--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -67,6 +67,22 @@
     assert_eq!(tracker.lifecycle(), TargetLifecycle::Leaving);
 }
 
+/// Zero is a sequence number like any other, also after a restart.
+#[test]
+fn a_target_that_counts_from_zero_is_followed() {
+    let mut tracker = TargetTracker::new(HEARTBEAT, START);
+    for (started_at, state) in [(50, TargetState::Ready), (60, TargetState::Draining)] {
+        let mut apply = |sequence| {
+            let notice = notice("i-1", started_at, sequence, state);
+            tracker.apply_notice(notice, START)
+        };
+        assert_eq!(apply(0), NoticeVerdict::Taken);
+        assert_eq!(apply(0), NoticeVerdict::Late);
+        assert_eq!(apply(1), NoticeVerdict::Taken);
+    }
+    assert_eq!(tracker.lifecycle(), TargetLifecycle::Leaving);
+}
+
 #[test]
 fn a_restart_under_the_same_id_is_a_new_incarnation() {
     let mut tracker = tracker();
