Two long test files are split by duty

moved_flows.rs held the simulation, two tests of it, and five tests of what further attempts ask; formation_simulator.rs held the processes and what they tell each other. The parts are files of their own now: moved_fleet, moved_flows, further_attempts (479 lines before, 347, 35 and 119 now), formation_simulator and simulated_messages (445 before, 309 and 156 now).

--- a/src/control/formation/tests/formation_simulator.rs
+++ b/src/control/formation/tests/formation_simulator.rs
@@ -4,13 +4,16 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use super::site_shape::{Conditions, SiteShape, VmKind};
+use super::{
+    simulated_messages::{Content, Envelope},
+    site_shape::{Conditions, SiteShape, VmKind},
+};
 use crate::{
     clock::{ClockMillis, SpanMillis},
     control::{
         formation::{
-            AcceptorState, FormationAction, FormationBody, FormationMessage, FormationSeed,
-            FormationSettings, GroupProposal, SeedMemory, StorageKind,
+            AcceptorState, FormationAction, FormationSeed, FormationSettings, GroupProposal,
+            SeedMemory,
         },
         replica::{DiskId, GroupId, MemberId, ReplicaId},
     },
@@ -19,56 +22,38 @@
 pub(super) const STEP_MILLIS: SpanMillis = SpanMillis::new(10);
 /// Interval between the ticks of a process.
 const TICK_MILLIS: SpanMillis = SpanMillis::new(50);
-const REGISTER_MILLIS: SpanMillis = SpanMillis::new(100);
-/// Interval between the notices of an entry VM to one seed after the other.
-const SEED_NOTICE_MILLIS: SpanMillis = SpanMillis::new(3_000);
-
-struct Process {
+pub(super) struct Process {
     /// Whether it was started with `bootstrap` on.
-    bootstrap: bool,
-    seed: Option<FormationSeed>,
-    founder: Option<MemberId>,
+    pub(super) bootstrap: bool,
+    pub(super) seed: Option<FormationSeed>,
+    pub(super) founder: Option<MemberId>,
     /// The group that it knows.
-    known: Option<GroupId>,
+    pub(super) known: Option<GroupId>,
     /// The group that it has joined as a founder in memory.
-    joined: Option<GroupId>,
+    pub(super) joined: Option<GroupId>,
     /// Batches of actions that wait to be synced, oldest first.
     unsynced: Vec<(ClockMillis, Vec<FormationAction>)>,
     tick_at: ClockMillis,
-    register_at: ClockMillis,
+    pub(super) register_at: ClockMillis,
     /// When it tells the next seed of the group; `None` until it has told all once.
-    notice_at: Option<ClockMillis>,
+    pub(super) notice_at: Option<ClockMillis>,
 }
 
 #[derive(Default)]
-struct DiskContent {
+pub(super) struct DiskContent {
     id: Option<DiskId>,
     state: Option<AcceptorState>,
-    joined: Option<GroupId>,
-}
-
-struct Envelope {
-    due_at: ClockMillis,
-    from: usize,
-    to: usize,
-    content: Content,
-}
-
-#[derive(Debug, Clone)]
-enum Content {
-    Formation(FormationMessage),
-    /// The sender knows this group.
-    Located(GroupId),
+    pub(super) joined: Option<GroupId>,
 }
 
 pub(super) struct FormationSimulator {
     shape: SiteShape,
-    kinds: Vec<VmKind>,
-    processes: Vec<Option<Process>>,
-    disks: Vec<DiskContent>,
+    pub(super) kinds: Vec<VmKind>,
+    pub(super) processes: Vec<Option<Process>>,
+    pub(super) disks: Vec<DiskContent>,
     /// The VMs that have been started once.
     started: Vec<bool>,
-    in_flight: Vec<Envelope>,
+    pub(super) in_flight: Vec<Envelope>,
     pub(super) cut: BTreeSet<usize>,
     pub(super) conditions: Conditions,
     pub(super) now: ClockMillis,
@@ -258,70 +243,7 @@
         self.register(vm);
     }
 
-    fn register(&mut self, vm: usize) {
-        let now = self.now;
-        let storage = match self.kinds[vm] {
-            VmKind::Disk => StorageKind::Disk,
-            VmKind::Diskless | VmKind::Agent => StorageKind::Memory,
-        };
-        let has_joined = self.disks[vm].joined.is_some();
-        let Some(process) = &mut self.processes[vm] else {
-            return;
-        };
-        if now < process.register_at {
-            return;
-        }
-        process.register_at = now.after(REGISTER_MILLIS);
-        let knows_group = process.known.is_some();
-        self.notify_seeds(vm);
-        let Some(process) = &mut self.processes[vm] else {
-            return;
-        };
-        if has_joined || process.joined.is_some() {
-            return;
-        }
-        let founder = process.founder;
-        let founder = founder.filter(|_| storage == StorageKind::Disk || !knows_group);
-        let registration = founder.map(|member| FormationBody::Register { member, storage });
-        let report = (process.bootstrap && !knows_group).then_some(FormationBody::NoGroupKnown);
-        for body in registration.into_iter().chain(report) {
-            for seed in 0..self.seeds() {
-                let message = FormationMessage {
-                    from: replica_id(vm),
-                    electorate: 0,
-                    body: body.clone(),
-                };
-                self.send(vm, seed, &Content::Formation(message));
-            }
-        }
-    }
-
-    /// Tells the seeds of a group, as entry VMs that know one do: all of them once, and then
-    /// one of them every few seconds.
-    fn notify_seeds(&mut self, vm: usize) {
-        let now = self.now;
-        let count = self.seeds();
-        let Some(process) = &mut self.processes[vm] else {
-            return;
-        };
-        let Some(group) = process.known.filter(|_| self.kinds[vm] != VmKind::Agent) else {
-            return;
-        };
-        let seeds = match process.notice_at {
-            None => 0..count,
-            Some(notice_at) if now >= notice_at => {
-                let next = usize::try_from(now.millis()).expect("a short run") % count;
-                next..next + 1
-            }
-            Some(_) => return,
-        };
-        process.notice_at = Some(now.after(SEED_NOTICE_MILLIS));
-        for seed in seeds.filter(|seed| *seed != vm) {
-            self.send(vm, seed, &Content::Located(group));
-        }
-    }
-
-    fn submit(&mut self, vm: usize, actions: Vec<FormationAction>) {
+    pub(super) fn submit(&mut self, vm: usize, actions: Vec<FormationAction>) {
         if actions.is_empty() {
             return;
         }
@@ -356,7 +278,7 @@
         }
     }
 
-    fn learn(&mut self, vm: usize, proposal: &GroupProposal) {
+    pub(super) fn learn(&mut self, vm: usize, proposal: &GroupProposal) {
         let kind = self.kinds[vm];
         let Some(process) = &mut self.processes[vm] else {
             return;
@@ -373,65 +295,7 @@
         }
     }
 
-    fn send(&mut self, from: usize, to: usize, content: &Content) {
-        let copies = 1 + usize::from(self.rng.random_bool(self.conditions.duplicates));
-        for _ in 0..copies {
-            if from != to && self.rng.random_bool(self.conditions.loss) {
-                continue;
-            }
-            let due_at = self.now.after(self.random_span(self.conditions.max_delay));
-            self.in_flight.push(Envelope {
-                due_at,
-                from,
-                to,
-                content: content.clone(),
-            });
-        }
-    }
-
-    fn deliver(&mut self, envelope: Envelope) {
-        let Envelope {
-            from, to, content, ..
-        } = envelope;
-        let is_cut = from != to && (self.cut.contains(&from) || self.cut.contains(&to));
-        if is_cut || !self.runs(to) {
-            return;
-        }
-        let message = match content {
-            Content::Formation(message) => message,
-            Content::Located(group) => {
-                if let Some(process) = &mut self.processes[to] {
-                    process.known.get_or_insert(group);
-                }
-                return;
-            }
-        };
-        if let FormationBody::Formed { proposal } = &message.body
-            && from < self.seeds()
-            && proposal.is_valid()
-        {
-            self.learn(to, &proposal.clone());
-        }
-        let now = self.now;
-        let Some(process) = &mut self.processes[to] else {
-            return;
-        };
-        let asks = matches!(
-            message.body,
-            FormationBody::Register { .. } | FormationBody::NoGroupKnown
-        );
-        let known = process.known;
-        if let Some(seed) = &mut process.seed {
-            let actions = seed.receive(message, now);
-            self.submit(to, actions);
-        }
-        // A process that knows the group tells those that ask.
-        if asks && let Some(sender) = &mut self.processes[from] {
-            sender.known = sender.known.or(known);
-        }
-    }
-
-    fn random_span(&mut self, longest: u64) -> SpanMillis {
+    pub(super) fn random_span(&mut self, longest: u64) -> SpanMillis {
         SpanMillis::new(self.rng.random_range(0..=longest))
     }
 }
