--- a/src/directory/tests/target_weights.rs
+++ b/src/directory/tests/target_weights.rs
@@ -221,6 +221,22 @@
     }
 }
 
+/// A target that hardly answers must not count as one without figures: too few targets
+/// are there to set it aside, so that only its speed can take flows from it.
+#[test]
+fn the_lowest_speed_draws_fewer_flows_than_none() {
+    let mut service = WeightedService::with_ratios(&[1.0, 1.0, 1.0]);
+    service.set_failures(&[0, 0, 990]);
+    service.records[2].attributes.speed = 0;
+    service.announce();
+    assert_eq!(service.weights()[2].to_bits(), 1.0_f64.to_bits());
+    service.records[2].attributes.speed = 1;
+    service.announce();
+    assert!(service.set_aside().is_empty());
+    let weight = service.weights()[2];
+    assert!(weight < 0.7, "{weight}");
+}
+
 /// Agents of an earlier build announce no figures, and agents that have restarted
 /// none for a while: a few measured targets say nothing of the others.
 #[rstest]
