--- a/review/standins-3/src/lib.rs
+++ b/review/standins-3/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for the platform and the operator. They start the built programs as separate
 //! processes on loopback addresses and see only what the platform and operators see.
 
+pub mod flows;
+
 use std::{
     fs,
     io::{Read, Write},
@@ -13,6 +15,8 @@
 pub const PACKET_PORT: u16 = 8172;
 pub const READY_PORT: u16 = 8167;
 pub const CONTROL_PORT: u16 = 8166;
+pub const APP_PORT: u16 = 8165;
+pub const OUTBOUND_PORT: u16 = 8162;
 const INTERNAL_PORTS: (u16, u16) = (7720, 7735);
 const METRICS_PORT: u16 = 9464;
 const CONFIG_PATH: &str = "/cyclamenrouter/config";
@@ -42,11 +46,23 @@
     }
 }
 
-/// A machine of the class `edge` with a disk.
+/// The service of all targets.
+pub const SERVICE: &str = "barge-control";
+
+/// What a machine is and runs.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum MachineClass {
+    /// Runs an entry process.
+    Edge { has_disk: bool },
+    /// Runs the agent of a target.
+    Side,
+}
+
 pub struct Machine {
     pub name: String,
     pub zone: String,
     pub address: Ipv4Addr,
+    pub class: MachineClass,
     child: Option<Child>,
 }
 
@@ -64,6 +80,8 @@
     pub machines: Vec<Machine>,
     tolerance: Tolerance,
     pub bootstrap: bool,
+    /// The seeds in the settings; without any, the first machine of each zone.
+    pub seeds: Vec<Ipv4Addr>,
 }
 
 impl Site {
@@ -89,6 +107,7 @@
                         name: format!("edge-{zone}-{number}"),
                         zone: (*zone).to_owned(),
                         address: Ipv4Addr::new(block[0], block[1], block[2], host),
+                        class: MachineClass::Edge { has_disk: true },
                         child: None,
                     });
                 }
@@ -105,18 +124,28 @@
                 machines,
                 tolerance,
                 bootstrap: true,
+                seeds: Vec::new(),
             })
         })
     }
 
     /// Adds a machine at a new address, which is not started; returns its index.
     pub fn add_machine(&mut self, zone: &str) -> usize {
+        self.add_machine_of(MachineClass::Edge { has_disk: true }, zone)
+    }
+
+    /// Adds a machine of a class.
+    pub fn add_machine_of(&mut self, class: MachineClass, zone: &str) -> usize {
         let octets = self.machines[0].address.octets();
         let host = 100 + self.machines.len() as u8;
         self.machines.push(Machine {
-            name: format!("edge-{zone}-new-{host}"),
+            name: match class {
+                MachineClass::Edge { .. } => format!("edge-{zone}-new-{host}"),
+                MachineClass::Side => format!("side-{zone}-{host}"),
+            },
             zone: zone.to_owned(),
             address: Ipv4Addr::new(octets[0], octets[1], octets[2], host),
+            class,
             child: None,
         });
         self.machines.len() - 1
@@ -125,11 +154,16 @@
     /// The control addresses of the first machine of each zone, which are the seeds.
     fn seeds(&self) -> String {
         let firsts = self.machines.iter().filter(|m| m.name.ends_with("-1"));
-        let seeds: Vec<String> = firsts
-            .take(3)
-            .map(|machine| format!("\"{}:{CONTROL_PORT}\"", machine.address))
-            .collect();
-        seeds.join(",")
+        let firsts: Vec<Ipv4Addr> = firsts.take(3).map(|machine| machine.address).collect();
+        let seeds = if self.seeds.is_empty() {
+            &firsts
+        } else {
+            &self.seeds
+        };
+        let seeds = seeds
+            .iter()
+            .map(|seed| format!("\"{seed}:{CONTROL_PORT}\""));
+        seeds.collect::<Vec<String>>().join(",")
     }
 
     fn settings(&self, machine: &Machine) -> String {
@@ -142,17 +176,38 @@
             .map(|z| format!("{z} = \"vestland\"\n"))
             .collect();
         let data = self.folder.join(&machine.name).join("data");
+        let (role, serves, own, addresses) = match machine.class {
+            MachineClass::Edge { has_disk } => (
+                "edge",
+                "\"edge\",\"control_plane\"",
+                if has_disk {
+                    format!("data-dir = \"{}\"\n", data.display())
+                } else {
+                    String::new()
+                },
+                String::new(),
+            ),
+            MachineClass::Side => (
+                "side",
+                "\"side\"",
+                format!(
+                    "app = \"{}:{APP_PORT}\"\nservice = \"{SERVICE}\"\n",
+                    machine.address
+                ),
+                format!("outbound = \"{}:{OUTBOUND_PORT}\"\n", machine.address),
+            ),
+        };
         format!(
-            "node-name = \"{name}\"\nrole = \"entry\"\nmachine-class = \"edge\"\n\
-             serves = [\"edge\",\"control_plane\"]\nip = \"{ip}\"\nzone = \"{zone}\"\n\
+            "node-name = \"{name}\"\nrole = \"{role}\"\nmachine-class = \"{role}\"\n\
+             serves = [{serves}]\nip = \"{ip}\"\nzone = \"{zone}\"\n\
              region = \"vestland\"\ninternal-ports = [{first},{last}]\nseeds = [{seeds}]\n\
-             bootstrap = {bootstrap}\nloss-counts = true\ndata-dir = \"{data}\"\n\
+             bootstrap = {bootstrap}\nloss-counts = {has_disk}\n{own}\
              discovery = \"local\"\nentry-kind = \"announce\"\nheartbeat-interval-ms = 1200\n\
              contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"flows\"]\n\
              config_mode = \"highest\"\nhash = \"steady\"\ndeploy-mode = \"agent\"\n\
              [zones]\n{zones}\
              [bind-addrs]\ndatagram-addr = \"{ip}:{PACKET_PORT}\"\n\
-             ready-addr = \"{ip}:{READY_PORT}\"\ncontrol = \"{ip}:{CONTROL_PORT}\"\n\
+             ready-addr = \"{ip}:{READY_PORT}\"\ncontrol = \"{ip}:{CONTROL_PORT}\"\n{addresses}\
              [limits]\ncpu-share = 0.26\ncores = 1\nmemory-mb = 260\nmax-fds = 4100\n\
              link-mbps = 1000.0\ndisk-mb = 64\n\
              [fault-tolerance]\nmachines = {machines}\nzones = {tolerated_zones}\nregions = 0\n\
@@ -167,7 +222,7 @@
             last = INTERNAL_PORTS.1,
             seeds = self.seeds(),
             bootstrap = self.bootstrap,
-            data = data.display(),
+            has_disk = machine.class == MachineClass::Edge { has_disk: true },
             machines = self.tolerance.machines,
             tolerated_zones = self.tolerance.zones,
         )
@@ -177,7 +232,10 @@
     pub fn start(&mut self, index: usize) {
         let machine = &self.machines[index];
         let folder = self.folder.join(&machine.name);
-        fs::create_dir_all(folder.join("data")).expect("own folder");
+        if machine.class == (MachineClass::Edge { has_disk: true }) {
+            fs::create_dir_all(folder.join("data")).expect("own folder");
+        }
+        fs::create_dir_all(&folder).expect("own folder");
         let settings = folder.join("node.toml");
         fs::write(&settings, self.settings(machine)).expect("own folder");
         let log = fs::File::options()
@@ -186,7 +244,10 @@
             .open(folder.join("log"));
         let log = log.expect("own folder");
         let child = Command::new(&self.program)
-            .arg("entry")
+            .arg(match machine.class {
+                MachineClass::Edge { .. } => "entry",
+                MachineClass::Side => "side",
+            })
             .env_clear()
             .env("CYCLAMENROUTER_CONFIG", settings)
             .stdin(Stdio::null())
@@ -236,6 +297,13 @@
         fs::create_dir_all(&data).expect("own folder");
     }
 
+    /// Returns whether a machine answers the readiness probe with 200.
+    pub fn is_ready(address: Ipv4Addr) -> bool {
+        let address = SocketAddrV4::new(address, READY_PORT);
+        let answer = call_once(address, "GET", "/cyclamenrouter/ready", "");
+        answer.is_some_and(|(status, ..)| status == 200)
+    }
+
     /// Returns the machines of a zone.
     pub fn zone(&self, zone: &str) -> Vec<usize> {
         let indices = 0..self.machines.len();
@@ -336,7 +404,7 @@
 fn call(address: SocketAddrV4, method: &str, body: &str) -> Option<(u16, String, SocketAddrV4)> {
     let mut address = address;
     for _ in 0..3 {
-        let (status, head, body) = call_once(address, method, body)?;
+        let (status, head, body) = call_once(address, method, CONFIG_PATH, body)?;
         if status != 307 {
             return Some((status, body, address));
         }
@@ -350,11 +418,16 @@
     None
 }
 
-fn call_once(address: SocketAddrV4, method: &str, body: &str) -> Option<(u16, String, String)> {
+pub(crate) fn call_once(
+    address: SocketAddrV4,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> Option<(u16, String, String)> {
     let deadline = Instant::now() + CALL_TIMEOUT;
     let mut stream = TcpStream::connect_timeout(&SocketAddr::V4(address), CALL_TIMEOUT).ok()?;
     let request = format!(
-        "{method} {CONFIG_PATH} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n\
+        "{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n\
          Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
         body.len()
     );
