--- a/review/standins-3/src/bin/rolling-replacement.rs
+++ b/review/standins-3/src/bin/rolling-replacement.rs
@@ -12,8 +12,8 @@
 
 /// How long the new machines run before the old ones are stopped; `catch-up-s` is 4.
 const SUCCESSOR_TIME: Duration = Duration::from_secs(12);
-/// The time from one SIGTERM to the next, as of `roll_term` on the standard days.
-const GAP: Duration = Duration::from_millis(1_200);
+/// The time from one SIGTERM to the next: the longest gap_s of `roll_term` on the standard days.
+const GAP: Duration = Duration::from_millis(2_000);
 /// `recovery-s`, and as much again.
 const RECOVERY: Duration = Duration::from_secs(24);
 
