--- a/review/standins-3/src/bin/lost-seeds.rs
+++ b/review/standins-3/src/bin/lost-seeds.rs
@@ -1,5 +1,5 @@
 //! An agent is restarted while the machines that its settings name as seeds are gone.
-//! Usage: lost-seeds RECORD. Exits with 1 if the system reset a flow whose target lives, 0 if
+//! Usage: lost-seeds trouble|calm RECORD. Exits with 1 if the system reset a flow whose target lives, 0 if
 //! not, 2 if the case could not run.
 
 use std::{
@@ -13,9 +13,10 @@
 use review_standins_3::{
     MachineClass, Record, Site, Tolerance,
     flows::{Fabric, Flow, Outcome, Requester, Target},
+    read_arguments,
 };
 
-const FLOWS: u16 = 60;
+const FLOWS: u16 = 180;
 const REQUEST_LIMIT: Duration = Duration::from_millis(2_500);
 /// The time from the restart of the agent to that of an entry process.
 const SETTLE: Duration = Duration::from_secs(14);
@@ -36,17 +37,19 @@
         for flow in &mut self.flows {
             let (outcome, entry) = self.requester.request(flow, REQUEST_LIMIT);
             *outcomes.entry(format!("{outcome:?}")).or_default() += 1;
-            if let Outcome::Reset { by_target } = outcome {
+            if outcome != Outcome::Answered {
+                // The attempt has ended; a further one uses a new flow from a new port.
                 closed.push(flow.port);
+            }
+            if let Outcome::Reset { by_target } = outcome {
                 if !by_target {
-                    let first = format!("GET /{}/1 HTTP/1.1\r\n\r\n", flow.port);
-                    let holds = |target: &&Target| {
-                        target
-                            .log
-                            .runs
-                            .lock()
-                            .is_ok_and(|runs| runs.contains_key(&first))
-                    };
+                    let first = format!("X-Request-Id: {}-1\r\n", flow.port);
+                    let holds =
+                        |target: &&Target| {
+                            target.log.runs.lock().is_ok_and(|runs| {
+                                runs.keys().any(|request| request.contains(&first))
+                            })
+                        };
                     let target = self.targets.iter().find(holds).map(|target| target.address);
                     self.resets.push(flow.port);
                     self.record.line(&format!(
@@ -59,7 +62,12 @@
                 }
             }
         }
+        let retried = closed.iter().map(|port| 3_000 + port);
+        let retried: Vec<Flow> = retried
+            .filter_map(|port| self.requester.open(port))
+            .collect();
         self.flows.retain(|flow| !closed.contains(&flow.port));
+        self.flows.extend(retried);
         self.record.line(&format!("{label}: {outcomes:?}"));
     }
 
@@ -73,10 +81,9 @@
 }
 
 fn main() -> ExitCode {
-    let path = std::env::args()
-        .nth(1)
-        .unwrap_or_else(|| "record.txt".to_owned());
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let Some((trouble, path)) = read_arguments() else {
+        return ExitCode::from(2);
+    };
     let mut record = Record::create(&path);
     let tolerance = Tolerance {
         machines: 1,
@@ -87,7 +94,7 @@
         return ExitCode::from(2);
     };
     let thin = MachineClass::Edge { has_disk: false };
-    let entries: Vec<usize> = (0..4)
+    let entries: Vec<usize> = (0..6)
         .map(|_| site.add_machine_of(thin, "fjord-a"))
         .collect();
     let sides: Vec<usize> = (0..3)
@@ -121,9 +128,8 @@
             .collect::<Vec<Ipv4Addr>>(),
     );
     sleep(Duration::from_secs(10));
-    let octets = site.machines[0].address.octets();
-    let address = Ipv4Addr::new(octets[0], octets[1], octets[2], 200);
-    let Some(requester) = Requester::start(address, fabric.clone()) else {
+    let requester = Requester::start(site.address(200), site.route(), fabric.clone());
+    let Some(requester) = requester else {
         record.line("no port for the requester");
         return ExitCode::from(2);
     };
@@ -163,7 +169,7 @@
             site.stop(*index);
         }
         test.record
-            .line("platform: the three machines that are the seeds now are down");
+            .line("platform: the three machines that are the seeds now got SIGTERM and left");
     }
     test.send_rounds("requests", Duration::from_secs(3));
     let agent = sides[0];
@@ -182,14 +188,35 @@
     let pings = format!("{acked:?} acknowledged, {unacked:?} not");
     test.record
         .line(&format!("pings of the target beside it: {pings}"));
+    let new: Vec<Flow> = (0..FLOWS)
+        .filter_map(|number| test.requester.open(9_000 + number))
+        .collect();
+    for mut flow in new {
+        let _ = test.requester.request(&mut flow, REQUEST_LIMIT);
+    }
+    let count = |target: &Target| {
+        let runs = target.log.runs.lock();
+        runs.map_or(0, |runs| {
+            runs.keys()
+                .filter(|request| request.contains("X-Request-Id: 9"))
+                .count()
+        })
+    };
+    let counts: Vec<usize> = test.targets.iter().map(count).collect();
+    test.record.line(&format!(
+        "targets: requests of {FLOWS} new flows, the one beside it first: {counts:?}"
+    ));
     let restarted = entries[3];
     site.signal(restarted, "TERM");
     test.record.line(&format!(
         "platform: SIGTERM to the entry process at {}, whose flows move to others",
         site.machines[restarted].address
     ));
-    test.send_rounds("requests", Duration::from_secs(3));
-    site.stop(restarted);
+    while !site.has_ended(restarted) {
+        test.send_round("requests");
+        sleep(Duration::from_millis(100));
+    }
+    site.wait_for_end(restarted);
     site.start(restarted);
     test.record.line("platform: it runs again");
     test.send_rounds("requests", Duration::from_secs(5));
--- a/review/standins-3/src/bin/replaced-machine.rs
+++ b/review/standins-3/src/bin/replaced-machine.rs
@@ -1,5 +1,5 @@
 //! A planned replacement of a core machine, and the loss of another machine's disk.
-//! Usage: replaced-machine RECORD. Exits with 1 if an acknowledged config is gone, 0 if it is
+//! Usage: replaced-machine trouble|calm RECORD. Exits with 1 if an acknowledged config is gone, 0 if it is
 //! read back, 2 if the case could not run.
 
 use std::{
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use review_standins_3::{Record, Site, Tolerance};
+use review_standins_3::{Record, Site, Tolerance, read_arguments};
 
 /// How long the new machine runs before the old one is stopped; `catch-up-s` is 4.
 const SUCCESSOR_TIME: Duration = Duration::from_secs(10);
@@ -18,10 +18,9 @@
 const RECOVERY: Duration = Duration::from_secs(24);
 
 fn main() -> ExitCode {
-    let path = std::env::args()
-        .nth(1)
-        .unwrap_or_else(|| "record.txt".to_owned());
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let Some((trouble, path)) = read_arguments() else {
+        return ExitCode::from(2);
+    };
     // For comparison: the time from the end of the old process to the loss of the disk.
     let pause = std::env::var("PAUSE_S")
         .ok()
@@ -69,13 +68,14 @@
     };
     let name = site.machines[from].name.clone();
     if trouble {
-        site.kill(from);
-        site.wipe(from);
+        site.power_off(from);
     }
     record.line(&format!("operator: version 25 acknowledged by {name}"));
     if trouble {
-        record.line(&format!("platform: {name} lost its disk right after that"));
+        record.line(&format!("platform: {name} lost power right after that"));
         sleep(WIPE_DOWN);
+        site.kill(from);
+        site.wipe(from);
         site.start(from);
         record.line(&format!(
             "platform: {name} is back with an empty disk; all machines run"
--- a/review/standins-3/src/bin/rolling-replacement.rs
+++ b/review/standins-3/src/bin/rolling-replacement.rs
@@ -1,5 +1,5 @@
 //! The planned replacement of all core machines: the new ones first, then SIGTERM to the old
-//! ones in turn. Usage: rolling-replacement RECORD. Exits with 1 if an acknowledged config is
+//! ones in turn. Usage: rolling-replacement trouble|calm RECORD. Exits with 1 if an acknowledged config is
 //! gone, 0 if it is read back, 2 if the case could not run.
 
 use std::{
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use review_standins_3::{Record, Site, Tolerance};
+use review_standins_3::{Record, Site, Tolerance, read_arguments};
 
 /// How long the new machines run before the old ones are stopped; `catch-up-s` is 4.
 const SUCCESSOR_TIME: Duration = Duration::from_secs(12);
@@ -18,10 +18,9 @@
 const RECOVERY: Duration = Duration::from_secs(24);
 
 fn main() -> ExitCode {
-    let path = std::env::args()
-        .nth(1)
-        .unwrap_or_else(|| "record.txt".to_owned());
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let Some((trouble, path)) = read_arguments() else {
+        return ExitCode::from(2);
+    };
     // For comparison: another time between two stops.
     let gap = std::env::var("GAP_MS")
         .ok()
@@ -72,7 +71,7 @@
             sleep(gap);
         }
         for index in 0..zones.len() {
-            let has_ended = site.stop(index);
+            let has_ended = site.wait_for_end(index);
             let name = &site.machines[index].name;
             record.line(&format!(
                 "platform: {name} is gone; it ended within grace-s: {has_ended}"
--- a/review/standins-3/src/bin/zone-loss.rs
+++ b/review/standins-3/src/bin/zone-loss.rs
@@ -1,5 +1,5 @@
 //! A zone without power, then a final fault that takes the disks of another zone.
-//! Usage: zone-loss RECORD. Exits with 1 if an acknowledged config is gone, 0 if it is read
+//! Usage: zone-loss trouble|calm RECORD. Exits with 1 if an acknowledged config is gone, 0 if it is read
 //! back, 2 if the case could not run.
 
 use std::{
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use review_standins_3::{Record, Site, Tolerance};
+use review_standins_3::{Record, Site, Tolerance, read_arguments};
 
 /// How long the first zone has no power: the longest loss that the pages name.
 const DARK: Duration = Duration::from_secs(7);
@@ -20,10 +20,9 @@
 const RECOVERY: Duration = Duration::from_secs(24);
 
 fn main() -> ExitCode {
-    let path = std::env::args()
-        .nth(1)
-        .unwrap_or_else(|| "record.txt".to_owned());
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let Some((trouble, path)) = read_arguments() else {
+        return ExitCode::from(2);
+    };
     let number = |name: &str, default: u32| {
         std::env::var(name)
             .ok()
@@ -59,7 +58,7 @@
     let dark_at = Instant::now();
     if trouble {
         for index in &first_zone {
-            site.kill(*index);
+            site.power_off(*index);
         }
         record.line("platform: fjord-a has no power");
     }
@@ -72,18 +71,19 @@
     }
     if trouble {
         for index in &second_zone {
-            site.kill(*index);
-            site.wipe(*index);
+            site.power_off(*index);
         }
-        record.line("platform: the machines of fjord-b have lost their disks");
+        record.line("platform: the machines of fjord-b lost power, and their disks");
         sleep(WIPE_DOWN);
         for index in &second_zone {
+            site.kill(*index);
+            site.wipe(*index);
             site.start(*index);
         }
         record.line("platform: fjord-b is back with empty disks");
         sleep(DARK.saturating_sub(dark_at.elapsed()));
         for index in &first_zone {
-            site.start(*index);
+            site.power_on(*index);
         }
         record.line("platform: fjord-a is back with its disks; all machines run");
     }
--- a/review/standins-3/src/flows.rs
+++ b/review/standins-3/src/flows.rs
@@ -2,8 +2,10 @@
 //! packets as the users' pages describe them.
 
 use std::{
-    collections::HashMap,
-    net::{Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket},
+    cell::RefCell,
+    collections::{HashMap, VecDeque},
+    io::{Read, Write},
+    net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream, UdpSocket},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -18,8 +20,8 @@
 pub const ACK: u8 = 8;
 pub const RST: u8 = 16;
 const BOUNCED: u8 = 2;
-/// The address of the route in the operator's config.
-pub const ROUTE: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 8443);
+/// The port of the route in the operator's config.
+pub const ROUTE_PORT: u16 = 8443;
 /// What the ends write as their keyed sum; the system does not know the key.
 const SUM: u32 = 0xa1b2_c3d5;
 const HEADER_BYTES: usize = 32;
@@ -77,6 +79,37 @@
     expected: u32,
     is_open: bool,
     last_answer: Vec<u8>,
+    /// What the requester has not acknowledged: the packet, when it is due again, the pause
+    /// after that, and how often it was sent again.
+    unacknowledged: Option<(Vec<u8>, Instant, Duration, u32)>,
+}
+
+/// The first pause before a packet is sent again; it doubles up to `MAX_PAUSE`.
+const MIN_PAUSE: Duration = Duration::from_millis(200);
+const MAX_PAUSE: Duration = Duration::from_millis(1_600);
+/// A target gives up after so many retransmissions.
+const MAX_RETRANSMISSIONS: u32 = 8;
+
+impl HeldFlow {
+    fn keep(&mut self, packet: Vec<u8>) {
+        self.unacknowledged = Some((packet, Instant::now() + MIN_PAUSE, MIN_PAUSE * 2, 0));
+    }
+
+    /// Returns the packet that is to be sent again now.
+    fn take_due(&mut self) -> Option<Vec<u8>> {
+        let (packet, due, pause, count) = self.unacknowledged.as_mut()?;
+        if Instant::now() < *due {
+            return None;
+        }
+        let packet = packet.clone();
+        *due = Instant::now() + *pause;
+        *pause = (*pause * 2).min(MAX_PAUSE);
+        *count += 1;
+        if *count >= MAX_RETRANSMISSIONS {
+            self.unacknowledged = None;
+        }
+        Some(packet)
+    }
 }
 
 /// What a target has seen, shared with the test.
@@ -100,11 +133,10 @@
         let log = Arc::new(TargetLog::default());
         let socket = UdpSocket::bind((address, APP_PORT)).ok()?;
         socket
-            .set_read_timeout(Some(Duration::from_millis(100)))
+            .set_read_timeout(Some(Duration::from_millis(20)))
             .ok()?;
         let listener = TcpListener::bind((address, APP_PORT)).ok()?;
-        // The health check: its connections are taken and closed.
-        thread::spawn(move || listener.incoming().for_each(drop));
+        thread::spawn(move || listener.incoming().flatten().for_each(serve_health));
         let (packets, pings) = (Arc::clone(&log), Arc::clone(&log));
         let agent = SocketAddrV4::new(address, OUTBOUND_PORT);
         thread::spawn(move || serve_packets(&socket, agent, &packets));
@@ -124,11 +156,24 @@
     }
 }
 
+/// Answers a health check with 200; a connection without a request is closed.
+fn serve_health(mut stream: TcpStream) {
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(200)));
+    let mut buffer = [0; 1024];
+    if stream.read(&mut buffer).is_ok_and(|length| length > 0) {
+        let _ =
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    }
+}
+
 fn serve_packets(socket: &UdpSocket, agent: SocketAddrV4, log: &TargetLog) {
     let mut flows: HashMap<((Ipv4Addr, u16), (Ipv4Addr, u16)), HeldFlow> = HashMap::new();
     let mut buffer = [0; 2048];
     let mut isn = 0x4000_0000_u32 ^ u32::from(agent.ip().octets()[3]) << 20;
     while !log.stopped.load(Ordering::Relaxed) {
+        for packet in flows.values_mut().filter_map(HeldFlow::take_due) {
+            let _ = socket.send_to(&packet, agent);
+        }
         let Ok((length, _)) = socket.recv_from(&mut buffer) else {
             continue;
         };
@@ -153,8 +198,12 @@
                 expected: packet.seq.wrapping_add(1),
                 is_open: false,
                 last_answer: Vec::new(),
+                unacknowledged: None,
             });
             let reply = answer(SYN | ACK, flow.first_seq, flow.expected, Vec::new());
+            if !flow.is_open {
+                flow.keep(reply.encode());
+            }
             let _ = socket.send_to(&reply.encode(), agent);
             continue;
         }
@@ -168,6 +217,9 @@
             let _ = socket.send_to(&buffer[..length], agent);
             continue;
         };
+        if !flow.is_open || packet.ack == flow.next_seq {
+            flow.unacknowledged = None;
+        }
         flow.is_open = true;
         if packet.flags & RST != 0 {
             flows.remove(&key);
@@ -179,7 +231,13 @@
         if packet.seq == flow.expected {
             flow.expected = flow.expected.wrapping_add(packet.data.len() as u32);
             let request = String::from_utf8_lossy(&packet.data).into_owned();
-            flow.last_answer = format!("HTTP/1.1 200 OK\r\n\r\n{request}").into_bytes();
+            let id = request_id(&request).to_owned();
+            let head = format!(
+                "X-Server-Stamp: {}\r\nContent-Length: {}",
+                agent.ip(),
+                id.len()
+            );
+            flow.last_answer = format!("HTTP/1.1 200 OK\r\n{head}\r\n\r\n{id}").into_bytes();
             flow.next_seq = flow.next_seq.wrapping_add(flow.last_answer.len() as u32);
             if let Ok(mut runs) = log.runs.lock() {
                 *runs.entry(request).or_default() += 1;
@@ -187,10 +245,18 @@
         }
         let seq = flow.next_seq.wrapping_sub(flow.last_answer.len() as u32);
         let reply = answer(ACK, seq, flow.expected, flow.last_answer.clone());
+        flow.keep(reply.encode());
         let _ = socket.send_to(&reply.encode(), agent);
     }
 }
 
+/// Returns the id in a request.
+fn request_id(request: &str) -> &str {
+    let id = request.split("X-Request-Id: ").nth(1);
+    id.and_then(|rest| rest.split("\r\n").next())
+        .unwrap_or_default()
+}
+
 fn send_pings(address: Ipv4Addr, id: &str, log: &TargetLog) {
     let born = std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
@@ -234,12 +300,13 @@
             let rotation: Arc<Mutex<HashMap<Ipv4Addr, u32>>> = Arc::clone(&rotation);
             thread::spawn(move || {
                 loop {
+                    let next_at = Instant::now() + Duration::from_millis(500);
                     let is_ready = Site::is_ready(entry);
                     if let Ok(mut rotation) = rotation.lock() {
                         let misses = rotation.entry(entry).or_default();
                         *misses = if is_ready { 0 } else { *misses + 1 };
                     }
-                    thread::sleep(Duration::from_millis(500));
+                    thread::sleep(next_at.saturating_duration_since(Instant::now()));
                 }
             });
         }
@@ -252,13 +319,20 @@
         };
         let ready = rotation.iter().filter(|(_, misses)| **misses < 2);
         let mut ready: Vec<Ipv4Addr> = ready.map(|(entry, _)| *entry).collect();
+        if ready.len() * 2 < rotation.len() {
+            // With fewer than half of a zone's nodes in rotation all of them are used.
+            ready = rotation.keys().copied().collect();
+        }
         ready.sort_unstable();
         ready
     }
 
+    /// Chooses by a hash of the caller's address and port; the route's are always the same.
     fn choose(&self, caller: (Ipv4Addr, u16)) -> Option<Ipv4Addr> {
         self.in_rotation().into_iter().max_by_key(|entry| {
-            let mut hash = u64::from(entry.to_bits()) << 16 ^ u64::from(caller.1);
+            let mut hash = u64::from(entry.to_bits()) << 16
+                ^ u64::from(caller.1)
+                ^ u64::from(caller.0.to_bits()) << 24;
             for _ in 0..3 {
                 hash = (hash ^ hash >> 29).wrapping_mul(0xbf58_476d_1ce4_e5b9);
             }
@@ -271,6 +345,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
     Answered,
+    /// An answer that is not the target's to this request.
+    Foreign,
     /// A reset, and whether the target wrote it.
     Reset {
         by_target: bool,
@@ -282,7 +358,10 @@
 pub struct Requester {
     socket: UdpSocket,
     address: Ipv4Addr,
+    route: (Ipv4Addr, u16),
     fabric: Fabric,
+    /// Packets that came for another flow than the one that is waited for.
+    pending: RefCell<HashMap<u16, VecDeque<Packet>>>,
 }
 
 /// An open flow of a requester.
@@ -295,7 +374,7 @@
 }
 
 impl Requester {
-    pub fn start(address: Ipv4Addr, fabric: Fabric) -> Option<Self> {
+    pub fn start(address: Ipv4Addr, route: Ipv4Addr, fabric: Fabric) -> Option<Self> {
         let socket = UdpSocket::bind((address, PACKET_PORT)).ok()?;
         socket
             .set_read_timeout(Some(Duration::from_millis(20)))
@@ -303,7 +382,9 @@
         Some(Self {
             socket,
             address,
+            route: (route, ROUTE_PORT),
             fabric,
+            pending: RefCell::default(),
         })
     }
 
@@ -312,7 +393,7 @@
         let entry = self.fabric.choose(caller)?;
         let packet = Packet {
             source: caller,
-            destination: ROUTE,
+            destination: self.route,
             sum: SUM,
             seq,
             ack,
@@ -326,9 +407,21 @@
     }
 
     fn receive(&self, port: u16) -> Option<Packet> {
+        let mut pending = self.pending.borrow_mut();
+        if let Some(packet) = pending.get_mut(&port).and_then(VecDeque::pop_front) {
+            return Some(packet);
+        }
         let mut buffer = [0; 2048];
         let (length, _) = self.socket.recv_from(&mut buffer).ok()?;
-        Packet::decode(&buffer[..length]).filter(|packet| packet.destination.1 == port)
+        let packet = Packet::decode(&buffer[..length])?;
+        if packet.destination.1 == port {
+            return Some(packet);
+        }
+        pending
+            .entry(packet.destination.1)
+            .or_default()
+            .push_back(packet);
+        None
     }
 
     /// Opens a flow: a SYN, and copies after 200 and 600 ms.
@@ -368,7 +461,8 @@
     /// its answer; returns the entry that the last packet went to as well.
     pub fn request(&self, flow: &mut Flow, limit: Duration) -> (Outcome, Option<Ipv4Addr>) {
         flow.requests += 1;
-        let text = format!("GET /{}/{} HTTP/1.1\r\n\r\n", flow.port, flow.requests);
+        let id = format!("{}-{}", flow.port, flow.requests);
+        let text = format!("GET / HTTP/1.1\r\nX-Request-Id: {id}\r\n\r\n");
         let started_at = Instant::now();
         let mut pause = Duration::from_millis(200);
         let mut send_at = started_at;
@@ -399,7 +493,17 @@
                 flow.next_seq = flow.next_seq.wrapping_add(text.len() as u32);
                 flow.expected = flow.expected.wrapping_add(packet.data.len() as u32);
                 self.send(flow.port, ACK, flow.next_seq, flow.expected, &[]);
-                return (Outcome::Answered, entry);
+                let answer = String::from_utf8_lossy(&packet.data);
+                let is_own = answer.contains("X-Server-Stamp: ")
+                    && answer.ends_with(&format!("\r\n\r\n{id}"));
+                return (
+                    if is_own {
+                        Outcome::Answered
+                    } else {
+                        Outcome::Foreign
+                    },
+                    entry,
+                );
             }
         }
         (Outcome::TimedOut, entry)
--- a/review/standins-3/src/lib.rs
+++ b/review/standins-3/src/lib.rs
@@ -6,7 +6,7 @@
 use std::{
     fs,
     io::{Read, Write},
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket},
     path::PathBuf,
     process::{Child, Command, Stdio},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -25,6 +25,17 @@
 /// Callers move on to another node after a second without a response.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Reads the arguments of a case: `trouble` or `calm`, and the path of its record.
+pub fn read_arguments() -> Option<(bool, String)> {
+    let mut arguments = std::env::args().skip(1);
+    let trouble = match arguments.next()?.as_str() {
+        "trouble" => true,
+        "calm" => false,
+        _ => return None,
+    };
+    Some((trouble, arguments.next()?))
+}
+
 /// Writes what happens, with the seconds since the start, to `record.txt`.
 pub struct Record {
     started_at: Instant,
@@ -116,9 +127,11 @@
                 [CONTROL_PORT, READY_PORT, METRICS_PORT, INTERNAL_PORTS.0 + 1]
                     .iter()
                     .all(|port| TcpListener::bind((address, *port)).is_ok())
+                    && UdpSocket::bind((address, PACKET_PORT)).is_ok()
             };
-            let is_free = machines.iter().all(|machine| is_free(machine.address));
-            is_free.then(|| Self {
+            let hosts = (11..=33).chain(100..=125).chain(200..=200);
+            let mut addresses = hosts.map(|host| Ipv4Addr::new(block[0], block[1], block[2], host));
+            addresses.all(is_free).then(|| Self {
                 folder: folder.clone(),
                 program: program.clone(),
                 machines,
@@ -129,6 +142,17 @@
         })
     }
 
+    /// The address of the route in the operator's config; nothing listens there.
+    pub fn route(&self) -> Ipv4Addr {
+        self.address(250)
+    }
+
+    /// An address of this deployment's loopback block.
+    pub fn address(&self, host: u8) -> Ipv4Addr {
+        let octets = self.machines[0].address.octets();
+        Ipv4Addr::new(octets[0], octets[1], octets[2], host)
+    }
+
     /// Adds a machine at a new address, which is not started; returns its index.
     pub fn add_machine(&mut self, zone: &str) -> usize {
         self.add_machine_of(MachineClass::Edge { has_disk: true }, zone)
@@ -136,15 +160,15 @@
 
     /// Adds a machine of a class.
     pub fn add_machine_of(&mut self, class: MachineClass, zone: &str) -> usize {
-        let octets = self.machines[0].address.octets();
         let host = 100 + self.machines.len() as u8;
+        let address = self.address(host);
         self.machines.push(Machine {
             name: match class {
                 MachineClass::Edge { .. } => format!("edge-{zone}-new-{host}"),
                 MachineClass::Side => format!("side-{zone}-{host}"),
             },
             zone: zone.to_owned(),
-            address: Ipv4Addr::new(octets[0], octets[1], octets[2], host),
+            address,
             class,
             child: None,
         });
@@ -176,8 +200,9 @@
             .map(|z| format!("{z} = \"vestland\"\n"))
             .collect();
         let data = self.folder.join(&machine.name).join("data");
-        let (role, serves, own, addresses) = match machine.class {
+        let (role, class, serves, own, addresses) = match machine.class {
             MachineClass::Edge { has_disk } => (
+                "entry",
                 "edge",
                 "\"edge\",\"control_plane\"",
                 if has_disk {
@@ -188,6 +213,7 @@
                 String::new(),
             ),
             MachineClass::Side => (
+                "side",
                 "side",
                 "\"side\"",
                 format!(
@@ -198,7 +224,7 @@
             ),
         };
         format!(
-            "node-name = \"{name}\"\nrole = \"{role}\"\nmachine-class = \"{role}\"\n\
+            "node-name = \"{name}\"\nrole = \"{role}\"\nmachine-class = \"{class}\"\n\
              serves = [{serves}]\nip = \"{ip}\"\nzone = \"{zone}\"\n\
              region = \"vestland\"\ninternal-ports = [{first},{last}]\nseeds = [{seeds}]\n\
              bootstrap = {bootstrap}\nloss-counts = {has_disk}\n{own}\
@@ -257,7 +283,19 @@
         self.machines[index].child = Some(child.expect("the built program"));
     }
 
-    /// Kills the process of a machine, as a loss of power does.
+    /// Takes the power of a machine: nothing there answers any more, and connections to it
+    /// hang instead of being refused. `power_on` ends the process.
+    pub fn power_off(&self, index: usize) {
+        self.signal(index, "STOP");
+    }
+
+    /// Ends the process that had no power and starts a new one with the settings of now.
+    pub fn power_on(&mut self, index: usize) {
+        self.kill(index);
+        self.start(index);
+    }
+
+    /// Kills the process of a machine.
     pub fn kill(&mut self, index: usize) {
         if let Some(mut child) = self.machines[index].child.take() {
             let _ = child.kill();
@@ -277,10 +315,21 @@
     /// ended before that.
     pub fn stop(&mut self, index: usize) -> bool {
         self.signal(index, "TERM");
+        self.wait_for_end(index)
+    }
+
+    /// Returns whether the process of a machine has ended.
+    pub fn has_ended(&mut self, index: usize) -> bool {
+        let child = self.machines[index].child.as_mut();
+        child.is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
+    /// Waits for a process that got SIGTERM, and kills it after `grace-s`. Returns whether it
+    /// ended before that.
+    pub fn wait_for_end(&mut self, index: usize) -> bool {
         let started_at = Instant::now();
         while started_at.elapsed() < GRACE {
-            let child = self.machines[index].child.as_mut();
-            if child.is_none_or(|child| matches!(child.try_wait(), Ok(Some(_)))) {
+            if self.has_ended(index) {
                 self.machines[index].child = None;
                 return true;
             }
@@ -330,15 +379,18 @@
 
     /// Does the same; also returns the machine that answered.
     pub fn put_config_at(&self, version: u64, limit: Duration) -> Option<(u16, usize)> {
-        let body = config(version);
+        let body = config(version, self.route());
         let started_at = Instant::now();
         let mut pause = Duration::from_millis(50);
         while started_at.elapsed() < limit {
-            for machine in self
+            let nodes = self
                 .machines
                 .iter()
-                .filter(|machine| machine.child.is_some())
-            {
+                .filter(|machine| machine.child.is_some() && machine.class != MachineClass::Side);
+            let mut nodes: Vec<&Machine> = nodes.collect();
+            let first = usize::try_from(version).unwrap_or_default() % nodes.len().max(1);
+            nodes.rotate_left(first);
+            for machine in nodes {
                 let address = SocketAddrV4::new(machine.address, CONTROL_PORT);
                 let Some((status, _, from)) = call(address, "PUT", &body) else {
                     continue;
@@ -380,9 +432,9 @@
 }
 
 /// A config as the operator sends it; its timeout changes with the version.
-fn config(version: u64) -> String {
+fn config(version: u64, route: Ipv4Addr) -> String {
     format!(
-        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-feed\",\"hostname\":\"198.18.0.1\",\
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-feed\",\"hostname\":\"{route}\",\
          \"path-prefix\":\"/8443/\",\"route-type\":\"idempotent\",\"timeout-ms\":{timeout},\
          \"latency-goal-ms\":150,\"priority\":2,\"service\":\"barge-control\",\
          \"max-attempts\":2}}],\"services\":[{{\"name\":\"barge-control\",\
@@ -431,6 +483,7 @@
          Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
         body.len()
     );
+    stream.set_write_timeout(Some(CALL_TIMEOUT)).ok()?;
     stream.write_all(request.as_bytes()).ok()?;
     let mut response = Vec::new();
     let mut buffer = [0; 8192];
